--- /dev/null
+++ b/Makefile
@@ -0,0 +1,48 @@
+# Every target sets up the virtual environment first when it is missing.
+VENV ?= .venv
+PYTHON ?= python3.11
+PACKAGES := decisions wire node ctl standins
+TOOLS := ruff hacking mypy import-linter hypothesis minicheck setuptools
+STAMP := $(VENV)/.installed-$(firstword $(shell cat constraints.txt packages/*/pyproject.toml | cksum))
+empty :=
+space := $(empty) $(empty)
+export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src))
+export PATH := $(abspath $(VENV))/bin:$(PATH)
+export PYTHONDONTWRITEBYTECODE := 1
+
+.PHONY: setup run test lint format bench check-model soak
+
+setup: $(STAMP)
+
+$(STAMP):
+	test -x $(VENV)/bin/python || $(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/python -m pip install -q -c constraints.txt $(TOOLS)
+	$(VENV)/bin/python -m pip install -q -c constraints.txt \
+	  --no-build-isolation $(foreach p,$(PACKAGES),-e packages/$(p))
+	touch $@
+
+lint: setup
+	ruff format --check .
+	ruff check .
+	flake8 packages tests tools
+	lint-imports
+	mypy
+
+format: setup
+	ruff format .
+	ruff check --fix .
+
+test: setup
+	python tools/run_tests.py
+
+run: setup
+	python -m gypsumbridge_standins.demo $(if $(KEEP),--keep)
+
+bench: setup
+	python -m gypsumbridge_standins.bench $(if $(OUT),--out $(OUT))
+
+check-model: setup
+	python -m gypsumbridge_standins.check_model
+
+soak: setup
+	python -m gypsumbridge_standins.soak $(or $(SEED),1) $(or $(STEPS),20000)
--- /dev/null
+++ b/packages/ctl/src/gypsumbridge_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The command line for operators."""
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions and data types of the query tier."""
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/clock/__init__.py
@@ -0,0 +1,5 @@
+"""Time in whole milliseconds, real or set by hand."""
+
+from gypsumbridge_decisions.clock.clock import Clock as Clock
+from gypsumbridge_decisions.clock.clock import make_clock as make_clock
+from gypsumbridge_decisions.clock.manual import ManualTime as ManualTime
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/clock/manual.py
@@ -0,0 +1,22 @@
+"""A time source that moves only when told to."""
+
+from gypsumbridge_decisions.clock import clock as clock_type
+
+
+class ManualTime:
+    """Holds a time in milliseconds that tests and replays advance."""
+
+    def __init__(self, start_ms: int = 0) -> None:
+        self.value_ms = start_ms
+
+    def advance(self, delta_ms: int) -> None:
+        """Move time forward by `delta_ms`, which must not be negative."""
+        if delta_ms < 0:
+            raise ValueError('delta_ms must not be negative')
+        self.value_ms += delta_ms
+
+    def clock(self) -> clock_type.Clock:
+        """Return a clock that reads this time."""
+        return clock_type.Clock(
+            now_ms=lambda: self.value_ms, wall_ms=lambda: self.value_ms
+        )
--- /dev/null
+++ b/packages/node/src/gypsumbridge_node/__init__.py
@@ -0,0 +1,1 @@
+"""The node daemon: tasks, sockets, settings, logs and metrics."""
--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Emulator of the platform, load tool and bench; never shipped."""
--- /dev/null
+++ b/packages/wire/src/gypsumbridge_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Codecs between data classes and bytes."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, one folder for each package."""
