--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/catalog/__init__.py
@@ -0,0 +1,7 @@
+"""The declared resources in force, with the look-ups that tasks need."""
+
+from gypsumbridge_decisions.catalog.catalog import Catalog as Catalog
+from gypsumbridge_decisions.catalog.catalog import (
+    empty_catalog as empty_catalog,
+)
+from gypsumbridge_decisions.catalog.catalog import make_catalog as make_catalog
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/errors/__init__.py
@@ -0,0 +1,25 @@
+"""The exception tree."""
+
+from gypsumbridge_decisions.errors.base import (
+    GypsumbridgeError as GypsumbridgeError,
+)
+from gypsumbridge_decisions.errors.conflict import (
+    ConflictError as ConflictError,
+)
+from gypsumbridge_decisions.errors.declaration import (
+    DeclarationError as DeclarationError,
+)
+from gypsumbridge_decisions.errors.frame import FrameError as FrameError
+from gypsumbridge_decisions.errors.invariant import (
+    InvariantError as InvariantError,
+)
+from gypsumbridge_decisions.errors.not_found import (
+    NotFoundError as NotFoundError,
+)
+from gypsumbridge_decisions.errors.request import RequestError as RequestError
+from gypsumbridge_decisions.errors.settings import (
+    SettingsError as SettingsError,
+)
+from gypsumbridge_decisions.errors.store_unavailable import (
+    StoreUnavailableError as StoreUnavailableError,
+)
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/front/send.py
@@ -0,0 +1,94 @@
+"""Sends the pending shards of a query to their owners."""
+
+from gypsumbridge_decisions import messages
+from gypsumbridge_decisions.front import command
+from gypsumbridge_decisions.front import running_query
+from gypsumbridge_decisions.front import sent_batch
+from gypsumbridge_decisions.front import silence_timer
+from gypsumbridge_decisions.front import state as states
+
+
+def send_pending(
+    state: states.FrontState, running: running_query.RunningQuery, now_ms: int
+) -> list[command.Command]:
+    """Send every pending shard to its owner; without one it is missing."""
+    by_owner: dict[str, list[str]] = {}
+    for shard in sorted(running.pending):
+        replica_set = running.version.shards[shard]
+        found = state.ownership.find(running.service, replica_set)
+        if found.owner is None:
+            running.pending.discard(shard)
+            running.missing[shard] = messages.MissingReason.NO_OWNER
+            continue
+        by_owner.setdefault(found.owner, []).append(shard)
+    commands: list[command.Command] = []
+    for owner, shards in by_owner.items():
+        commands += send_batch(state, running, owner, shards, False, now_ms)
+    return commands
+
+
+def send_batch(
+    state: states.FrontState,
+    running: running_query.RunningQuery,
+    node_id: str,
+    shards: list[str],
+    hedged: bool,
+    now_ms: int,
+) -> list[command.Command]:
+    """Send one batch and arm its silence timer."""
+    attempt = running.next_attempt
+    running.next_attempt += 1
+    running.batches[attempt] = sent_batch.SentBatch(
+        attempt, node_id, frozenset(shards), now_ms, hedged
+    )
+    query = running.query
+    batch = messages.ShardBatch(
+        sender=state.node_id,
+        query_id=query.query_id,
+        attempt=attempt,
+        service=query.service,
+        version=running.version.name,
+        rank=query.rank,
+        caller=query.caller,
+        remaining_ms=max(running.deadline_at_ms - now_ms, 0),
+        admission_key=running.admission_key,
+        configuration_revision=state.catalog.revision,
+        body=query.body,
+        calls=tuple(
+            messages.ShardCall(shard, running.version.shards[shard])
+            for shard in shards
+        ),
+        hedged=hedged,
+    )
+    timer = silence_timer.SilenceTimer(query.query_id, attempt, None)
+    decision = messages.Decision(
+        'send_batch',
+        'owner_silent' if hedged else 'owner',
+        {
+            'query': query.query_id,
+            'attempt': attempt,
+            'owner': node_id,
+            'shards': len(shards),
+            'snapshot': running.version.name,
+        },
+    )
+    return [
+        messages.ToPeer(node_id, batch),
+        messages.Timer(max(state.owner_silence_ms // 2, 1), timer),
+        decision,
+    ]
+
+
+def cancel_batches(
+    state: states.FrontState, running: running_query.RunningQuery
+) -> list[command.Command]:
+    """Cancel every batch that has shards without a part."""
+    commands: list[command.Command] = []
+    for batch in running.batches.values():
+        if not batch.unreported:
+            continue
+        cancel = messages.CancelBatch(
+            state.node_id, running.query.query_id, batch.attempt
+        )
+        commands.append(messages.ToPeer(batch.node_id, cancel))
+    return commands
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/front/state.py
@@ -0,0 +1,32 @@
+"""State of the front task."""
+
+from gypsumbridge_decisions import catalog
+from gypsumbridge_decisions import messages
+from gypsumbridge_decisions import routing
+from gypsumbridge_decisions.front import caller_shares
+from gypsumbridge_decisions.front import levels
+from gypsumbridge_decisions.front import running_query
+
+
+class FrontState:
+    """Everything that the front task owns.
+
+    `serving_refusal` is empty while the node takes new work.
+    `last_heard_ms` holds when each owner last sent anything.
+    """
+
+    def __init__(self, node_id: str, owner_silence_ms: int) -> None:
+        self.node_id = node_id
+        self.owner_silence_ms = owner_silence_ms
+        self.catalog = catalog.empty_catalog()
+        self.ownership = routing.OwnershipCache()
+        self.serving_refusal = messages.MissingReason.NONE
+        self.running: dict[str, running_query.RunningQuery] = {}
+        self.last_heard_ms: dict[str, int] = {}
+        self.levels = levels.Levels()
+        self.caller_shares = caller_shares.CallerShares()
+
+
+def make_front_state(node_id: str, owner_silence_ms: int) -> FrontState:
+    """Return the state of a front that has no query yet."""
+    return FrontState(node_id, owner_silence_ms)
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/messages/__init__.py
@@ -0,0 +1,70 @@
+"""Messages between nodes and between tasks; all are frozen."""
+
+from gypsumbridge_decisions.messages.admission_level import (
+    AdmissionLevel as AdmissionLevel,
+)
+from gypsumbridge_decisions.messages.answer import Answer as Answer
+from gypsumbridge_decisions.messages.cancel_batch import (
+    CancelBatch as CancelBatch,
+)
+from gypsumbridge_decisions.messages.catalog_changed import (
+    CatalogChanged as CatalogChanged,
+)
+from gypsumbridge_decisions.messages.count import Count as Count
+from gypsumbridge_decisions.messages.decision import Decision as Decision
+from gypsumbridge_decisions.messages.endpoint_cancel import (
+    EndpointCancel as EndpointCancel,
+)
+from gypsumbridge_decisions.messages.endpoint_leaving import (
+    EndpointLeaving as EndpointLeaving,
+)
+from gypsumbridge_decisions.messages.endpoint_reply import (
+    EndpointReply as EndpointReply,
+)
+from gypsumbridge_decisions.messages.endpoint_request import (
+    EndpointRequest as EndpointRequest,
+)
+from gypsumbridge_decisions.messages.endpoint_status import (
+    EndpointStatus as EndpointStatus,
+)
+from gypsumbridge_decisions.messages.member import Member as Member
+from gypsumbridge_decisions.messages.member_state import (
+    MemberState as MemberState,
+)
+from gypsumbridge_decisions.messages.members_changed import (
+    MembersChanged as MembersChanged,
+)
+from gypsumbridge_decisions.messages.missing_reason import (
+    MissingReason as MissingReason,
+)
+from gypsumbridge_decisions.messages.missing_shard import (
+    MissingShard as MissingShard,
+)
+from gypsumbridge_decisions.messages.mutation_call import (
+    MutationCall as MutationCall,
+)
+from gypsumbridge_decisions.messages.mutation_result import (
+    MutationResult as MutationResult,
+)
+from gypsumbridge_decisions.messages.owner_check import (
+    OwnerCheck as OwnerCheck,
+)
+from gypsumbridge_decisions.messages.part import Part as Part
+from gypsumbridge_decisions.messages.part_batch import PartBatch as PartBatch
+from gypsumbridge_decisions.messages.part_outcome import (
+    PartOutcome as PartOutcome,
+)
+from gypsumbridge_decisions.messages.query import Query as Query
+from gypsumbridge_decisions.messages.query_gone import QueryGone as QueryGone
+from gypsumbridge_decisions.messages.refusal import Refusal as Refusal
+from gypsumbridge_decisions.messages.run_state import RunState as RunState
+from gypsumbridge_decisions.messages.serving_changed import (
+    ServingChanged as ServingChanged,
+)
+from gypsumbridge_decisions.messages.shard_batch import (
+    ShardBatch as ShardBatch,
+)
+from gypsumbridge_decisions.messages.shard_call import ShardCall as ShardCall
+from gypsumbridge_decisions.messages.timer import Timer as Timer
+from gypsumbridge_decisions.messages.to_peer import ToPeer as ToPeer
+from gypsumbridge_decisions.messages.warm_up import WarmUp as WarmUp
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/messages/admission_level.py
@@ -0,0 +1,13 @@
+"""What share of a rank's queries a replica set admits."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class AdmissionLevel:
+    """Queries of `rank` whose admission key is below `level` are admitted."""
+
+    service: str
+    replica_set: str
+    rank: str
+    level: float
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/messages/cancel_batch.py
@@ -0,0 +1,12 @@
+"""Ends work whose result nobody waits for."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class CancelBatch:
+    """Drops the queued calls of a query and cancels its running ones."""
+
+    sender: str
+    query_id: str
+    attempt: int
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/messages/catalog_changed.py
@@ -0,0 +1,12 @@
+"""A new view of the declared resources."""
+
+import dataclasses
+
+from gypsumbridge_decisions.catalog import catalog
+
+
+@dataclasses.dataclass(frozen=True)
+class CatalogChanged:
+    """The catalog that is now in force on this node."""
+
+    catalog: catalog.Catalog
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/messages/missing_reason.py
@@ -0,0 +1,23 @@
+"""Why a shard is missing from an answer."""
+
+import enum
+
+
+class MissingReason(enum.StrEnum):
+    """The reason that an answer or a part gives for a missing shard."""
+
+    NONE = ''
+    NO_OWNER = 'no_owner'
+    NO_ENDPOINT = 'no_endpoint'
+    OVERLOAD = 'overload'
+    DEADLINE = 'deadline'
+    ENDPOINT_FAILED = 'endpoint_failed'
+    ENDPOINT_SHED = 'endpoint_shed'
+    VERSION_MISMATCH = 'version_mismatch'
+    VERSION_GONE = 'version_gone'
+    WRONG_SHARD = 'wrong_shard'
+    INVALID_REPLY = 'invalid_reply'
+    GIVEN_UP_EARLY = 'given_up_early'
+    NODE_DRAINING = 'node_draining'
+    CONFIGURATION_STALE = 'configuration_stale'
+    CANCELLED = 'cancelled'
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/messages/missing_shard.py
@@ -0,0 +1,13 @@
+"""A shard that an answer does not cover."""
+
+import dataclasses
+
+from gypsumbridge_decisions.messages import missing_reason
+
+
+@dataclasses.dataclass(frozen=True)
+class MissingShard:
+    """A shard of the pinned map that has no result, and why."""
+
+    shard: str
+    reason: missing_reason.MissingReason
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/messages/shard_batch.py
@@ -0,0 +1,29 @@
+"""All shard calls of one query that go to one owner."""
+
+import dataclasses
+
+from gypsumbridge_decisions.messages import shard_call
+
+
+@dataclasses.dataclass(frozen=True)
+class ShardBatch:
+    """A front's request to an owner.
+
+    `attempt` tells batches of one query to different owners and restarts
+    apart. `remaining_ms` is what is left of the deadline when the batch
+    is sent. `admission_key` is in [0, 1); smaller keys are admitted first.
+    """
+
+    sender: str
+    query_id: str
+    attempt: int
+    service: str
+    version: str
+    rank: str
+    caller: str
+    remaining_ms: int
+    admission_key: float
+    configuration_revision: int
+    body: bytes
+    calls: tuple[shard_call.ShardCall, ...]
+    hedged: bool = False
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/resources/endpoint.py
@@ -0,0 +1,50 @@
+"""One searcher process that holds the shards of a replica set."""
+
+import dataclasses
+
+from gypsumbridge_decisions import errors
+
+MAX_PORT = 65_535
+
+
+@dataclasses.dataclass(frozen=True)
+class Endpoint:
+    """A declared endpoint.
+
+    `address` is an IP number. `slots` requests run at once; more wait in
+    the endpoint or are shed. It refuses connections past `connections`. A
+    new connection costs it about `connect_ms`.
+    """
+
+    name: str
+    service: str
+    replica_set: str
+    address: str
+    port: int
+    failure_domain: str
+    slots: int = 2
+    connections: int = 25
+    connect_ms: int = 6
+    leaving: bool = False
+
+
+def check_endpoint(endpoint: Endpoint) -> None:
+    """Raise DeclarationError where a field is out of range."""
+    if not 0 < endpoint.port <= MAX_PORT:
+        raise errors.DeclarationError(
+            f'endpoint {endpoint.name}: port is {endpoint.port}',
+            f'use a TCP port from 1 to {MAX_PORT}',
+        )
+    if endpoint.slots < 1:
+        raise errors.DeclarationError(
+            f'endpoint {endpoint.name}: slots is {endpoint.slots}',
+            'use at least 1',
+        )
+    # Owner, standby and one stale owner hold slots + 1, 1 and slots + 1.
+    needed = 2 * (endpoint.slots + 1) + 1
+    if endpoint.connections < needed:
+        raise errors.DeclarationError(
+            f'endpoint {endpoint.name}: connections is {endpoint.connections}',
+            f'use at least {needed}, which an owner, a standby and one stale'
+            ' owner may open together',
+        )
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/resources/kind.py
@@ -0,0 +1,12 @@
+"""The kinds of declared resources."""
+
+import enum
+
+
+class Kind(enum.StrEnum):
+    """A kind of declared resource, as it appears in keys and paths."""
+
+    SERVICE = 'services'
+    ENDPOINT = 'endpoints'
+    RANK = 'ranks'
+    LIMIT = 'limits'
--- /dev/null
+++ b/tools/write_init.py
@@ -0,0 +1,51 @@
+"""Rewrites a subpackage's `__init__` so that it re-exports its public names.
+
+Usage: python tools/write_init.py PACKAGE SUBPACKAGE, for example
+`python tools/write_init.py decisions resources`. The docstring is kept.
+"""
+
+import ast
+import pathlib
+import sys
+
+MAX_LINE = 79
+
+
+def public_names(path: pathlib.Path) -> list[str]:
+    names = set()
+    for node in ast.parse(path.read_text(encoding='utf-8')).body:
+        if isinstance(node, (ast.ClassDef, ast.FunctionDef)):
+            names.add(node.name)
+            continue
+        if not isinstance(node, ast.Assign):
+            continue
+        for target in node.targets:
+            if isinstance(target, ast.Name):
+                names.add(target.id)
+    return sorted(n for n in names if not n.startswith('_'))
+
+
+def import_line(module: str, name: str) -> str:
+    line = f'from {module} import {name} as {name}'
+    if len(line) <= MAX_LINE:
+        return line
+    return f'from {module} import (\n    {name} as {name},\n)'
+
+
+def main() -> None:
+    package, subpackage = sys.argv[1:3]
+    root = f'gypsumbridge_{package}'
+    folder = pathlib.Path('packages') / package / 'src' / root / subpackage
+    init = folder / '__init__.py'
+    docstring = ast.get_docstring(ast.parse(init.read_text('utf-8')))
+    lines = [f'"""{docstring}"""', '']
+    for path in sorted(folder.glob('*.py')):
+        if path.name == '__init__.py':
+            continue
+        module = f'{root}.{subpackage}.{path.stem}'
+        lines += [import_line(module, n) for n in public_names(path)]
+    init.write_text('\n'.join(lines) + '\n', encoding='utf-8')
+
+
+if __name__ == '__main__':
+    main()
