--- a/packages/decisions/src/gypsumbridge_decisions/front/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/front/__init__.py
@@ -3,8 +3,6 @@
 from gypsumbridge_decisions.front.caller_shares import (
     CallerShares as CallerShares,
 )
-from gypsumbridge_decisions.front.caller_shares import MAX_KEY as MAX_KEY
-from gypsumbridge_decisions.front.caller_shares import WINDOW_MS as WINDOW_MS
 from gypsumbridge_decisions.front.command import Command as Command
 from gypsumbridge_decisions.front.finish import check_answer as check_answer
 from gypsumbridge_decisions.front.finish import drop as drop
@@ -13,17 +11,11 @@
     finish_if_done as finish_if_done,
 )
 from gypsumbridge_decisions.front.finish import time_out as time_out
-from gypsumbridge_decisions.front.levels import ADMIT_ALL as ADMIT_ALL
-from gypsumbridge_decisions.front.levels import LEVEL_TTL_MS as LEVEL_TTL_MS
 from gypsumbridge_decisions.front.levels import Levels as Levels
-from gypsumbridge_decisions.front.merge import MIN_RESTART_MS as MIN_RESTART_MS
 from gypsumbridge_decisions.front.merge import receive_parts as receive_parts
 from gypsumbridge_decisions.front.plan import (
     admitting_share as admitting_share,
 )
-from gypsumbridge_decisions.front.plan import (
-    ANSWER_MARGIN_MS as ANSWER_MARGIN_MS,
-)
 from gypsumbridge_decisions.front.plan import arrive as arrive
 from gypsumbridge_decisions.front.query_timer import QueryTimer as QueryTimer
 from gypsumbridge_decisions.front.running_query import (
--- a/packages/decisions/src/gypsumbridge_decisions/front/caller_shares.py
+++ b/packages/decisions/src/gypsumbridge_decisions/front/caller_shares.py
@@ -5,7 +5,8 @@
 # Long enough to smooth one burst of a few queries, short enough that a
 # caller that stops flooding is treated as the others within seconds.
 WINDOW_MS = 1_000
-MAX_KEY = 0.999_999
+# Below the level that admits everything.
+MAX_KEY = 63.0
 
 
 class CallerShares:
@@ -19,7 +20,7 @@
     def admission_key(
         self, query_id: str, rank: str, caller: str, now_ms: int
     ) -> float:
-        """Count a query and return its admission key in [0, 1).
+        """Count a query and return its admission key, at least 0.
 
         The key is a uniform hash of the query id times the caller's rate
         over the mean rate of the rank's callers. At a level p this admits
--- a/packages/decisions/src/gypsumbridge_decisions/front/levels.py
+++ b/packages/decisions/src/gypsumbridge_decisions/front/levels.py
@@ -7,7 +7,8 @@
 # A level older than this says little about the owner's queues, and one
 # that never expired would keep out traffic after the load has gone.
 LEVEL_TTL_MS = 1_000
-ADMIT_ALL = 1.0
+# Above every admission key.
+ADMIT_ALL = 64.0
 
 
 class Levels:
--- a/packages/decisions/src/gypsumbridge_decisions/messages/shard_batch.py
+++ b/packages/decisions/src/gypsumbridge_decisions/messages/shard_batch.py
@@ -11,7 +11,7 @@
 
     `attempt` tells batches of one query to different owners and restarts
     apart. `remaining_ms` is what is left of the deadline when the batch
-    is sent. `admission_key` is in [0, 1); smaller keys are admitted first.
+    is sent. Smaller admission keys are admitted first.
     """
 
     sender: str
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/__init__.py
@@ -0,0 +1,69 @@
+"""Queues, slots, admission, replica choice and hedges of replica sets."""
+
+from gypsumbridge_decisions.owner.accept import accept_batch as accept_batch
+from gypsumbridge_decisions.owner.accept import (
+    accept_mutation as accept_mutation,
+)
+from gypsumbridge_decisions.owner.accept import (
+    refusal_reason as refusal_reason,
+)
+from gypsumbridge_decisions.owner.accept import (
+    wait_target_ms as wait_target_ms,
+)
+from gypsumbridge_decisions.owner.admission import Admission as Admission
+from gypsumbridge_decisions.owner.admission import make_level as make_level
+from gypsumbridge_decisions.owner.apply_catalog import (
+    apply_catalog as apply_catalog,
+)
+from gypsumbridge_decisions.owner.apply_catalog import find_set as find_set
+from gypsumbridge_decisions.owner.call_key import CallKey as CallKey
+from gypsumbridge_decisions.owner.call_queue import CallQueue as CallQueue
+from gypsumbridge_decisions.owner.cancel import answer_check as answer_check
+from gypsumbridge_decisions.owner.cancel import cancel_batch as cancel_batch
+from gypsumbridge_decisions.owner.cancel import set_leaving as set_leaving
+from gypsumbridge_decisions.owner.choose_rank import choose_rank as choose_rank
+from gypsumbridge_decisions.owner.choose_replica import (
+    choose_replica as choose_replica,
+)
+from gypsumbridge_decisions.owner.choose_replica import (
+    usable_replicas as usable_replicas,
+)
+from gypsumbridge_decisions.owner.coalesce import coalesce as coalesce
+from gypsumbridge_decisions.owner.command import Command as Command
+from gypsumbridge_decisions.owner.dispatch import dispatch as dispatch
+from gypsumbridge_decisions.owner.dispatch import (
+    start_request as start_request,
+)
+from gypsumbridge_decisions.owner.extra_load_budget import (
+    ExtraLoadBudget as ExtraLoadBudget,
+)
+from gypsumbridge_decisions.owner.health import (
+    record_failure as record_failure,
+)
+from gypsumbridge_decisions.owner.health import record_shed as record_shed
+from gypsumbridge_decisions.owner.health import (
+    record_success as record_success,
+)
+from gypsumbridge_decisions.owner.hedge import hedge as hedge
+from gypsumbridge_decisions.owner.hedge_timer import HedgeTimer as HedgeTimer
+from gypsumbridge_decisions.owner.latency import Latency as Latency
+from gypsumbridge_decisions.owner.pending_call import (
+    PendingCall as PendingCall,
+)
+from gypsumbridge_decisions.owner.predict import service_ms as service_ms
+from gypsumbridge_decisions.owner.predict import wait_ms as wait_ms
+from gypsumbridge_decisions.owner.replica_set_state import (
+    ReplicaSetState as ReplicaSetState,
+)
+from gypsumbridge_decisions.owner.replica_state import (
+    ReplicaState as ReplicaState,
+)
+from gypsumbridge_decisions.owner.reply import is_shedding as is_shedding
+from gypsumbridge_decisions.owner.reply import receive_reply as receive_reply
+from gypsumbridge_decisions.owner.result import finish as finish
+from gypsumbridge_decisions.owner.result import forget as forget
+from gypsumbridge_decisions.owner.result import refuse as refuse
+from gypsumbridge_decisions.owner.state import (
+    make_owner_state as make_owner_state,
+)
+from gypsumbridge_decisions.owner.state import OwnerState as OwnerState
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/accept.py
@@ -0,0 +1,131 @@
+"""Admits or refuses arriving work."""
+
+from gypsumbridge_decisions import messages
+from gypsumbridge_decisions import resources
+from gypsumbridge_decisions.owner import apply_catalog
+from gypsumbridge_decisions.owner import call_key
+from gypsumbridge_decisions.owner import command
+from gypsumbridge_decisions.owner import dispatch
+from gypsumbridge_decisions.owner import pending_call
+from gypsumbridge_decisions.owner import predict
+from gypsumbridge_decisions.owner import replica_set_state
+from gypsumbridge_decisions.owner import result
+from gypsumbridge_decisions.owner import state as states
+
+
+def accept_batch(
+    state: states.OwnerState, batch: messages.ShardBatch, now_ms: int
+) -> list[command.Command]:
+    """Queue the calls of a batch or refuse them as not run."""
+    commands: list[command.Command] = []
+    waiting: dict[str, pending_call.PendingCall] = {}
+    batch_key = (batch.sender, batch.query_id, batch.attempt)
+    if batch_key in state.batches:
+        return [messages.Count('owner.batches.duplicate')]
+    state.batches[batch_key] = waiting
+    touched: dict[tuple[str, str], replica_set_state.ReplicaSetState] = {}
+    for shard_call in batch.calls:
+        key = (batch.service, shard_call.replica_set)
+        set_state = apply_catalog.find_set(state, key)
+        call = _make_call(batch, shard_call, now_ms)
+        waiting[shard_call.shard] = call
+        reason = refusal_reason(
+            state, set_state, call, batch.admission_key, now_ms
+        )
+        if reason:
+            commands += result.refuse(state, call, reason)
+            continue
+        set_state.queue(batch.rank).push(call)
+        touched[key] = set_state
+    for set_state in touched.values():
+        commands += dispatch.dispatch(state, set_state, now_ms)
+    return commands
+
+
+def accept_mutation(
+    state: states.OwnerState, mutation: messages.MutationCall, now_ms: int
+) -> list[command.Command]:
+    """Queue a claimed mutation or refuse it as not run."""
+    batch_key = (mutation.sender, mutation.mutation_id, 0)
+    if batch_key in state.batches:
+        return [messages.Count('owner.mutations.duplicate')]
+    key = (mutation.service, mutation.replica_set)
+    set_state = apply_catalog.find_set(state, key)
+    call = pending_call.PendingCall(
+        key=call_key.CallKey(
+            mutation.sender, mutation.mutation_id, 0, mutation.shard
+        ),
+        replica_set=key,
+        version=mutation.version,
+        rank=mutation.rank,
+        caller=mutation.caller,
+        body=mutation.body,
+        idempotency_key=mutation.idempotency_key,
+        arrived_ms=now_ms,
+        deadline_at_ms=now_ms + mutation.remaining_ms,
+    )
+    state.batches[batch_key] = {mutation.shard: call}
+    # A mutation is not shed by its key: it was claimed in the store already,
+    # which costs more than the slot it asks for.
+    reason = refusal_reason(state, set_state, call, 0.0, now_ms)
+    if reason:
+        return result.refuse(state, call, reason)
+    set_state.queue(mutation.rank).push(call)
+    return dispatch.dispatch(state, set_state, now_ms)
+
+
+def refusal_reason(
+    state: states.OwnerState,
+    set_state: replica_set_state.ReplicaSetState,
+    call: pending_call.PendingCall,
+    admission_key: float,
+    now_ms: int,
+) -> messages.MissingReason:
+    """Return why a call must not be queued, or NONE."""
+    if state.serving_refusal:
+        return state.serving_refusal
+    rank = state.catalog.ranks.get(call.rank)
+    if rank is None:
+        return messages.MissingReason.CONFIGURATION_STALE
+    if not set_state.slots():
+        return messages.MissingReason.NO_ENDPOINT
+    admission = set_state.admission(call.rank)
+    queue = set_state.queue(call.rank)
+    admission.adjust(queue.length, wait_target_ms(rank), now_ms)
+    if not admission.admit(admission_key):
+        return messages.MissingReason.OVERLOAD
+    limit = state.catalog.limits.get((call.replica_set[0], call.rank))
+    if limit is not None and queue.length >= limit.max_queued:
+        return messages.MissingReason.OVERLOAD
+    wait_ms = predict.wait_ms(state, set_state, rank, now_ms)
+    service_ms = predict.service_ms(set_state, now_ms)
+    if wait_ms + service_ms > call.deadline_at_ms - now_ms:
+        return messages.MissingReason.OVERLOAD
+    return messages.MissingReason.NONE
+
+
+def wait_target_ms(rank: resources.Rank) -> float:
+    """Return the queueing delay above which a rank's level falls.
+
+    Half of the rank's latency target; the other half is left for running
+    the call and for the way back.
+    """
+    return rank.target_ms / 2
+
+
+def _make_call(
+    batch: messages.ShardBatch, shard_call: messages.ShardCall, now_ms: int
+) -> pending_call.PendingCall:
+    return pending_call.PendingCall(
+        key=call_key.CallKey(
+            batch.sender, batch.query_id, batch.attempt, shard_call.shard
+        ),
+        replica_set=(batch.service, shard_call.replica_set),
+        version=batch.version,
+        rank=batch.rank,
+        caller=batch.caller,
+        body=batch.body,
+        idempotency_key='',
+        arrived_ms=now_ms,
+        deadline_at_ms=now_ms + batch.remaining_ms,
+    )
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/cancel.py
@@ -0,0 +1,70 @@
+"""Ends work that nobody waits for."""
+
+from gypsumbridge_decisions import messages
+from gypsumbridge_decisions.owner import command
+from gypsumbridge_decisions.owner import state as states
+
+
+def cancel_batch(
+    state: states.OwnerState, cancel: messages.CancelBatch
+) -> list[command.Command]:
+    """Drop the queued calls of a batch and cancel its running ones.
+
+    A slot stays taken until the endpoint task reports the end of the
+    request, so cancelling never overcommits an endpoint.
+    """
+    key = (cancel.sender, cancel.query_id, cancel.attempt)
+    calls = state.batches.pop(key, None)
+    if calls is None:
+        return []
+    commands: list[command.Command] = []
+    for call in calls.values():
+        call.done = True
+        if call.queued:
+            state.sets[call.replica_set].queue(call.rank).remove(call)
+        for call_id, endpoint in call.running.items():
+            commands.append(messages.EndpointCancel(call_id, endpoint))
+    commands.append(messages.Count('owner.cancelled', len(calls)))
+    return commands
+
+
+def answer_check(
+    state: states.OwnerState, check: messages.OwnerCheck
+) -> list[command.Command]:
+    """Show a front that this owner is alive."""
+    batch = messages.PartBatch(
+        sender=state.node_id,
+        query_id=check.query_id,
+        attempt=check.attempt,
+        parts=(),
+        levels=(),
+        configuration_revision=state.catalog.revision,
+    )
+    return [messages.ToPeer(check.sender, batch)]
+
+
+def set_leaving(
+    state: states.OwnerState, news: messages.EndpointLeaving
+) -> list[command.Command]:
+    """Stop or resume new work for an endpoint, by one source."""
+    sources = state.leaving.setdefault(news.endpoint, set())
+    if news.leaving:
+        sources.add(news.source)
+    else:
+        sources.discard(news.source)
+    if not sources:
+        del state.leaving[news.endpoint]
+    for set_state in state.sets.values():
+        replica = set_state.replicas.get(news.endpoint)
+        if replica is None:
+            continue
+        if news.leaving:
+            replica.leaving_sources.add(news.source)
+        else:
+            replica.leaving_sources.discard(news.source)
+    decision = messages.Decision(
+        'stop_endpoint' if news.leaving else 'resume_endpoint',
+        news.source,
+        {'endpoint': news.endpoint},
+    )
+    return [decision]
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/choose_rank.py
@@ -0,0 +1,54 @@
+"""Chooses the rank that gets the next free slot."""
+
+from gypsumbridge_decisions.owner import replica_set_state
+from gypsumbridge_decisions.owner import state as states
+
+# A rank that waited for long is owed at most this many dispatches, so that
+# it cannot hold the slots for long afterwards.
+MAX_CREDIT = 4.0
+
+
+def choose_rank(
+    state: states.OwnerState, set_state: replica_set_state.ReplicaSetState
+) -> str | None:
+    """Return the rank to dispatch from, and settle the credits.
+
+    A backlogged rank that is owed a whole dispatch goes first, the one
+    with the largest credit before the others; else the most urgent one.
+    """
+    backlogged = []
+    for rank in state.catalog.ranks_by_urgency:
+        queue = set_state.queues.get(rank.name)
+        if queue is None or not queue.length:
+            set_state.credits.pop(rank.name, None)
+            continue
+        if _at_slot_limit(state, set_state, rank.name):
+            continue
+        backlogged.append(rank)
+    if not backlogged:
+        return None
+    chosen = backlogged[0].name
+    best = 1.0
+    for rank in backlogged:
+        credit = set_state.credits.get(rank.name, 0.0)
+        if credit >= best and (credit > best or best == 1.0):
+            chosen = rank.name
+            best = credit
+    for rank in backlogged:
+        credit = set_state.credits.get(rank.name, 0.0) + rank.floor
+        if rank.name == chosen:
+            credit = max(credit - 1.0, 0.0)
+        set_state.credits[rank.name] = min(credit, MAX_CREDIT)
+    return chosen
+
+
+def _at_slot_limit(
+    state: states.OwnerState,
+    set_state: replica_set_state.ReplicaSetState,
+    rank: str,
+) -> bool:
+    limit = state.catalog.limits.get((set_state.key[0], rank))
+    if limit is None:
+        return False
+    allowed = max(int(set_state.slots() * limit.max_slot_share), 1)
+    return set_state.running_by_rank.get(rank, 0) >= allowed
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/command.py
@@ -0,0 +1,12 @@
+"""What the owner task is told to do."""
+
+from gypsumbridge_decisions import messages
+
+Command = (
+    messages.ToPeer
+    | messages.Timer
+    | messages.EndpointRequest
+    | messages.EndpointCancel
+    | messages.Decision
+    | messages.Count
+)
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/predict.py
@@ -0,0 +1,45 @@
+"""Predicts how long a call would wait."""
+
+from gypsumbridge_decisions import resources
+from gypsumbridge_decisions.owner import replica_set_state
+from gypsumbridge_decisions.owner import state as states
+
+
+def service_ms(
+    set_state: replica_set_state.ReplicaSetState, now_ms: int
+) -> float:
+    """Return the expected time of one request on the fastest replica."""
+    known = [
+        replica.latency.expected_ms(now_ms)
+        for replica in set_state.replicas.values()
+        if not replica.leaving_sources
+    ]
+    measured = [value for value in known if value > 0]
+    return min(measured, default=0.0)
+
+
+def wait_ms(
+    state: states.OwnerState,
+    set_state: replica_set_state.ReplicaSetState,
+    rank: resources.Rank,
+    now_ms: int,
+) -> float:
+    """Return the expected queueing delay of a new call of a rank.
+
+    Work of more urgent ranks goes first, but takes at most what this
+    rank's floor leaves; without a floor, all of it goes first.
+    """
+    own = set_state.queue(rank.name).length
+    ahead = 0
+    for other in state.catalog.ranks_by_urgency:
+        if other.urgency >= rank.urgency:
+            continue
+        ahead += set_state.queue(other.name).length
+    free = sum(max(r.free_slots(), 0) for r in set_state.replicas.values())
+    if own + ahead == 0 and free > 0:
+        return 0.0
+    by_urgency = float(own + ahead)
+    if rank.floor > 0:
+        by_urgency = min(by_urgency, own / rank.floor)
+    turns = (by_urgency + 1) / max(set_state.slots(), 1)
+    return turns * service_ms(set_state, now_ms)
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/reply.py
@@ -0,0 +1,165 @@
+"""Handles the end of a request to an endpoint."""
+
+from gypsumbridge_decisions import messages
+from gypsumbridge_decisions.owner import choose_replica
+from gypsumbridge_decisions.owner import command
+from gypsumbridge_decisions.owner import dispatch
+from gypsumbridge_decisions.owner import health
+from gypsumbridge_decisions.owner import pending_call
+from gypsumbridge_decisions.owner import replica_set_state
+from gypsumbridge_decisions.owner import result
+from gypsumbridge_decisions.owner import state as states
+
+REPLY_SOURCE = 'reply'
+
+_REASONS = {
+    messages.EndpointStatus.SHED: messages.MissingReason.ENDPOINT_SHED,
+    messages.EndpointStatus.DRAINING: messages.MissingReason.ENDPOINT_SHED,
+    messages.EndpointStatus.VERSION_GONE: messages.MissingReason.VERSION_GONE,
+}
+_FAILURES = frozenset(
+    {
+        messages.EndpointStatus.UNREACHABLE,
+        messages.EndpointStatus.LOST,
+        messages.EndpointStatus.INVALID,
+    }
+)
+
+
+def receive_reply(
+    state: states.OwnerState, reply: messages.EndpointReply, now_ms: int
+) -> list[command.Command]:
+    """Free the slot, judge the endpoint, and end or retry the call."""
+    call = state.calls.pop(reply.call_id, None)
+    if call is None:
+        return [messages.Count('owner.replies.unknown')]
+    set_state = state.sets[call.replica_set]
+    commands = _settle(state, set_state, call, reply, now_ms)
+    call.running.pop(reply.call_id, None)
+    if not call.done:
+        commands += _conclude(state, set_state, call, reply, now_ms)
+    return commands + dispatch.dispatch(state, set_state, now_ms)
+
+
+def _settle(
+    state: states.OwnerState,
+    set_state: replica_set_state.ReplicaSetState,
+    call: pending_call.PendingCall,
+    reply: messages.EndpointReply,
+    now_ms: int,
+) -> list[command.Command]:
+    """Free the slot and record what the reply says about the endpoint."""
+    used = set_state.running_by_rank.get(call.rank, 0)
+    set_state.running_by_rank[call.rank] = max(used - 1, 0)
+    replica = set_state.replicas.get(reply.endpoint)
+    if replica is None:
+        return []
+    started_ms = replica.running.pop(reply.call_id, now_ms)
+    commands: list[command.Command] = []
+    if reply.leaving and REPLY_SOURCE not in replica.leaving_sources:
+        replica.leaving_sources.add(REPLY_SOURCE)
+        commands.append(_log_leaving(reply.endpoint))
+    if call.done:
+        return commands
+    if reply.status == messages.EndpointStatus.OK:
+        health.record_success(replica, now_ms - started_ms, now_ms)
+    elif reply.status == messages.EndpointStatus.SHED:
+        health.record_shed(replica, now_ms)
+    elif reply.status in _FAILURES:
+        if health.record_failure(set_state, replica, now_ms):
+            commands.append(_log_ejection(replica.endpoint.name, reply))
+    return commands
+
+
+def _conclude(
+    state: states.OwnerState,
+    set_state: replica_set_state.ReplicaSetState,
+    call: pending_call.PendingCall,
+    reply: messages.EndpointReply,
+    now_ms: int,
+) -> list[command.Command]:
+    reason = _missing_reason(call, reply, now_ms)
+    if not reason:
+        return result.finish(
+            state,
+            call,
+            messages.PartOutcome.COVERED,
+            reason,
+            reply.payload,
+            reply.endpoint,
+        )
+    if call.running:
+        return []
+    if _may_retry(state, set_state, call, reply, now_ms):
+        set_state.retries.append(call)
+        return [messages.Count('owner.retries')]
+    outcome = messages.PartOutcome.FAILED
+    if not reply.executed and len(call.tried) == 1:
+        outcome = messages.PartOutcome.NOT_RUN
+    return result.finish(state, call, outcome, reason, b'', reply.endpoint)
+
+
+def _missing_reason(
+    call: pending_call.PendingCall,
+    reply: messages.EndpointReply,
+    now_ms: int,
+) -> messages.MissingReason:
+    """Return NONE when the reply is the result that was asked for."""
+    if reply.status != messages.EndpointStatus.OK:
+        if call.deadline_at_ms <= now_ms:
+            return messages.MissingReason.DEADLINE
+        return _REASONS.get(
+            reply.status, messages.MissingReason.ENDPOINT_FAILED
+        )
+    if reply.shard != call.key.shard:
+        return messages.MissingReason.WRONG_SHARD
+    if reply.version != call.version:
+        return messages.MissingReason.VERSION_MISMATCH
+    return messages.MissingReason.NONE
+
+
+def _may_retry(
+    state: states.OwnerState,
+    set_state: replica_set_state.ReplicaSetState,
+    call: pending_call.PendingCall,
+    reply: messages.EndpointReply,
+    now_ms: int,
+) -> bool:
+    """Say whether another replica may try, and pay for it.
+
+    An endpoint that drains has done nothing with the request, so moving
+    it is not charged; planned maintenance must not use up the budget.
+    """
+    if call.is_mutation() or call.deadline_at_ms <= now_ms:
+        return False
+    if not choose_replica.usable_replicas(set_state, call.tried, now_ms):
+        return False
+    if reply.status == messages.EndpointStatus.DRAINING:
+        return True
+    if is_shedding(state, call.replica_set[0]):
+        return False
+    return state.budget(call.replica_set[0]).spend()
+
+
+def is_shedding(state: states.OwnerState, service: str) -> bool:
+    """Say whether any rank of a service is shed on this owner."""
+    for key, set_state in state.sets.items():
+        if key[0] != service:
+            continue
+        if any(a.shedding() for a in set_state.admissions.values()):
+            return True
+    return False
+
+
+def _log_leaving(endpoint: str) -> messages.Decision:
+    return messages.Decision(
+        'stop_endpoint', REPLY_SOURCE, {'endpoint': endpoint}
+    )
+
+
+def _log_ejection(
+    endpoint: str, reply: messages.EndpointReply
+) -> messages.Decision:
+    return messages.Decision(
+        'eject_endpoint', str(reply.status), {'endpoint': endpoint}
+    )
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/state.py
@@ -0,0 +1,44 @@
+"""State of the owner task."""
+
+from gypsumbridge_decisions import catalog
+from gypsumbridge_decisions import messages
+from gypsumbridge_decisions.owner import extra_load_budget
+from gypsumbridge_decisions.owner import pending_call
+from gypsumbridge_decisions.owner import replica_set_state
+
+
+class OwnerState:
+    """Everything that the owner task owns.
+
+    `calls` maps the id of each request in flight to its call. `batches`
+    maps (sender, request id, attempt) to the calls that have no result
+    yet.
+    """
+
+    def __init__(self, node_id: str) -> None:
+        self.node_id = node_id
+        self.catalog = catalog.empty_catalog()
+        self.serving_refusal = messages.MissingReason.NONE
+        self.sets: dict[
+            tuple[str, str], replica_set_state.ReplicaSetState
+        ] = {}
+        self.budgets: dict[str, extra_load_budget.ExtraLoadBudget] = {}
+        self.calls: dict[int, pending_call.PendingCall] = {}
+        self.batches: dict[
+            tuple[str, str, int], dict[str, pending_call.PendingCall]
+        ] = {}
+        self.leaving: dict[str, set[str]] = {}
+        self.next_call_id = 1
+
+    def budget(self, service: str) -> extra_load_budget.ExtraLoadBudget:
+        """Return the budget of a service, made on first use."""
+        found = self.budgets.get(service)
+        if found is None:
+            found = extra_load_budget.ExtraLoadBudget()
+            self.budgets[service] = found
+        return found
+
+
+def make_owner_state(node_id: str) -> OwnerState:
+    """Return the state of an owner that has no work yet."""
+    return OwnerState(node_id)
--- a/packages/decisions/src/gypsumbridge_decisions/resources/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/resources/__init__.py
@@ -4,7 +4,6 @@
     check_endpoint as check_endpoint,
 )
 from gypsumbridge_decisions.resources.endpoint import Endpoint as Endpoint
-from gypsumbridge_decisions.resources.endpoint import MAX_PORT as MAX_PORT
 from gypsumbridge_decisions.resources.index_version import (
     IndexVersion as IndexVersion,
 )
--- a/packages/decisions/src/gypsumbridge_decisions/routing/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/routing/__init__.py
@@ -11,7 +11,6 @@
 from gypsumbridge_decisions.routing.ownership_cache import (
     OwnershipCache as OwnershipCache,
 )
-from gypsumbridge_decisions.routing.rendezvous import HASH_RANGE as HASH_RANGE
 from gypsumbridge_decisions.routing.rendezvous import ordered as ordered
 from gypsumbridge_decisions.routing.rendezvous import weight as weight
 from gypsumbridge_decisions.routing.rendezvous import (
--- a/tools/write_init.py
+++ b/tools/write_init.py
@@ -20,7 +20,8 @@
         if not isinstance(node, ast.Assign):
             continue
         for target in node.targets:
-            if isinstance(target, ast.Name):
+            # A type alias belongs to the public face, a constant does not.
+            if isinstance(target, ast.Name) and not target.id.isupper():
                 names.add(target.id)
     return sorted(n for n in names if not n.startswith('_'))
 
