--- a/packages/decisions/src/gypsumbridge_decisions/front/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/front/__init__.py
@@ -4,14 +4,18 @@
     CallerShares as CallerShares,
 )
 from gypsumbridge_decisions.front.command import Command as Command
-from gypsumbridge_decisions.front.finish import check_answer as check_answer
-from gypsumbridge_decisions.front.finish import drop as drop
-from gypsumbridge_decisions.front.finish import finish as finish
-from gypsumbridge_decisions.front.finish import (
+from gypsumbridge_decisions.front.finishing import check_answer as check_answer
+from gypsumbridge_decisions.front.finishing import drop as drop
+from gypsumbridge_decisions.front.finishing import finish as finish
+from gypsumbridge_decisions.front.finishing import (
     finish_if_done as finish_if_done,
 )
-from gypsumbridge_decisions.front.finish import time_out as time_out
+from gypsumbridge_decisions.front.finishing import time_out as time_out
+from gypsumbridge_decisions.front.handler import handle as handle
 from gypsumbridge_decisions.front.levels import Levels as Levels
+from gypsumbridge_decisions.front.membership_change import (
+    change_members as change_members,
+)
 from gypsumbridge_decisions.front.merge import receive_parts as receive_parts
 from gypsumbridge_decisions.front.plan import (
     admitting_share as admitting_share,
@@ -26,6 +30,7 @@
 from gypsumbridge_decisions.front.send import send_pending as send_pending
 from gypsumbridge_decisions.front.sent_batch import SentBatch as SentBatch
 from gypsumbridge_decisions.front.silence import check_silence as check_silence
+from gypsumbridge_decisions.front.silence import resend as resend
 from gypsumbridge_decisions.front.silence_timer import (
     SilenceTimer as SilenceTimer,
 )
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/front/handler.py
@@ -0,0 +1,43 @@
+"""Runs the front's decision for a message."""
+
+from typing import Any
+
+from gypsumbridge_decisions import messages
+from gypsumbridge_decisions.front import command
+from gypsumbridge_decisions.front import finishing
+from gypsumbridge_decisions.front import membership_change
+from gypsumbridge_decisions.front import merge
+from gypsumbridge_decisions.front import plan
+from gypsumbridge_decisions.front import query_timer
+from gypsumbridge_decisions.front import silence
+from gypsumbridge_decisions.front import silence_timer
+from gypsumbridge_decisions.front import state as states
+
+
+def handle(
+    state: states.FrontState, message: Any, now_ms: int
+) -> list[command.Command]:
+    """Return the commands that follow from a message.
+
+    The task and the replay in memory both run the front through this.
+    """
+    match message:
+        case messages.PartBatch():
+            return merge.receive_parts(state, message, now_ms)
+        case messages.Query():
+            return plan.arrive(state, message, now_ms)
+        case query_timer.QueryTimer():
+            return finishing.time_out(state, message, now_ms)
+        case silence_timer.SilenceTimer():
+            return silence.check_silence(state, message, now_ms)
+        case messages.QueryGone():
+            return finishing.drop(state, message)
+        case messages.MembersChanged():
+            return membership_change.change_members(state, message, now_ms)
+        case messages.CatalogChanged():
+            state.catalog = message.catalog
+        case messages.ServingChanged():
+            state.serving = message
+        case _:
+            raise TypeError(f'the front takes no {type(message).__name__}')
+    return []
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/front/membership_change.py
@@ -0,0 +1,24 @@
+"""Reacts to a new view of the fleet."""
+
+from gypsumbridge_decisions import messages
+from gypsumbridge_decisions.front import command
+from gypsumbridge_decisions.front import silence
+from gypsumbridge_decisions.front import state as states
+
+
+def change_members(
+    state: states.FrontState, changed: messages.MembersChanged, now_ms: int
+) -> list[command.Command]:
+    """Take the new members; resend what waits for a node that is gone."""
+    state.ownership.replace_members(changed.members)
+    present = {member.node_id for member in changed.members}
+    for node_id in state.last_heard_ms.keys() - present:
+        del state.last_heard_ms[node_id]
+    commands: list[command.Command] = []
+    for running in list(state.running.values()):
+        for batch in list(running.batches.values()):
+            if batch.node_id in present or not batch.unreported:
+                continue
+            shards = sorted(batch.unreported)
+            commands += silence.resend(state, running, batch, shards, now_ms)
+    return commands
--- a/packages/decisions/src/gypsumbridge_decisions/front/merge.py
+++ b/packages/decisions/src/gypsumbridge_decisions/front/merge.py
@@ -4,9 +4,10 @@
 
 from gypsumbridge_decisions import messages
 from gypsumbridge_decisions.front import command
-from gypsumbridge_decisions.front import finish
+from gypsumbridge_decisions.front import finishing
 from gypsumbridge_decisions.front import running_query
 from gypsumbridge_decisions.front import send
+from gypsumbridge_decisions.front import silence
 from gypsumbridge_decisions.front import state as states
 
 # A restart on a newer version with less time than this would only spend
@@ -20,6 +21,13 @@
     }
 )
 
+_REROUTE_REASONS = frozenset(
+    {
+        messages.MissingReason.NODE_DRAINING,
+        messages.MissingReason.CONFIGURATION_STALE,
+    }
+)
+
 
 def receive_parts(
     state: states.FrontState, batch: messages.PartBatch, now_ms: int
@@ -43,10 +51,15 @@
             sent, unreported=sent.unreported - {part.shard}
         )
         running.attempts += part.attempts
+        if part.reason in _REROUTE_REASONS and part.shard in running.pending:
+            rerouted = silence.resend(
+                state, running, sent, [part.shard], now_ms
+            )
+            commands += rerouted
         _merge_part(running, part)
     if _should_restart(state, running, now_ms):
         return commands + _restart(state, running, now_ms)
-    return commands + finish.finish_if_done(state, running, now_ms)
+    return commands + finishing.finish_if_done(state, running, now_ms)
 
 
 def _count_late(batch: messages.PartBatch) -> list[command.Command]:
@@ -103,7 +116,7 @@
     service = state.catalog.services[running.service.name]
     version = service.version(service.current_version)
     if version is None:
-        return commands + finish.finish_if_done(state, running, now_ms)
+        return commands + finishing.finish_if_done(state, running, now_ms)
     commands.append(
         messages.Decision(
             'restart_query',
@@ -124,4 +137,4 @@
     running.batches = {}
     commands.append(messages.Count('front.restarts'))
     commands += send.send_pending(state, running, now_ms)
-    return commands + finish.finish_if_done(state, running, now_ms)
+    return commands + finishing.finish_if_done(state, running, now_ms)
--- a/packages/decisions/src/gypsumbridge_decisions/front/plan.py
+++ b/packages/decisions/src/gypsumbridge_decisions/front/plan.py
@@ -3,7 +3,7 @@
 from gypsumbridge_decisions import messages
 from gypsumbridge_decisions import resources
 from gypsumbridge_decisions.front import command
-from gypsumbridge_decisions.front import finish
+from gypsumbridge_decisions.front import finishing
 from gypsumbridge_decisions.front import query_timer
 from gypsumbridge_decisions.front import running_query
 from gypsumbridge_decisions.front import send
@@ -18,8 +18,9 @@
     state: states.FrontState, query: messages.Query, now_ms: int
 ) -> list[command.Command]:
     """Plan a query, or refuse it before any shard spends a slot."""
-    if state.serving_refusal:
-        return [_refuse_not_serving(state, query)]
+    refusal = state.serving_refusal(now_ms)
+    if refusal:
+        return [_refuse_not_serving(state, query, refusal)]
     service = state.catalog.services.get(query.service)
     if service is None:
         return [_refuse_unknown(query, 'service', query.service)]
@@ -44,7 +45,7 @@
         timer = query_timer.QueryTimer(query.query_id, True)
         commands.append(messages.Timer(service.early_after_ms, timer))
     commands += send.send_pending(state, running, now_ms)
-    commands += finish.finish_if_done(state, running, now_ms)
+    commands += finishing.finish_if_done(state, running, now_ms)
     return commands
 
 
@@ -64,12 +65,14 @@
 
 
 def _refuse_not_serving(
-    state: states.FrontState, query: messages.Query
+    state: states.FrontState,
+    query: messages.Query,
+    reason: messages.MissingReason,
 ) -> messages.Refusal:
     return messages.Refusal(
         query_id=query.query_id,
         request_id=query.request_id,
-        code=str(state.serving_refusal),
+        code=str(reason),
         run_state=messages.RunState.NOT_RUN,
         message=f'node {state.node_id} takes no new work',
         remedy='send the request to another node',
--- a/packages/decisions/src/gypsumbridge_decisions/front/silence.py
+++ b/packages/decisions/src/gypsumbridge_decisions/front/silence.py
@@ -1,5 +1,7 @@
 """Hedges batches of an owner that shows no sign of life."""
 
+from collections.abc import Iterable
+
 from gypsumbridge_decisions import messages
 from gypsumbridge_decisions.front import command
 from gypsumbridge_decisions.front import running_query
@@ -25,7 +27,8 @@
     heard_ms = state.last_heard_ms.get(batch.node_id, -1)
     if heard_ms > since_ms or timer.checked_ms is None:
         return _ask(state, timer, batch, now_ms)
-    return _hedge(state, running, batch, now_ms)
+    shards = sorted(batch.unreported)
+    return resend(state, running, batch, shards, now_ms)
 
 
 def _ask(
@@ -42,14 +45,16 @@
     ]
 
 
-def _hedge(
+def resend(
     state: states.FrontState,
     running: running_query.RunningQuery,
     batch: sent_batch.SentBatch,
+    shards: Iterable[str],
     now_ms: int,
 ) -> list[command.Command]:
+    """Send open shards of a batch to another owner as well."""
     by_node: dict[str, list[str]] = {}
-    for shard in sorted(batch.unreported):
+    for shard in shards:
         if shard not in running.pending:
             continue
         node_id = _other_owner(state, running, shard, batch.node_id)
@@ -57,11 +62,11 @@
             continue
         by_node.setdefault(node_id, []).append(shard)
     commands: list[command.Command] = []
-    for node_id, shards in by_node.items():
+    for node_id, chosen in by_node.items():
         commands += send.send_batch(
-            state, running, node_id, shards, True, now_ms
+            state, running, node_id, chosen, True, now_ms
         )
-        commands.append(messages.Count('front.hedged.owner', len(shards)))
+        commands.append(messages.Count('front.hedged.owner', len(chosen)))
     return commands
 
 
--- a/packages/decisions/src/gypsumbridge_decisions/front/state.py
+++ b/packages/decisions/src/gypsumbridge_decisions/front/state.py
@@ -11,8 +11,8 @@
 class FrontState:
     """Everything that the front task owns.
 
-    `serving_refusal` is empty while the node takes new work.
-    `last_heard_ms` holds when each owner last sent anything.
+    A node takes no work before it is told to. `last_heard_ms` holds when
+    each owner last sent anything.
     """
 
     def __init__(self, node_id: str, owner_silence_ms: int) -> None:
@@ -20,12 +20,22 @@
         self.owner_silence_ms = owner_silence_ms
         self.catalog = catalog.empty_catalog()
         self.ownership = routing.OwnershipCache()
-        self.serving_refusal = messages.MissingReason.NONE
+        self.serving = messages.ServingChanged(
+            messages.MissingReason.CONFIGURATION_STALE
+        )
         self.running: dict[str, running_query.RunningQuery] = {}
         self.last_heard_ms: dict[str, int] = {}
         self.levels = levels.Levels()
         self.caller_shares = caller_shares.CallerShares()
 
+    def serving_refusal(self, now_ms: int) -> messages.MissingReason:
+        """Return why no new work is taken now, or NONE."""
+        if self.serving.refusal:
+            return self.serving.refusal
+        if now_ms >= self.serving.valid_until_ms:
+            return messages.MissingReason.CONFIGURATION_STALE
+        return messages.MissingReason.NONE
+
 
 def make_front_state(node_id: str, owner_silence_ms: int) -> FrontState:
     """Return the state of a front that has no query yet."""
--- a/packages/decisions/src/gypsumbridge_decisions/messages/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/messages/__init__.py
@@ -1,9 +1,15 @@
 """Messages between nodes and between tasks; all are frozen."""
 
+from gypsumbridge_decisions.messages.accepted_report import (
+    AcceptedReport as AcceptedReport,
+)
 from gypsumbridge_decisions.messages.admission_level import (
     AdmissionLevel as AdmissionLevel,
 )
 from gypsumbridge_decisions.messages.answer import Answer as Answer
+from gypsumbridge_decisions.messages.await_accepted import (
+    AwaitAccepted as AwaitAccepted,
+)
 from gypsumbridge_decisions.messages.cancel_batch import (
     CancelBatch as CancelBatch,
 )
@@ -27,6 +33,14 @@
 from gypsumbridge_decisions.messages.endpoint_status import (
     EndpointStatus as EndpointStatus,
 )
+from gypsumbridge_decisions.messages.force_query import (
+    ForceQuery as ForceQuery,
+)
+from gypsumbridge_decisions.messages.force_report import (
+    ForceReport as ForceReport,
+)
+from gypsumbridge_decisions.messages.host_entry import HostEntry as HostEntry
+from gypsumbridge_decisions.messages.host_list import HostList as HostList
 from gypsumbridge_decisions.messages.member import Member as Member
 from gypsumbridge_decisions.messages.member_state import (
     MemberState as MemberState,
@@ -58,13 +72,32 @@
 from gypsumbridge_decisions.messages.query_gone import QueryGone as QueryGone
 from gypsumbridge_decisions.messages.refusal import Refusal as Refusal
 from gypsumbridge_decisions.messages.run_state import RunState as RunState
+from gypsumbridge_decisions.messages.serving_changed import (
+    NO_EXPIRY_MS as NO_EXPIRY_MS,
+)
 from gypsumbridge_decisions.messages.serving_changed import (
     ServingChanged as ServingChanged,
 )
+from gypsumbridge_decisions.messages.serving_condition import (
+    ServingCondition as ServingCondition,
+)
 from gypsumbridge_decisions.messages.shard_batch import (
     ShardBatch as ShardBatch,
 )
 from gypsumbridge_decisions.messages.shard_call import ShardCall as ShardCall
+from gypsumbridge_decisions.messages.store_item import StoreItem as StoreItem
+from gypsumbridge_decisions.messages.store_operation import (
+    StoreOperation as StoreOperation,
+)
+from gypsumbridge_decisions.messages.store_reply import (
+    StoreReply as StoreReply,
+)
+from gypsumbridge_decisions.messages.store_request import (
+    StoreRequest as StoreRequest,
+)
+from gypsumbridge_decisions.messages.store_status import (
+    StoreStatus as StoreStatus,
+)
 from gypsumbridge_decisions.messages.timer import Timer as Timer
 from gypsumbridge_decisions.messages.to_peer import ToPeer as ToPeer
 from gypsumbridge_decisions.messages.warm_up import WarmUp as WarmUp
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/messages/host_entry.py
@@ -0,0 +1,15 @@
+"""A host in the platform's host list."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class HostEntry:
+    """A node or an endpoint, and whether the platform says it leaves."""
+
+    name: str
+    role: str
+    failure_domain: str
+    peer_address: str
+    http_address: str
+    leaving: bool
--- a/packages/decisions/src/gypsumbridge_decisions/owner/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/__init__.py
@@ -12,31 +12,25 @@
 )
 from gypsumbridge_decisions.owner.admission import Admission as Admission
 from gypsumbridge_decisions.owner.admission import make_level as make_level
-from gypsumbridge_decisions.owner.apply_catalog import (
-    apply_catalog as apply_catalog,
-)
-from gypsumbridge_decisions.owner.apply_catalog import find_set as find_set
 from gypsumbridge_decisions.owner.call_key import CallKey as CallKey
 from gypsumbridge_decisions.owner.call_queue import CallQueue as CallQueue
 from gypsumbridge_decisions.owner.cancel import answer_check as answer_check
 from gypsumbridge_decisions.owner.cancel import cancel_batch as cancel_batch
 from gypsumbridge_decisions.owner.cancel import set_leaving as set_leaving
-from gypsumbridge_decisions.owner.choose_rank import choose_rank as choose_rank
-from gypsumbridge_decisions.owner.choose_replica import (
-    choose_replica as choose_replica,
-)
-from gypsumbridge_decisions.owner.choose_replica import (
-    usable_replicas as usable_replicas,
+from gypsumbridge_decisions.owner.catalog_update import (
+    apply_catalog as apply_catalog,
 )
-from gypsumbridge_decisions.owner.coalesce import coalesce as coalesce
+from gypsumbridge_decisions.owner.catalog_update import find_set as find_set
+from gypsumbridge_decisions.owner.coalescing import coalesce as coalesce
 from gypsumbridge_decisions.owner.command import Command as Command
-from gypsumbridge_decisions.owner.dispatch import dispatch as dispatch
-from gypsumbridge_decisions.owner.dispatch import (
+from gypsumbridge_decisions.owner.dispatching import dispatch as dispatch
+from gypsumbridge_decisions.owner.dispatching import (
     start_request as start_request,
 )
 from gypsumbridge_decisions.owner.extra_load_budget import (
     ExtraLoadBudget as ExtraLoadBudget,
 )
+from gypsumbridge_decisions.owner.handler import handle as handle
 from gypsumbridge_decisions.owner.health import (
     record_failure as record_failure,
 )
@@ -44,14 +38,21 @@
 from gypsumbridge_decisions.owner.health import (
     record_success as record_success,
 )
-from gypsumbridge_decisions.owner.hedge import hedge as hedge
 from gypsumbridge_decisions.owner.hedge_timer import HedgeTimer as HedgeTimer
+from gypsumbridge_decisions.owner.hedging import hedge as hedge
 from gypsumbridge_decisions.owner.latency import Latency as Latency
 from gypsumbridge_decisions.owner.pending_call import (
     PendingCall as PendingCall,
 )
 from gypsumbridge_decisions.owner.predict import service_ms as service_ms
 from gypsumbridge_decisions.owner.predict import wait_ms as wait_ms
+from gypsumbridge_decisions.owner.rank_choice import choose_rank as choose_rank
+from gypsumbridge_decisions.owner.replica_choice import (
+    choose_replica as choose_replica,
+)
+from gypsumbridge_decisions.owner.replica_choice import (
+    usable_replicas as usable_replicas,
+)
 from gypsumbridge_decisions.owner.replica_set_state import (
     ReplicaSetState as ReplicaSetState,
 )
--- a/packages/decisions/src/gypsumbridge_decisions/owner/accept.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/accept.py
@@ -2,10 +2,10 @@
 
 from gypsumbridge_decisions import messages
 from gypsumbridge_decisions import resources
-from gypsumbridge_decisions.owner import apply_catalog
 from gypsumbridge_decisions.owner import call_key
+from gypsumbridge_decisions.owner import catalog_update
 from gypsumbridge_decisions.owner import command
-from gypsumbridge_decisions.owner import dispatch
+from gypsumbridge_decisions.owner import dispatching
 from gypsumbridge_decisions.owner import pending_call
 from gypsumbridge_decisions.owner import predict
 from gypsumbridge_decisions.owner import replica_set_state
@@ -26,7 +26,7 @@
     touched: dict[tuple[str, str], replica_set_state.ReplicaSetState] = {}
     for shard_call in batch.calls:
         key = (batch.service, shard_call.replica_set)
-        set_state = apply_catalog.find_set(state, key)
+        set_state = catalog_update.find_set(state, key)
         call = _make_call(batch, shard_call, now_ms)
         waiting[shard_call.shard] = call
         reason = refusal_reason(
@@ -38,7 +38,7 @@
         set_state.queue(batch.rank).push(call)
         touched[key] = set_state
     for set_state in touched.values():
-        commands += dispatch.dispatch(state, set_state, now_ms)
+        commands += dispatching.dispatch(state, set_state, now_ms)
     return commands
 
 
@@ -50,7 +50,7 @@
     if batch_key in state.batches:
         return [messages.Count('owner.mutations.duplicate')]
     key = (mutation.service, mutation.replica_set)
-    set_state = apply_catalog.find_set(state, key)
+    set_state = catalog_update.find_set(state, key)
     call = pending_call.PendingCall(
         key=call_key.CallKey(
             mutation.sender, mutation.mutation_id, 0, mutation.shard
@@ -71,7 +71,7 @@
     if reason:
         return result.refuse(state, call, reason)
     set_state.queue(mutation.rank).push(call)
-    return dispatch.dispatch(state, set_state, now_ms)
+    return dispatching.dispatch(state, set_state, now_ms)
 
 
 def refusal_reason(
@@ -82,8 +82,9 @@
     now_ms: int,
 ) -> messages.MissingReason:
     """Return why a call must not be queued, or NONE."""
-    if state.serving_refusal:
-        return state.serving_refusal
+    refusal = state.serving_refusal(now_ms)
+    if refusal:
+        return refusal
     rank = state.catalog.ranks.get(call.rank)
     if rank is None:
         return messages.MissingReason.CONFIGURATION_STALE
--- a/packages/decisions/src/gypsumbridge_decisions/owner/dispatch.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/dispatching.py
@@ -1,11 +1,11 @@
 """Moves queued calls to endpoints."""
 
 from gypsumbridge_decisions import messages
-from gypsumbridge_decisions.owner import choose_rank
-from gypsumbridge_decisions.owner import choose_replica
 from gypsumbridge_decisions.owner import command
 from gypsumbridge_decisions.owner import hedge_timer
 from gypsumbridge_decisions.owner import pending_call
+from gypsumbridge_decisions.owner import rank_choice
+from gypsumbridge_decisions.owner import replica_choice
 from gypsumbridge_decisions.owner import replica_set_state
 from gypsumbridge_decisions.owner import replica_state
 from gypsumbridge_decisions.owner import result
@@ -27,10 +27,10 @@
         queued = sum(queue.length for queue in set_state.queues.values())
         if not queued:
             return commands
-        replica = choose_replica.choose_replica(set_state, (), queued, now_ms)
+        replica = replica_choice.choose_replica(set_state, (), queued, now_ms)
         if replica is None:
             return commands
-        rank = choose_rank.choose_rank(state, set_state)
+        rank = rank_choice.choose_rank(state, set_state)
         if rank is None:
             return commands
         call = set_state.queue(rank).pop()
@@ -68,7 +68,7 @@
                 state, call, messages.MissingReason.DEADLINE
             )
             continue
-        replica = choose_replica.choose_replica(
+        replica = replica_choice.choose_replica(
             set_state, call.tried, 0, now_ms
         )
         if replica is None:
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/handler.py
@@ -0,0 +1,51 @@
+"""Runs the owner's decision for a message."""
+
+from typing import Any
+
+from gypsumbridge_decisions import messages
+from gypsumbridge_decisions.owner import accept
+from gypsumbridge_decisions.owner import cancel
+from gypsumbridge_decisions.owner import catalog_update
+from gypsumbridge_decisions.owner import coalescing
+from gypsumbridge_decisions.owner import command
+from gypsumbridge_decisions.owner import hedge_timer
+from gypsumbridge_decisions.owner import hedging
+from gypsumbridge_decisions.owner import reply
+from gypsumbridge_decisions.owner import state as states
+
+
+def handle(
+    state: states.OwnerState, message: Any, now_ms: int
+) -> list[command.Command]:
+    """Return the commands that follow from a message.
+
+    The task and the replay in memory both run the owner through this.
+    """
+    return coalescing.coalesce(_decide(state, message, now_ms))
+
+
+def _decide(
+    state: states.OwnerState, message: Any, now_ms: int
+) -> list[command.Command]:
+    match message:
+        case messages.EndpointReply():
+            return reply.receive_reply(state, message, now_ms)
+        case messages.ShardBatch():
+            return accept.accept_batch(state, message, now_ms)
+        case hedge_timer.HedgeTimer():
+            return hedging.hedge(state, message, now_ms)
+        case messages.CancelBatch():
+            return cancel.cancel_batch(state, message)
+        case messages.OwnerCheck():
+            return cancel.answer_check(state, message)
+        case messages.MutationCall():
+            return accept.accept_mutation(state, message, now_ms)
+        case messages.EndpointLeaving():
+            return cancel.set_leaving(state, message)
+        case messages.CatalogChanged():
+            catalog_update.apply_catalog(state, message.catalog)
+        case messages.ServingChanged():
+            state.serving = message
+        case _:
+            raise TypeError(f'the owner takes no {type(message).__name__}')
+    return []
--- a/packages/decisions/src/gypsumbridge_decisions/owner/hedge.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/hedging.py
@@ -1,10 +1,10 @@
 """Hedges a call that runs for long."""
 
 from gypsumbridge_decisions import messages
-from gypsumbridge_decisions.owner import choose_replica
 from gypsumbridge_decisions.owner import command
-from gypsumbridge_decisions.owner import dispatch
+from gypsumbridge_decisions.owner import dispatching
 from gypsumbridge_decisions.owner import hedge_timer
+from gypsumbridge_decisions.owner import replica_choice
 from gypsumbridge_decisions.owner import reply
 from gypsumbridge_decisions.owner import state as states
 
@@ -17,7 +17,7 @@
     if call is None or call.done or len(call.tried) > 1:
         return []
     set_state = state.sets[call.replica_set]
-    replica = choose_replica.choose_replica(set_state, call.tried, 0, now_ms)
+    replica = replica_choice.choose_replica(set_state, call.tried, 0, now_ms)
     if replica is None:
         return []
     service = call.replica_set[0]
@@ -25,6 +25,8 @@
         return [messages.Count('owner.hedges.closed')]
     if not state.budget(service).spend():
         return [messages.Count('owner.hedges.no_budget')]
-    commands = dispatch.start_request(state, set_state, call, replica, now_ms)
+    commands = dispatching.start_request(
+        state, set_state, call, replica, now_ms
+    )
     commands.append(messages.Count('owner.hedges'))
     return commands
--- a/packages/decisions/src/gypsumbridge_decisions/owner/reply.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/reply.py
@@ -1,11 +1,11 @@
 """Handles the end of a request to an endpoint."""
 
 from gypsumbridge_decisions import messages
-from gypsumbridge_decisions.owner import choose_replica
 from gypsumbridge_decisions.owner import command
-from gypsumbridge_decisions.owner import dispatch
+from gypsumbridge_decisions.owner import dispatching
 from gypsumbridge_decisions.owner import health
 from gypsumbridge_decisions.owner import pending_call
+from gypsumbridge_decisions.owner import replica_choice
 from gypsumbridge_decisions.owner import replica_set_state
 from gypsumbridge_decisions.owner import result
 from gypsumbridge_decisions.owner import state as states
@@ -38,7 +38,7 @@
     call.running.pop(reply.call_id, None)
     if not call.done:
         commands += _conclude(state, set_state, call, reply, now_ms)
-    return commands + dispatch.dispatch(state, set_state, now_ms)
+    return commands + dispatching.dispatch(state, set_state, now_ms)
 
 
 def _settle(
@@ -132,7 +132,7 @@
     """
     if call.is_mutation() or call.deadline_at_ms <= now_ms:
         return False
-    if not choose_replica.usable_replicas(set_state, call.tried, now_ms):
+    if not replica_choice.usable_replicas(set_state, call.tried, now_ms):
         return False
     if reply.status == messages.EndpointStatus.DRAINING:
         return True
--- a/packages/decisions/src/gypsumbridge_decisions/owner/state.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/state.py
@@ -18,7 +18,9 @@
     def __init__(self, node_id: str) -> None:
         self.node_id = node_id
         self.catalog = catalog.empty_catalog()
-        self.serving_refusal = messages.MissingReason.NONE
+        self.serving = messages.ServingChanged(
+            messages.MissingReason.CONFIGURATION_STALE
+        )
         self.sets: dict[
             tuple[str, str], replica_set_state.ReplicaSetState
         ] = {}
@@ -30,6 +32,14 @@
         self.leaving: dict[str, set[str]] = {}
         self.next_call_id = 1
 
+    def serving_refusal(self, now_ms: int) -> messages.MissingReason:
+        """Return why no new work is taken now, or NONE."""
+        if self.serving.refusal:
+            return self.serving.refusal
+        if now_ms >= self.serving.valid_until_ms:
+            return messages.MissingReason.CONFIGURATION_STALE
+        return messages.MissingReason.NONE
+
     def budget(self, service: str) -> extra_load_budget.ExtraLoadBudget:
         """Return the budget of a service, made on first use."""
         found = self.budgets.get(service)
--- a/packages/decisions/src/gypsumbridge_decisions/resources/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/resources/__init__.py
@@ -22,3 +22,5 @@
     check_service as check_service,
 )
 from gypsumbridge_decisions.resources.service import Service as Service
+from gypsumbridge_decisions.resources.spec_types import kind_of as kind_of
+from gypsumbridge_decisions.resources.spec_types import spec_type as spec_type
--- /dev/null
+++ b/packages/node/src/gypsumbridge_node/decision_log.py
@@ -0,0 +1,50 @@
+"""The log of routing and placement decisions."""
+
+import logbook
+
+from gypsumbridge_decisions import clock
+from gypsumbridge_decisions import messages
+
+WINDOW_MS = 1_000
+
+
+class DecisionLog:
+    """Writes one line a decision, up to a number of lines a second.
+
+    What is left out in a second is counted in one line at its end, so a
+    flood neither fills the log nor goes unseen.
+    """
+
+    def __init__(
+        self, logger: logbook.Logger, clock: clock.Clock, max_lines: int
+    ) -> None:
+        self.logger = logger
+        self.clock = clock
+        self.max_lines = max_lines
+        self.window_started_ms = clock.now_ms()
+        self.written = 0
+        self.left_out = 0
+
+    def write(self, decision: messages.Decision) -> None:
+        """Write a decision unless this second has had its lines."""
+        now_ms = self.clock.now_ms()
+        if now_ms - self.window_started_ms >= WINDOW_MS:
+            self.start_window(now_ms)
+        if self.written >= self.max_lines:
+            self.left_out += 1
+            return
+        self.written += 1
+        self.logger.info(
+            decision.name,
+            extra={'reason': decision.reason, **decision.fields},
+        )
+
+    def start_window(self, now_ms: int) -> None:
+        """Report what the last window left out and start a new one."""
+        if self.left_out:
+            self.logger.warning(
+                'decision lines left out', extra={'count': self.left_out}
+            )
+        self.window_started_ms = now_ms
+        self.written = 0
+        self.left_out = 0
--- /dev/null
+++ b/packages/node/src/gypsumbridge_node/http_client.py
@@ -0,0 +1,74 @@
+"""HTTP requests to an IP address."""
+
+from collections.abc import Callable
+import io
+from typing import Any
+
+from twisted.internet import defer
+from twisted.web import client
+from twisted.web import http_headers
+
+from gypsumbridge_node import http_response
+from gypsumbridge_node import ip_endpoints
+from gypsumbridge_wire import http_request
+
+Call = Callable[
+    [str, int, http_request.HttpRequest],
+    'defer.Deferred[http_response.HttpResponse]',
+]
+
+
+def make_pool(reactor: Any, connections: int) -> client.HTTPConnectionPool:
+    """Return a pool that keeps up to `connections` idle connections.
+
+    A request is never repeated by the pool: whether a repeat is safe is
+    decided elsewhere.
+    """
+    pool = client.HTTPConnectionPool(reactor, persistent=True)
+    pool.maxPersistentPerHost = connections
+    pool.retryAutomatically = False
+    return pool
+
+
+def make_call(
+    reactor: Any, pool: client.HTTPConnectionPool, connect_timeout_ms: int
+) -> Call:
+    """Return a function that sends one request and reads the reply.
+
+    Cancelling its Deferred closes the connection.
+    """
+    agent = client.Agent.usingEndpointFactory(
+        reactor, ip_endpoints.IpEndpoints(reactor, connect_timeout_ms), pool
+    )
+
+    async def send(
+        address: str, port: int, request: http_request.HttpRequest
+    ) -> http_response.HttpResponse:
+        headers = http_headers.Headers(
+            {name: [value] for name, value in request.headers.items()}
+        )
+        body = None
+        if request.body or request.method in ('POST', 'PUT'):
+            body = client.FileBodyProducer(io.BytesIO(request.body))
+        response = await agent.request(
+            request.method.encode(),
+            f'http://{address}:{port}{request.path}'.encode(),
+            headers,
+            body,
+        )
+        content = await client.readBody(response)
+        return http_response.HttpResponse(
+            status=response.code,
+            headers={
+                name.decode('latin-1').lower(): values[0].decode('latin-1')
+                for name, values in response.headers.getAllRawHeaders()
+            },
+            body=content,
+        )
+
+    def call(
+        address: str, port: int, request: http_request.HttpRequest
+    ) -> 'defer.Deferred[http_response.HttpResponse]':
+        return defer.Deferred.fromCoroutine(send(address, port, request))
+
+    return call
--- /dev/null
+++ b/packages/node/src/gypsumbridge_node/metrics.py
@@ -0,0 +1,48 @@
+"""Counters and gauges, sent by statsd."""
+
+import statsd
+
+FLUSH_INTERVAL_S = 1.0
+
+
+class Metrics:
+    """Sums counters up and sends them once a second.
+
+    One datagram a second costs the same at any load, where one datagram
+    an event would not.
+    """
+
+    def __init__(self, client: statsd.StatsClient | None) -> None:
+        self.client = client
+        self.counts: dict[str, int] = {}
+        self.gauges: dict[str, float] = {}
+        self.totals: dict[str, int] = {}
+
+    def count(self, name: str, value: int = 1) -> None:
+        """Add to a counter."""
+        self.counts[name] = self.counts.get(name, 0) + value
+        self.totals[name] = self.totals.get(name, 0) + value
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set a gauge."""
+        self.gauges[name] = value
+
+    def flush(self) -> None:
+        """Send what has been counted since the last flush."""
+        counts, self.counts = self.counts, {}
+        if self.client is None:
+            return
+        with self.client.pipeline() as pipeline:
+            for name, value in counts.items():
+                pipeline.incr(name, value)
+            for name, value in self.gauges.items():
+                pipeline.gauge(name, value)
+
+
+def make_metrics(address: str, prefix: str) -> Metrics:
+    """Return metrics that go to `ip:port`, or nowhere when it is empty."""
+    if not address:
+        return Metrics(None)
+    host, port = address.rsplit(':', 1)
+    client = statsd.StatsClient(host, int(port), prefix=prefix)
+    return Metrics(client)
--- /dev/null
+++ b/packages/node/src/gypsumbridge_node/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Checked settings of a node."""
--- /dev/null
+++ b/packages/node/src/gypsumbridge_node/settings/node_settings.py
@@ -0,0 +1,14 @@
+"""The [node] section."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class NodeSettings:
+    """Who this node is; addresses are `ip:port`."""
+
+    node_id: str
+    failure_domain: str
+    failure_domains: tuple[str, ...]
+    peer_address: str
+    http_address: str
--- /dev/null
+++ b/packages/node/src/gypsumbridge_node/tasks/__init__.py
@@ -0,0 +1,1 @@
+"""The tasks of a node; each owns its sockets or its state."""
--- /dev/null
+++ b/packages/node/src/gypsumbridge_node/tasks/caller_http.py
@@ -0,0 +1,93 @@
+"""The task that owns the callers' HTTP connections."""
+
+from collections.abc import Callable
+import itertools
+import secrets
+from typing import Any
+
+from twisted.web import resource
+from twisted.web import server
+
+from gypsumbridge_decisions import errors
+from gypsumbridge_decisions import messages
+from gypsumbridge_node import function_resource
+from gypsumbridge_node import runtime as runtimes
+from gypsumbridge_wire import caller
+
+RUN_ID_BYTES = 6
+JSON = b'application/json'
+
+
+def start_caller_http_task(
+    runtime: runtimes.Runtime, root: resource.Resource
+) -> None:
+    """Turn HTTP requests into queries and answers into responses."""
+    waiting: dict[str, Any] = {}
+    next_id = make_id_source(runtime.settings.node.node_id)
+    boxes = runtime.boxes
+
+    def forget(query_id: str) -> None:
+        if waiting.pop(query_id, None) is not None:
+            boxes.front.put(messages.QueryGone(query_id))
+
+    def accept(request: Any) -> Any:
+        query_id = next_id()
+        try:
+            check_request(request)
+            query = caller.decode_query(request.content.read(), query_id)
+        except errors.RequestError as error:
+            runtime.metrics.count('caller.rejected')
+            refusal = caller.make_refusal(error, query_id)
+            return respond(request, caller.encode_refusal(refusal))
+        waiting[query_id] = request
+        request.notifyFinish().addErrback(lambda _: forget(query_id))
+        boxes.front.put(query)
+        return server.NOT_DONE_YET
+
+    def handle(message: messages.Answer | messages.Refusal) -> None:
+        request = waiting.pop(message.query_id, None)
+        if request is None:
+            return
+        if isinstance(message, messages.Answer):
+            encoded = caller.encode_answer(message)
+        else:
+            encoded = caller.encode_refusal(message)
+        request.write(respond(request, encoded))
+        request.finish()
+
+    versions = resource.Resource()
+    versions.putChild(b'query', function_resource.FunctionResource(accept))
+    root.putChild(b'v1', versions)
+    boxes.caller_http.start(handle)
+
+
+def make_id_source(node_id: str) -> Callable[[], str]:
+    """Return a function that makes ids unique across nodes and restarts."""
+    run_id = secrets.token_hex(RUN_ID_BYTES)
+    numbers = itertools.count(1)
+
+    def next_id() -> str:
+        return f'{node_id}-{run_id}-{next(numbers)}'
+
+    return next_id
+
+
+def check_request(request: Any) -> None:
+    """Raise RequestError for a wrong method or a body over the limit."""
+    if request.method != b'POST':
+        raise errors.RequestError(
+            f'the method is {request.method.decode("latin-1")}', 'use POST'
+        )
+    if request.too_large:
+        raise errors.RequestError(
+            f'the body has more than {request.max_body_bytes} bytes',
+            'send a smaller body',
+        )
+
+
+def respond(request: Any, encoded: tuple[int, bytes]) -> bytes:
+    """Set status and headers and return the body."""
+    status, body = encoded
+    request.setResponseCode(status)
+    request.setHeader(b'Content-Type', JSON)
+    return body
--- /dev/null
+++ b/packages/node/src/gypsumbridge_node/tasks/endpoint.py
@@ -0,0 +1,112 @@
+"""The task that owns the connections to endpoints."""
+
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet import defer
+from twisted.internet import error as net_errors
+from twisted.python import failure
+
+from gypsumbridge_decisions import messages
+from gypsumbridge_node import http_client
+from gypsumbridge_node import http_response
+from gypsumbridge_node import runtime as runtimes
+from gypsumbridge_wire import endpoint
+
+CONNECT_TIMEOUT_MS = 1_000
+# Time for an endpoint to see that a request was cancelled. Its slot counts
+# as taken until then, so that the next request does not find it full.
+CANCEL_SETTLE_MS = 5
+
+_NOT_SENT = (net_errors.ConnectError, net_errors.ConnectingCancelledError)
+
+
+class EndpointConnections:
+    """Connections by endpoint and requests in flight by call id."""
+
+    def __init__(self) -> None:
+        self.calls: dict[str, http_client.Call] = {}
+        self.running: dict[int, defer.Deferred[Any]] = {}
+        self.cancelled: set[int] = set()
+
+
+def start_endpoint_task(runtime: runtimes.Runtime) -> None:
+    """Send requests to endpoints and report how each one ended."""
+    state = EndpointConnections()
+    reactor = runtime.reactor
+    report = make_reporter(runtime, state)
+
+    def call_for(request: messages.EndpointRequest) -> http_client.Call:
+        key = f'{request.endpoint} {request.address}:{request.port}'
+        found = state.calls.get(key)
+        if found is None:
+            pool = http_client.make_pool(reactor, request.connections)
+            found = http_client.make_call(reactor, pool, CONNECT_TIMEOUT_MS)
+            state.calls[key] = found
+        return found
+
+    def send(request: messages.EndpointRequest) -> None:
+        call = call_for(request)
+        running = call(
+            request.address,
+            request.port,
+            endpoint.encode_request(request),
+        )
+        state.running[request.call_id] = running
+        timeout_s = max(request.remaining_ms, 1) / 1000
+        running.addTimeout(timeout_s, reactor)
+        running.addCallbacks(
+            lambda response: report(request, response),
+            lambda reason: report(request, reason),
+        )
+
+    def cancel(command: messages.EndpointCancel) -> None:
+        running = state.running.get(command.call_id)
+        if running is None:
+            return
+        state.cancelled.add(command.call_id)
+        running.cancel()
+
+    table: dict[type, Callable[[Any], None]] = {
+        messages.EndpointRequest: send,
+        messages.EndpointCancel: cancel,
+    }
+
+    def handle(message: Any) -> None:
+        table[type(message)](message)
+
+    runtime.boxes.endpoint.start(handle)
+
+
+def make_reporter(
+    runtime: runtimes.Runtime, state: EndpointConnections
+) -> Callable[[messages.EndpointRequest, Any], None]:
+    """Return a function that tells the owner how a request ended."""
+    owner_box = runtime.boxes.owner
+
+    def report(request: messages.EndpointRequest, outcome: Any) -> None:
+        del state.running[request.call_id]
+        reply = _make_reply(request, outcome)
+        runtime.metrics.count(f'endpoint.replies.{reply.status}')
+        if request.call_id in state.cancelled:
+            state.cancelled.discard(request.call_id)
+            owner_box.put_later(CANCEL_SETTLE_MS, reply)
+            return
+        owner_box.put(reply)
+
+    return report
+
+
+def _make_reply(
+    request: messages.EndpointRequest,
+    outcome: http_response.HttpResponse | failure.Failure,
+) -> messages.EndpointReply:
+    if isinstance(outcome, http_response.HttpResponse):
+        return endpoint.decode_reply(
+            request, outcome.status, outcome.headers, outcome.body
+        )
+    if outcome.check(*_NOT_SENT):
+        return endpoint.failed_reply(
+            request, messages.EndpointStatus.UNREACHABLE, False
+        )
+    return endpoint.failed_reply(request, messages.EndpointStatus.LOST, True)
--- /dev/null
+++ b/packages/node/src/gypsumbridge_node/tasks/front.py
@@ -0,0 +1,27 @@
+"""The task that plans queries and merges their parts."""
+
+from typing import Any
+
+from gypsumbridge_decisions import front
+from gypsumbridge_decisions import messages
+from gypsumbridge_node import execute as executors
+from gypsumbridge_node import runtime as runtimes
+
+
+def start_front_task(runtime: runtimes.Runtime) -> None:
+    """Run the front's decisions on its mailbox."""
+    state = front.make_front_state(
+        runtime.settings.node.node_id,
+        runtime.settings.timing.owner_silence_ms,
+    )
+    deliver = runtime.boxes.caller_http.put
+    execute = executors.make_executor(
+        runtime,
+        runtime.boxes.front,
+        {messages.Answer: deliver, messages.Refusal: deliver},
+    )
+
+    def handle(message: Any) -> None:
+        execute(front.handle(state, message, runtime.clock.now_ms()))
+
+    runtime.boxes.front.start(handle)
--- /dev/null
+++ b/packages/node/src/gypsumbridge_node/tasks/owner.py
@@ -0,0 +1,27 @@
+"""The task that holds the queues and slots of replica sets."""
+
+from typing import Any
+
+from gypsumbridge_decisions import messages
+from gypsumbridge_decisions import owner
+from gypsumbridge_node import execute as executors
+from gypsumbridge_node import runtime as runtimes
+
+
+def start_owner_task(runtime: runtimes.Runtime) -> None:
+    """Run the owner's decisions on its mailbox."""
+    state = owner.make_owner_state(runtime.settings.node.node_id)
+    to_endpoint = runtime.boxes.endpoint.put
+    execute = executors.make_executor(
+        runtime,
+        runtime.boxes.owner,
+        {
+            messages.EndpointRequest: to_endpoint,
+            messages.EndpointCancel: to_endpoint,
+        },
+    )
+
+    def handle(message: Any) -> None:
+        execute(owner.handle(state, message, runtime.clock.now_ms()))
+
+    runtime.boxes.owner.start(handle)
--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/cluster/__init__.py
@@ -0,0 +1,1 @@
+"""Starts and stops a deployment's processes on loopback."""
--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/deployment/__init__.py
@@ -0,0 +1,1 @@
+"""Declarations and searchers of a deployment."""
--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/deployment/build.py
@@ -0,0 +1,103 @@
+"""Builds the deployments of the two registries."""
+
+from collections.abc import Iterable
+
+from gypsumbridge_decisions import resources
+from gypsumbridge_standins.deployment import deployment
+from gypsumbridge_standins.deployment import group as groups
+from gypsumbridge_standins.searchers import searcher_spec
+
+VERSION = 'v1'
+SLOTS = 2
+
+ALMATY_GROUPS = (
+    groups.Group('verify-portal', 20, 2, 25, 6),
+    groups.Group('inspector-app', 30, 2, 25, 6),
+    groups.Group('audit-desk', 4, 2, 110, 1),
+    groups.Group('issuer-console', 2, 2, 110, 1),
+)
+ADDIS_GROUPS = (
+    groups.Group('broker-desk', 20, 2, 25, 6, 1, 0.9, 60),
+    groups.Group('editor-queue', 30, 2, 25, 6, 1, 0.9, 120),
+    groups.Group('records-room', 2, 2, 35, 1, 1, 0.5, 200),
+    groups.Group('billing-ledger', 1, 2, 35, 1, 2, 0.5, 200),
+)
+SMALL_GROUPS = (
+    groups.Group('verify-portal', 6, 2, 25, 6),
+    groups.Group('audit-desk', 2, 2, 110, 1),
+)
+RANKS = (
+    resources.Rank('border', 0, 0.5, 200),
+    resources.Rank('inspection', 1, 0.25, 500),
+    resources.Rank('archive', 2, 0.1, 2_000),
+)
+
+
+def count_searchers(chosen: Iterable[groups.Group]) -> int:
+    """Return how many ports `build` needs."""
+    return sum(group.sets * group.searchers for group in chosen)
+
+
+def build(
+    chosen: Iterable[groups.Group],
+    ports: Iterable[int],
+    service_ms: float,
+    domains: tuple[str, ...] = ('fd-a', 'fd-b', 'fd-c'),
+) -> deployment.Deployment:
+    """Return declarations and searchers on the given loopback ports."""
+    specs: list[resources.Spec] = list(RANKS)
+    searchers: list[searcher_spec.SearcherSpec] = []
+    unused = iter(ports)
+    for group in chosen:
+        shards: dict[str, str] = {}
+        for number in range(group.sets):
+            set_name = f'set-{number:02d}'
+            names = [
+                f's{number * group.shards_per_set + i:03d}'
+                for i in range(group.shards_per_set)
+            ]
+            shards.update(dict.fromkeys(names, set_name))
+            for replica in range(group.searchers):
+                name = f'{group.service}-{set_name}-{"abcdefgh"[replica]}'
+                port = next(unused)
+                domain = domains[(number + replica) % len(domains)]
+                specs.append(
+                    resources.Endpoint(
+                        name=name,
+                        service=group.service,
+                        replica_set=set_name,
+                        address='127.0.0.1',
+                        port=port,
+                        failure_domain=domain,
+                        slots=SLOTS,
+                        connections=group.connections,
+                        connect_ms=group.connect_ms,
+                    )
+                )
+                searchers.append(
+                    searcher_spec.SearcherSpec(
+                        name=name,
+                        port=port,
+                        shards={VERSION: names},
+                        slots=SLOTS,
+                        connections=group.connections,
+                        connect_ms=group.connect_ms,
+                        service_ms=service_ms,
+                    )
+                )
+        specs.append(_service(group, shards))
+    return deployment.Deployment(tuple(specs), tuple(searchers))
+
+
+def _service(group: groups.Group, shards: dict[str, str]) -> resources.Service:
+    last = resources.LastShards.WAIT
+    if group.early_after_ms:
+        last = resources.LastShards.EARLY
+    return resources.Service(
+        name=group.service,
+        versions=(resources.IndexVersion(VERSION, shards),),
+        current_version=VERSION,
+        minimum_coverage=group.minimum_coverage,
+        last_shards=last,
+        early_after_ms=group.early_after_ms,
+    )
--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/searchers/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for endpoints; one process serves many searchers."""
--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/searchers/searcher_spec.py
@@ -0,0 +1,24 @@
+"""What a searcher stand-in is like."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class SearcherSpec:
+    """Size and speed of one searcher.
+
+    `shards` maps each index version to the shards that it holds.
+    `service_ms` is the mean time of a search. `queue` requests wait for a
+    slot; more are shed. Until `cold_searches` have run, each takes three
+    times as long.
+    """
+
+    name: str
+    port: int
+    shards: dict[str, list[str]]
+    slots: int = 2
+    connections: int = 25
+    connect_ms: int = 6
+    service_ms: float = 20.0
+    queue: int = 8
+    cold_searches: int = 0
--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/searchers/searcher_state.py
@@ -0,0 +1,54 @@
+"""State of one searcher stand-in."""
+
+import collections
+import random
+from typing import Any
+
+from gypsumbridge_standins.searchers import searcher_spec
+
+
+class SearcherState:
+    """Slots, connections, faults and a record of what was run.
+
+    `executed` counts runs by idempotency key. `peak_connections` and
+    `peak_running` are the most ever seen at once. `refused_connections`
+    counts connections past the limit.
+    """
+
+    def __init__(self, spec: searcher_spec.SearcherSpec, seed: int) -> None:
+        self.spec = spec
+        self.random = random.Random(f'{seed} {spec.name}')
+        self.shards = {v: set(s) for v, s in spec.shards.items()}
+        self.waiting: collections.deque[Any] = collections.deque()
+        self.running = 0
+        self.connections = 0
+        self.peak_connections = 0
+        self.peak_running = 0
+        self.refused_connections = 0
+        self.searches = 0
+        self.cancelled = 0
+        self.shed = 0
+        self.received = 0
+        self.executed: dict[str, int] = {}
+        self.ranks: dict[str, int] = {}
+        self.slowdown = 1.0
+        self.draining = False
+        self.shedding = False
+        self.silent = False
+        self.lose_replies = 0
+        self.wrong_shard = False
+
+    def counts(self) -> dict[str, Any]:
+        """Return what the searcher has seen."""
+        names = (
+            'connections',
+            'peak_connections',
+            'peak_running',
+            'refused_connections',
+            'searches',
+            'cancelled',
+            'shed',
+            'received',
+            'executed',
+        )
+        return {name: getattr(self, name) for name in names}
--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/serve.py
@@ -0,0 +1,28 @@
+"""Starts an HTTP server for one function."""
+
+from collections.abc import Callable
+import json
+from typing import Any
+
+from twisted.web import server
+
+from gypsumbridge_node import function_resource
+
+
+def listen(reactor: Any, port: int, handle: Callable[[Any], Any]) -> Any:
+    """Serve every request on loopback with one function."""
+    site = server.Site(function_resource.FunctionResource(handle))
+    return reactor.listenTCP(port, site, interface='127.0.0.1')
+
+
+def reply_json(request: Any, status: int, body: Any) -> bytes:
+    """Set status and type and return the JSON body."""
+    request.setResponseCode(status)
+    request.setHeader(b'Content-Type', b'application/json')
+    return json.dumps(body).encode()
+
+
+def argument(request: Any, name: str, default: str = '') -> str:
+    """Return a query argument."""
+    values = request.args.get(name.encode())
+    return values[0].decode() if values else default
--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/store/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for the platform's configuration store."""
--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/store/server.py
@@ -0,0 +1,157 @@
+"""HTTP server of the stand-in store."""
+
+import json
+from typing import Any
+import urllib.parse
+
+from twisted.web import server
+
+from gypsumbridge_standins import serve
+from gypsumbridge_standins.store import operations
+from gypsumbridge_standins.store import store_state
+
+KEYS = '/v1/keys/'
+
+
+def start_store(
+    reactor: Any,
+    port: int,
+    reads_per_second: int = 2_000,
+    writes_per_second: int = 400,
+) -> Any:
+    """Listen on loopback; `POST /control` orders faults.
+
+    Its body may set `outage`, `slow_ms` and `lose_replies`; `GET /control`
+    returns the counts of calls and waiting watches.
+    """
+    state = store_state.StoreState(reads_per_second, writes_per_second)
+
+    def handle(request: Any) -> Any:
+        path = request.path.decode()
+        if path == '/control':
+            return control(state, request)
+        kind = 'write' if request.method in (b'PUT', b'DELETE') else 'read'
+        state.calls[kind] = state.calls.get(kind, 0) + 1
+        if state.outage:
+            return serve.reply_json(request, 503, {})
+        if not operations.within_rate(state, kind, reactor.seconds()):
+            return serve.reply_json(request, 429, {})
+        if path == '/v1/watch':
+            return watch(reactor, state, request)
+        status, body = run(state, request, path)
+        if kind == 'write' and status == 200:
+            wake_watchers(state)
+            if state.lose_replies > 0:
+                state.lose_replies -= 1
+                request.transport.abortConnection()
+                return server.NOT_DONE_YET
+        return later(reactor, state, request, status, body)
+
+    return serve.listen(reactor, port, handle)
+
+
+def run(
+    state: store_state.StoreState, request: Any, path: str
+) -> operations.Reply:
+    """Run one call that is not a watch."""
+    if path == '/v1/list':
+        prefix = serve.argument(request, 'prefix')
+        return operations.list_prefix(state, prefix)
+    if path == '/v1/revision':
+        return 200, {'revision': state.revision, 'items': []}
+    if not path.startswith(KEYS):
+        return 400, {}
+    key = urllib.parse.unquote(path.removeprefix(KEYS))
+    if request.method == b'GET':
+        return operations.read(state, key)
+    expected = int(serve.argument(request, 'if_revision', '0'))
+    value = None
+    if request.method == b'PUT':
+        value = request.content.read().decode()
+    return operations.write(state, key, value, expected)
+
+
+def watch(reactor: Any, state: store_state.StoreState, request: Any) -> Any:
+    """Reply with events, at once or when there are some."""
+    prefix = serve.argument(request, 'prefix')
+    after = int(serve.argument(request, 'after', '0'))
+    wait_s = int(serve.argument(request, 'wait_ms', '0')) / 1000
+    status, body = operations.events_after(state, prefix, after)
+    if status != 200 or body['items'] or wait_s <= 0:
+        return later(reactor, state, request, status, body)
+    ended = [False]
+
+    def finish() -> None:
+        if ended[0]:
+            return
+        ended[0] = True
+        state.watchers.remove(check)
+        if timer.active():
+            timer.cancel()
+        status, body = operations.events_after(state, prefix, after)
+        request.write(serve.reply_json(request, status, body))
+        request.finish()
+
+    def check() -> None:
+        status, body = operations.events_after(state, prefix, after)
+        if status != 200 or body['items']:
+            finish()
+
+    def gone(_: Any) -> None:
+        if ended[0]:
+            return
+        ended[0] = True
+        state.watchers.remove(check)
+        timer.cancel()
+
+    timer = reactor.callLater(wait_s, finish)
+    state.watchers.append(check)
+    request.notifyFinish().addErrback(gone)
+    return server.NOT_DONE_YET
+
+
+def wake_watchers(state: store_state.StoreState) -> None:
+    """Let every waiting watch look for events."""
+    for check in list(state.watchers):
+        check()
+
+
+def later(
+    reactor: Any,
+    state: store_state.StoreState,
+    request: Any,
+    status: int,
+    body: dict[str, Any],
+) -> Any:
+    """Reply, after the ordered delay if there is one."""
+    content = serve.reply_json(request, status, body)
+    if not state.slow_ms:
+        return content
+    connected = [True]
+
+    def disconnect(_: Any) -> None:
+        connected[0] = False
+
+    def finish() -> None:
+        if connected[0]:
+            request.write(content)
+            request.finish()
+
+    request.notifyFinish().addErrback(disconnect)
+    reactor.callLater(state.slow_ms / 1000, finish)
+    return server.NOT_DONE_YET
+
+
+def control(state: store_state.StoreState, request: Any) -> bytes:
+    """Order faults or return counts."""
+    if request.method == b'POST':
+        orders = json.loads(request.content.read())
+        state.outage = orders.get('outage', state.outage)
+        state.slow_ms = orders.get('slow_ms', state.slow_ms)
+        state.lose_replies = orders.get('lose_replies', state.lose_replies)
+    counts = {
+        'calls': state.calls,
+        'watches': len(state.watchers),
+        'revision': state.revision,
+    }
+    return serve.reply_json(request, 200, counts)
--- a/packages/wire/src/gypsumbridge_wire/__init__.py
+++ b/packages/wire/src/gypsumbridge_wire/__init__.py
@@ -1,1 +1,1 @@
-"""Codecs between data classes and bytes."""
+"""Codecs between data classes and bytes; they open no socket."""
--- /dev/null
+++ b/packages/wire/src/gypsumbridge_wire/http_request.py
@@ -0,0 +1,14 @@
+"""An HTTP request as data."""
+
+from collections.abc import Mapping
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class HttpRequest:
+    """Method, path, headers and body; the address is chosen apart."""
+
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    body: bytes
--- /dev/null
+++ b/tests/processes/__init__.py
@@ -0,0 +1,1 @@
+"""Tests with real processes."""
--- /dev/null
+++ b/tests/processes/test_query_path.py
@@ -0,0 +1,75 @@
+import json
+import unittest
+
+from gypsumbridge_standins import json_http
+from gypsumbridge_standins.cluster import cluster as clusters
+from gypsumbridge_standins.cluster import ports
+from gypsumbridge_standins.cluster import start
+from gypsumbridge_standins.deployment import build
+
+DOMAINS = ('fd-a', 'fd-b', 'fd-c')
+
+
+class QueryPathTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.cluster = clusters.Cluster()
+        cls.addClassCleanup(cls.cluster.stop)
+        chosen = ports.free_ports(build.count_searchers(build.SMALL_GROUPS))
+        deployment = build.build(build.SMALL_GROUPS, chosen, 5.0)
+        start.start_platform(cls.cluster, deployment)
+        start.declare(cls.cluster, deployment.specs)
+        start.start_nodes(cls.cluster, 3, DOMAINS)
+
+    def query(self, node, **changes):
+        body = {
+            'service': 'verify-portal',
+            'rank': 'border',
+            'deadline_ms': 10_000,
+            'query': {'certificate': 'A-1'},
+            'request_id': 'mine',
+            **changes,
+        }
+        return json_http.call_json('POST', node.http, '/v1/query', body)
+
+    def test_every_node_answers_with_full_coverage(self):
+        """Guards against a node that reaches only the owners it is."""
+        for node in self.cluster.nodes.values():
+            status, answer = self.query(node)
+            self.assertEqual(200, status, answer)
+            self.assertEqual('mine', answer['request_id'])
+            self.assertEqual('v1', answer['snapshot'])
+            self.assertEqual([], answer['missing'])
+            self.assertEqual(6, len(answer['covered']))
+            echoes = [r['result']['echo'] for r in answer['results']]
+            self.assertEqual([{'certificate': 'A-1'}] * 6, echoes)
+
+    def test_undeclared_names_are_refused_as_not_run(self):
+        """Guards against a refusal that leaves the caller in doubt."""
+        node = self.cluster.nodes['node-1']
+        for field in ('service', 'rank'):
+            status, answer = self.query(node, **{field: 'none'})
+            self.assertEqual(404, status)
+            self.assertEqual('not_run', answer['run_state'])
+            self.assertEqual(f'unknown_{field}', answer['code'])
+
+    def test_a_query_leaves_nothing_behind(self):
+        """Guards against slots and connections that are never freed."""
+        for node in self.cluster.nodes.values():
+            self.query(node)
+        status, counts = json_http.call_json(
+            'GET', self.cluster.controls[0], '/'
+        )
+        self.assertEqual(200, status)
+        for name, seen in counts.items():
+            self.assertLessEqual(seen['peak_running'], 2, name)
+            self.assertEqual(0, seen['refused_connections'], name)
+
+    def test_log_lines_are_json(self):
+        """Guards against log lines that tools cannot read."""
+        self.query(self.cluster.nodes['node-1'])
+        path = self.cluster.folder / 'node-1.log'
+        names = set()
+        for line in path.read_text().splitlines():
+            names.add(json.loads(line)['message'])
+        self.assertIn('send_batch', names)
--- a/tools/write_init.py
+++ b/tools/write_init.py
@@ -9,6 +9,7 @@
 import sys
 
 MAX_LINE = 79
+PUBLIC_CONSTANTS = frozenset({'NO_EXPIRY_MS'})
 
 
 def public_names(path: pathlib.Path) -> list[str]:
@@ -20,8 +21,11 @@
         if not isinstance(node, ast.Assign):
             continue
         for target in node.targets:
-            # A type alias belongs to the public face, a constant does not.
-            if isinstance(target, ast.Name) and not target.id.isupper():
+            # A type alias belongs to the public face; of the constants only
+            # those that other packages need do.
+            if not isinstance(target, ast.Name):
+                continue
+            if not target.id.isupper() or target.id in PUBLIC_CONSTANTS:
                 names.add(target.id)
     return sorted(n for n in names if not n.startswith('_'))
 
@@ -44,6 +48,9 @@
         if path.name == '__init__.py':
             continue
         module = f'{root}.{subpackage}.{path.stem}'
+        if path.stem in public_names(path):
+            # Its re-export would hide the module from its siblings.
+            raise SystemExit(f'{path}: rename the module or {path.stem}()')
         lines += [import_line(module, n) for n in public_names(path)]
     init.write_text('\n'.join(lines) + '\n', encoding='utf-8')
 
