Add an in-memory replay that runs the real decisions on a manual clock

Cause: cases with long times or many nodes, and repeatable random runs, need the program's decisions without processes.

--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/replay/delivery.py
@@ -0,0 +1,126 @@
+"""Delivers messages between nodes, endpoints and timers."""
+
+from typing import Any
+
+from gypsumbridge_decisions import front
+from gypsumbridge_decisions import messages
+from gypsumbridge_decisions import owner
+from gypsumbridge_standins.replay import endpoint_run
+from gypsumbridge_standins.replay import replay as replays
+from gypsumbridge_standins.replay import replay_node
+
+FRONT_MESSAGES = (
+    messages.Query,
+    messages.QueryGone,
+    messages.PartBatch,
+    front.QueryTimer,
+    front.SilenceTimer,
+    messages.MembersChanged,
+)
+BOTH_MESSAGES = (messages.CatalogChanged, messages.ServingChanged)
+
+
+def deliver(replay: replays.Replay, node_id: str, message: Any) -> None:
+    """Run a node's decision for a message, now or when it goes on."""
+    node = replay.nodes[node_id]
+    if not node.alive:
+        return
+    if node.paused:
+        node.held.append(message)
+        return
+    now_ms = replay.scheduler.now_ms()
+    if isinstance(message, FRONT_MESSAGES + BOTH_MESSAGES):
+        commands = front.handle(node.front, message, now_ms)
+        execute(replay, node, commands)
+    if not isinstance(message, FRONT_MESSAGES):
+        commands = owner.handle(node.owner, message, now_ms)
+        execute(replay, node, commands)
+
+
+def execute(
+    replay: replays.Replay, node: replay_node.ReplayNode, commands: list[Any]
+) -> None:
+    """Carry out a decision's commands."""
+    node_id = node.member.node_id
+    for command in commands:
+        match command:
+            case messages.ToPeer():
+                send(replay, node_id, command.node_id, command.message)
+            case messages.Timer():
+                deliver_later(replay, node, command.delay_ms, command.event)
+            case messages.EndpointRequest():
+                endpoint_run.request(
+                    replay, node_id, command, reply_to(replay, node)
+                )
+            case messages.EndpointCancel():
+                endpoint_run.cancel(
+                    replay, node_id, command, reply_to(replay, node)
+                )
+            case messages.Answer() | messages.Refusal():
+                replay.answered(node_id, command)
+            case messages.Count():
+                total = replay.counts.get(command.name, 0)
+                replay.counts[command.name] = total + command.value
+            case messages.Decision():
+                replay.on_decision(node_id, command)
+
+
+def reply_to(
+    replay: replays.Replay, node: replay_node.ReplayNode
+) -> endpoint_run.ReplyTo:
+    """Return a function that gives an endpoint's reply to a node."""
+
+    def reply(delay_ms: int, message: messages.EndpointReply) -> None:
+        deliver_later(replay, node, delay_ms, message)
+
+    return reply
+
+
+def deliver_later(
+    replay: replays.Replay,
+    node: replay_node.ReplayNode,
+    delay_ms: int,
+    message: Any,
+) -> None:
+    """Deliver to this run of a node; a restarted node never gets it."""
+    node_id = node.member.node_id
+
+    def run() -> None:
+        if replay.nodes.get(node_id) is node:
+            deliver(replay, node_id, message)
+
+    replay.scheduler.after(delay_ms, run)
+
+
+def send(
+    replay: replays.Replay, sender: str, receiver: str, message: Any
+) -> None:
+    """Send a message over the link between two nodes."""
+    if receiver not in replay.nodes:
+        return
+    faults = replay.faults
+    delay_ms = 0
+    copies = 1
+    if sender != receiver:
+        replay.messages_sent += 1
+        if frozenset((sender, receiver)) in replay.cut:
+            return
+        if replay.random.random() < faults.loss:
+            return
+        delay_ms = faults.delay_ms
+        if faults.jitter_ms:
+            delay_ms += replay.random.randrange(faults.jitter_ms + 1)
+        if replay.random.random() < faults.duplication:
+            copies = 2
+    for _ in range(copies):
+        node = replay.nodes[receiver]
+        deliver_later(replay, node, delay_ms, message)
+
+
+def resume(replay: replays.Replay, node_id: str) -> None:
+    """Let a paused node go on with the messages it kept."""
+    node = replay.nodes[node_id]
+    node.paused = False
+    held, node.held = node.held, []
+    for message in held:
+        deliver(replay, node_id, message)
--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/replay/endpoint_run.py
@@ -0,0 +1,149 @@
+"""Runs requests on model endpoints."""
+
+from collections.abc import Callable
+
+from gypsumbridge_decisions import messages
+from gypsumbridge_standins.replay import model_endpoint
+from gypsumbridge_standins.replay import model_job
+from gypsumbridge_standins.replay import replay as replays
+
+ReplyTo = Callable[[int, messages.EndpointReply], None]
+
+# One way between a node and an endpoint.
+NETWORK_MS = 1
+CANCEL_SETTLE_MS = 5
+
+
+def request(
+    replay: replays.Replay,
+    node_id: str,
+    sent: messages.EndpointRequest,
+    reply: ReplyTo,
+) -> None:
+    """Send a request; its reply, or the loss of it, goes to `reply`."""
+    endpoint = replay.endpoints[sent.endpoint]
+    statuses = messages.EndpointStatus
+    if endpoint.down:
+        reply(NETWORK_MS, make_reply(sent, statuses.UNREACHABLE, False))
+        return
+    endpoint.received += 1
+    if endpoint.draining:
+        drained = make_reply(sent, statuses.DRAINING, False)
+        reply(2 * NETWORK_MS, drained)
+        return
+    if sent.version not in endpoint.versions:
+        gone = make_reply(sent, statuses.VERSION_GONE, False)
+        reply(2 * NETWORK_MS, gone)
+        return
+    if len(endpoint.waiting) >= endpoint.queue_limit:
+        endpoint.shed += 1
+        reply(2 * NETWORK_MS, make_reply(sent, statuses.SHED, False))
+        return
+    job = model_job.ModelJob(node_id, sent)
+    endpoint.waiting.append(job)
+    endpoint.peak_outstanding = max(
+        endpoint.peak_outstanding, endpoint.outstanding()
+    )
+    fill_slots(replay, endpoint, {job: reply})
+
+    def time_out() -> None:
+        if remove(replay, endpoint, job):
+            reply(0, make_reply(sent, statuses.LOST, True))
+
+    replay.scheduler.after(sent.remaining_ms, time_out)
+
+
+def fill_slots(
+    replay: replays.Replay,
+    endpoint: model_endpoint.ModelEndpoint,
+    replies: dict[model_job.ModelJob, ReplyTo],
+) -> None:
+    """Start waiting jobs while there are free slots."""
+    endpoint.replies.update(replies)
+    while endpoint.waiting and len(endpoint.running) < endpoint.slots:
+        start(replay, endpoint, endpoint.waiting.popleft())
+
+
+def start(
+    replay: replays.Replay,
+    endpoint: model_endpoint.ModelEndpoint,
+    job: model_job.ModelJob,
+) -> None:
+    """Take a slot and finish after the drawn time."""
+    key = (job.node_id, job.request.call_id)
+    endpoint.running[key] = job
+    endpoint.started += 1
+    once = job.request.idempotency_key
+    if once:
+        endpoint.executed[once] = endpoint.executed.get(once, 0) + 1
+    delay_ms = endpoint.search_time_ms()
+    endpoint.busy_ms += delay_ms
+
+    def finish() -> None:
+        if endpoint.running.get(key) is not job or endpoint.down:
+            return
+        del endpoint.running[key]
+        endpoint.completed += 1
+        reply = endpoint.replies.pop(job)
+        done = make_reply(job.request, messages.EndpointStatus.OK, True)
+        reply(NETWORK_MS, done)
+        fill_slots(replay, endpoint, {})
+
+    replay.scheduler.after(delay_ms, finish)
+
+
+def cancel(
+    replay: replays.Replay,
+    node_id: str,
+    command: messages.EndpointCancel,
+    reply: ReplyTo,
+) -> None:
+    """Cancel a request; the slot is free again at the endpoint at once."""
+    endpoint = replay.endpoints[command.endpoint]
+    jobs = [*endpoint.running.values(), *endpoint.waiting]
+    for job in jobs:
+        if (job.node_id, job.request.call_id) != (node_id, command.call_id):
+            continue
+        if remove(replay, endpoint, job):
+            lost = make_reply(job.request, messages.EndpointStatus.LOST, True)
+            reply(CANCEL_SETTLE_MS, lost)
+        return
+
+
+def remove(
+    replay: replays.Replay,
+    endpoint: model_endpoint.ModelEndpoint,
+    job: model_job.ModelJob,
+) -> bool:
+    """Take a job out; False when it has ended already."""
+    key = (job.node_id, job.request.call_id)
+    if endpoint.running.get(key) is job:
+        del endpoint.running[key]
+    elif job in endpoint.waiting:
+        endpoint.waiting.remove(job)
+    else:
+        return False
+    endpoint.replies.pop(job, None)
+    fill_slots(replay, endpoint, {})
+    return True
+
+
+def make_reply(
+    sent: messages.EndpointRequest,
+    status: messages.EndpointStatus,
+    executed: bool,
+) -> messages.EndpointReply:
+    """Return the reply of a request."""
+    payload = b''
+    if status == messages.EndpointStatus.OK:
+        payload = b'{"shard":"%s"}' % sent.shard.encode()
+    return messages.EndpointReply(
+        call_id=sent.call_id,
+        endpoint=sent.endpoint,
+        status=status,
+        executed=executed,
+        shard=sent.shard,
+        version=sent.version,
+        payload=payload,
+        leaving=status == messages.EndpointStatus.DRAINING,
+    )
--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/replay/model_endpoint.py
@@ -0,0 +1,55 @@
+"""An endpoint in memory."""
+
+import collections
+import random
+from typing import Any
+
+from gypsumbridge_standins.replay import model_job
+
+# Share of a search's time that varies, exponentially distributed.
+VARIABLE_SHARE = 0.3
+
+
+class ModelEndpoint:
+    """Slots, a bounded queue and faults of one endpoint.
+
+    `executed` counts runs by idempotency key; `started` and `completed`
+    count searches. `busy_ms` sums the time for which slots were taken.
+    `replies` holds where the reply of each request goes. `peak_outstanding`
+    is the most requests ever held at once.
+    """
+
+    def __init__(
+        self, name: str, slots: int, service_ms: float, queue: int, seed: int
+    ) -> None:
+        self.name = name
+        self.slots = slots
+        self.service_ms = service_ms
+        self.queue_limit = queue
+        self.random = random.Random(f'{seed} {name}')
+        self.running: dict[tuple[str, int], model_job.ModelJob] = {}
+        self.waiting: collections.deque[model_job.ModelJob] = (
+            collections.deque()
+        )
+        self.replies: dict[model_job.ModelJob, Any] = {}
+        self.versions: set[str] = {'v1'}
+        self.slowdown = 1.0
+        self.down = False
+        self.draining = False
+        self.started = 0
+        self.completed = 0
+        self.received = 0
+        self.shed = 0
+        self.busy_ms = 0
+        self.peak_outstanding = 0
+        self.executed: dict[str, int] = {}
+
+    def search_time_ms(self) -> int:
+        """Draw the time of one search."""
+        mean = self.service_ms * self.slowdown
+        varied = self.random.expovariate(1.0) * mean * VARIABLE_SHARE
+        return max(round(mean * (1 - VARIABLE_SHARE) + varied), 1)
+
+    def outstanding(self) -> int:
+        """Return the requests that run or wait."""
+        return len(self.running) + len(self.waiting)
--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/replay/replay_node.py
@@ -0,0 +1,23 @@
+"""A node in memory."""
+
+from typing import Any
+
+from gypsumbridge_decisions import front
+from gypsumbridge_decisions import messages
+from gypsumbridge_decisions import owner
+
+
+class ReplayNode:
+    """The states of a node's tasks and whether it runs.
+
+    A paused node keeps its messages until it goes on; a stopped one loses
+    them.
+    """
+
+    def __init__(self, member: messages.Member, silence_ms: int) -> None:
+        self.member = member
+        self.front = front.make_front_state(member.node_id, silence_ms)
+        self.owner = owner.make_owner_state(member.node_id)
+        self.alive = True
+        self.paused = False
+        self.held: list[Any] = []
