--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -13,6 +13,7 @@
 
 
 def read_known_red(path: pathlib.Path) -> set[str]:
+    """Return the ids of the tests that may fail."""
     known = set()
     for line in path.read_text(encoding='utf-8').splitlines():
         if line.startswith('test: '):
@@ -21,6 +22,7 @@
 
 
 def main() -> int:
+    """Run the suite and return the exit status."""
     pattern = sys.argv[1] if len(sys.argv) > 1 else 'test_*.py'
     whole_suite = pattern == 'test_*.py'
     sys.path.insert(0, str(ROOT))
--- a/tools/write_init.py
+++ b/tools/write_init.py
@@ -13,6 +13,7 @@
 
 
 def public_names(path: pathlib.Path) -> list[str]:
+    """Return the names that a module offers, sorted."""
     names = set()
     for node in ast.parse(path.read_text(encoding='utf-8')).body:
         if isinstance(node, (ast.ClassDef, ast.FunctionDef)):
@@ -31,6 +32,7 @@
 
 
 def import_line(module: str, name: str) -> str:
+    """Return one re-export, wrapped where it is too long."""
     line = f'from {module} import {name} as {name}'
     if len(line) <= MAX_LINE:
         return line
@@ -38,6 +40,7 @@
 
 
 def main() -> None:
+    """Rewrite the `__init__` named on the command line."""
     package, subpackage = sys.argv[1:3]
     root = f'gypsumbridge_{package}'
     folder = pathlib.Path('packages') / package / 'src' / root / subpackage
