Add soak runs, cost slopes and a bench of the tier's own cost

Change: soak with nine faults, two at a time, from one seed; slopes of catalog, routing, query and log costs; an open-loop load tool with due-time latencies.

--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements with real processes."""
--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/bench/tier_cost.py
@@ -0,0 +1,124 @@
+"""Cost of the tier against a bare HTTP client, by shards a query."""
+
+import json
+import subprocess
+import sys
+from typing import Any
+
+from gypsumbridge_standins.bench import process_time
+from gypsumbridge_standins.cluster import cluster as clusters
+from gypsumbridge_standins.cluster import ports
+from gypsumbridge_standins.cluster import start
+from gypsumbridge_standins.deployment import build
+from gypsumbridge_standins.deployment import group as groups
+
+SHARDS = (20, 50, 200)
+# Far under what the machine can carry, so that the processor time of a
+# request is measured and not its wait for a processor.
+SHARD_REQUESTS_PER_SECOND = 400
+DURATION_S = 8
+SERVICE_MS = 5.0
+SHARDS_PER_SET = 10
+SLOTS = 64
+DOMAINS = ('fd-a', 'fd-b', 'fd-c')
+NODES = 3
+
+
+def measure() -> list[dict[str, Any]]:
+    """Return one row for each number of shards a query."""
+    return [measure_shards(shards) for shards in SHARDS]
+
+
+def measure_shards(shards: int) -> dict[str, Any]:
+    """Run the bare loop and the tier against the same stand-ins."""
+    group = groups.Group(
+        'svc', shards // SHARDS_PER_SET, 2, 200, 1, SHARDS_PER_SET
+    )
+    cluster = clusters.Cluster()
+    try:
+        chosen = ports.free_ports(build.count_searchers([group]))
+        deployment = build.build([group], chosen, SERVICE_MS, slots=SLOTS)
+        start.start_platform(cluster, deployment)
+        start.declare(cluster, deployment.specs)
+        start.start_nodes(cluster, NODES, DOMAINS)
+        before = process_time.machine_ticks()
+        bare = run_bare(cluster, deployment)
+        tier = run_tier(cluster, shards)
+        idle = process_time.idle_share_since(before)
+    finally:
+        cluster.stop()
+    return {
+        'shards': shards,
+        'bare_us_per_shard': bare['us_per_shard'],
+        'tier_us_per_shard': tier['us_per_shard'],
+        'ratio': tier['us_per_shard'] / bare['us_per_shard'],
+        'bare_p50_ms': bare['p50_ms'],
+        'tier_p50_ms': tier['p50_ms'],
+        'tier_full_coverage': tier['full_coverage'] / tier['sent'],
+        'idle_share': idle,
+    }
+
+
+def run_bare(cluster: clusters.Cluster, deployment: Any) -> dict[str, Any]:
+    """Send shard requests straight to the searchers."""
+    targets = [
+        {
+            'address': f'127.0.0.1:{spec.port}',
+            'path': f'/v1/shards/{shard}/search',
+            'headers': {'X-Index-Version': build.VERSION},
+            'body': '{}',
+        }
+        for spec in deployment.searchers
+        for shard in spec.shards[build.VERSION]
+    ]
+    count = SHARD_REQUESTS_PER_SECOND * DURATION_S
+    seen = run_process(cluster, targets, SHARD_REQUESTS_PER_SECOND, count)
+    seen['us_per_shard'] = seen['processor_ms'] * 1_000 / seen['sent']
+    return seen
+
+
+def run_tier(cluster: clusters.Cluster, shards: int) -> dict[str, Any]:
+    """Send queries through every node; the nodes' time is counted."""
+    body = {
+        'service': 'svc',
+        'rank': 'border',
+        'deadline_ms': 5_000,
+        'query': {},
+    }
+    targets = [
+        {
+            'address': node.http,
+            'path': '/v1/query',
+            'headers': {},
+            'body': json.dumps(body),
+        }
+        for node in cluster.nodes.values()
+    ]
+    rate = SHARD_REQUESTS_PER_SECOND / shards
+    # The first run opens connections and fills the latency windows.
+    run_process(cluster, targets, rate, max(int(rate * 2), 6))
+    pids = [cluster.processes[name].pid for name in cluster.nodes]
+    before_ms = sum(map(process_time.processor_ms, pids))
+    seen = run_process(cluster, targets, rate, max(int(rate * DURATION_S), 6))
+    used_ms = sum(map(process_time.processor_ms, pids)) - before_ms
+    seen['us_per_shard'] = used_ms * 1_000 / (seen['sent'] * shards)
+    return seen
+
+
+def run_process(
+    cluster: clusters.Cluster,
+    targets: list[dict[str, Any]],
+    rate: float,
+    count: int,
+) -> dict[str, Any]:
+    """Run one load process and return what it printed."""
+    path = cluster.folder / 'targets.json'
+    path.write_text(json.dumps(targets))
+    module = 'gypsumbridge_standins.bench.load_main'
+    done = subprocess.run(
+        [sys.executable, '-m', module, str(path), str(rate), str(count)],
+        capture_output=True,
+        check=True,
+        timeout=120,
+    )
+    return json.loads(done.stdout)
--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Measures how costs grow, for docs/CAPACITY.md."""
--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/capacity/__main__.py
@@ -0,0 +1,53 @@
+"""Measures all slopes and writes them as JSON and as a table."""
+
+import json
+import pathlib
+import sys
+
+import defopt
+
+from gypsumbridge_standins.capacity import catalog_costs
+from gypsumbridge_standins.capacity import log_costs
+from gypsumbridge_standins.capacity import query_costs
+from gypsumbridge_standins.capacity import routing_costs
+from gypsumbridge_standins.capacity import slope
+
+MEASUREMENTS = (
+    catalog_costs.measure,
+    routing_costs.measure,
+    query_costs.measure,
+    log_costs.measure,
+)
+
+
+def main(out: pathlib.Path) -> None:
+    """Measure the slopes that docs/CAPACITY.md is worked out from.
+
+    :param out: Folder for slopes.json and slopes.md.
+    """
+    out.mkdir(parents=True, exist_ok=True)
+    slopes = [found for measure in MEASUREMENTS for found in measure()]
+    data = [vars(found) for found in slopes]
+    (out / 'slopes.json').write_text(json.dumps(data, indent=1) + '\n')
+    table = make_table(slopes)
+    (out / 'slopes.md').write_text(table)
+    print(table)
+
+
+def make_table(slopes: list[slope.Slope]) -> str:
+    """Return the slopes as a Markdown table."""
+    lines = [
+        '| slope | points | intercept | per unit |',
+        '|---|---|---|---|',
+    ]
+    for found in slopes:
+        points = ', '.join(f'{x:g}: {y:,.0f}' for x, y in found.points)
+        lines.append(
+            f'| {found.name} ({found.cost_unit} by {found.size_unit}) |'
+            f' {points} | {found.intercept:,.1f} | {found.per_unit:,.4f} |'
+        )
+    return '\n'.join(lines) + '\n'
+
+
+if __name__ == '__main__':
+    sys.exit(defopt.run(main))
--- a/packages/standins/src/gypsumbridge_standins/deployment/build.py
+++ b/packages/standins/src/gypsumbridge_standins/deployment/build.py
@@ -43,6 +43,7 @@
     ports: Iterable[int],
     service_ms: float,
     domains: tuple[str, ...] = ('fd-a', 'fd-b', 'fd-c'),
+    slots: int = SLOTS,
 ) -> deployment.Deployment:
     """Return declarations and searchers on the given loopback ports."""
     specs: list[resources.Spec] = list(RANKS)
@@ -69,7 +70,7 @@
                         address='127.0.0.1',
                         port=port,
                         failure_domain=domain,
-                        slots=SLOTS,
+                        slots=slots,
                         connections=group.connections,
                         connect_ms=group.connect_ms,
                     )
@@ -79,7 +80,7 @@
                         name=name,
                         port=port,
                         shards={VERSION: names},
-                        slots=SLOTS,
+                        slots=slots,
                         connections=group.connections,
                         connect_ms=group.connect_ms,
                         service_ms=service_ms,
--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomised runs of the real decisions with every fault, from one seed."""
--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/soak/catalogs.py
@@ -0,0 +1,55 @@
+"""Declarations of a soak run and how they change."""
+
+from gypsumbridge_decisions import messages
+from gypsumbridge_decisions import resources
+from gypsumbridge_standins.deployment import build
+from gypsumbridge_standins.deployment import deployment as deployments
+from gypsumbridge_standins.replay import fleet
+from gypsumbridge_standins.soak import soak_state
+
+PORTS = range(20_000, 21_000)
+SERVICE_MS = 15.0
+# One service of each policy, so that both refusals and partial answers occur.
+MINIMUM_COVERAGE = {'verify-portal': 1.0, 'audit-desk': 0.5}
+LAST_SHARDS = {
+    'verify-portal': resources.LastShards.WAIT,
+    'audit-desk': resources.LastShards.EARLY,
+}
+EARLY_AFTER_MS = 60
+
+
+def make_deployment() -> deployments.Deployment:
+    """Return the deployment that soak runs use."""
+    return build.build(build.SMALL_GROUPS, PORTS, SERVICE_MS)
+
+
+def current(state: soak_state.SoakState) -> messages.CatalogChanged:
+    """Return the declarations of the current index version."""
+    specs = []
+    for spec in make_deployment().specs:
+        if isinstance(spec, resources.Service):
+            spec = at_version(spec, state.index)
+        specs.append(spec)
+    return fleet.make_catalog(state.revision, tuple(specs))
+
+
+def at_version(service: resources.Service, number: int) -> resources.Service:
+    """Return a service whose index is at a version.
+
+    Each version has a shard map of its own: odd ones have one shard a
+    replica set, even ones two.
+    """
+    sets = sorted(set(service.versions[0].shards.values()))
+    copies = 1 if number % 2 else 2
+    shards = {
+        f'{name}-{copy}': name for name in sets for copy in range(copies)
+    }
+    version = resources.IndexVersion(f'v{number}', shards)
+    return resources.Service(
+        name=service.name,
+        versions=(version,),
+        current_version=version.name,
+        minimum_coverage=MINIMUM_COVERAGE[service.name],
+        last_shards=LAST_SHARDS[service.name],
+        early_after_ms=EARLY_AFTER_MS,
+    )
