--- a/packages/node/src/gypsumbridge_node/http_client.py
+++ b/packages/node/src/gypsumbridge_node/http_client.py
@@ -1,13 +1,13 @@
 """HTTP requests to an IP address."""
 
 from collections.abc import Callable
-import io
 from typing import Any
 
 from twisted.internet import defer
 from twisted.web import client
 from twisted.web import http_headers
 
+from gypsumbridge_node import bytes_producer
 from gypsumbridge_node import http_response
 from gypsumbridge_node import ip_endpoints
 from gypsumbridge_wire import http_request
@@ -49,7 +49,7 @@
         )
         body = None
         if request.body or request.method in ('POST', 'PUT'):
-            body = client.FileBodyProducer(io.BytesIO(request.body))
+            body = bytes_producer.BytesProducer(request.body)
         response = await agent.request(
             request.method.encode(),
             f'http://{address}:{port}{request.path}'.encode(),
