Let soak endpoints answer for other shards and versions

Cause: five of eleven mutants of the decisions passed the soak, because no endpoint ever answered wrongly and drains were shorter than the 3 s bound. Change: two faults for wrong answers, payloads that name what they are from, longer drains; an answer after a hang-up is no second end.

--- a/packages/standins/src/gypsumbridge_standins/capacity/__main__.py
+++ b/packages/standins/src/gypsumbridge_standins/capacity/__main__.py
@@ -11,12 +11,14 @@
 from gypsumbridge_standins.capacity import query_costs
 from gypsumbridge_standins.capacity import routing_costs
 from gypsumbridge_standins.capacity import slope
+from gypsumbridge_standins.capacity import socket_costs
 
 MEASUREMENTS = (
     catalog_costs.measure,
     routing_costs.measure,
     query_costs.measure,
     log_costs.measure,
+    socket_costs.measure,
 )
 
 
--- a/packages/standins/src/gypsumbridge_standins/replay/endpoint_run.py
+++ b/packages/standins/src/gypsumbridge_standins/replay/endpoint_run.py
@@ -1,6 +1,7 @@
 """Runs requests on model endpoints."""
 
 from collections.abc import Callable
+import dataclasses
 
 from gypsumbridge_decisions import messages
 from gypsumbridge_standins.replay import model_endpoint
@@ -85,7 +86,12 @@
         del endpoint.running[key]
         endpoint.completed += 1
         reply = endpoint.replies.pop(job)
-        done = make_reply(job.request, messages.EndpointStatus.OK, True)
+        answered_from = dataclasses.replace(
+            job.request,
+            version=endpoint.answers_version or job.request.version,
+            shard=endpoint.answers_shard or job.request.shard,
+        )
+        done = make_reply(answered_from, messages.EndpointStatus.OK, True)
         reply(NETWORK_MS, done)
         fill_slots(replay, endpoint, {})
 
@@ -136,7 +142,7 @@
     """Return the reply of a request."""
     payload = b''
     if status == messages.EndpointStatus.OK:
-        payload = b'{"shard":"%s"}' % sent.shard.encode()
+        payload = make_payload(sent.shard, sent.version)
     return messages.EndpointReply(
         call_id=sent.call_id,
         endpoint=sent.endpoint,
@@ -147,3 +153,8 @@
         payload=payload,
         leaving=status == messages.EndpointStatus.DRAINING,
     )
+
+
+def make_payload(shard: str, version: str) -> bytes:
+    """Return the content that an endpoint has of a shard at a version."""
+    return f'{{"shard":"{shard}","version":"{version}"}}'.encode()
--- a/packages/standins/src/gypsumbridge_standins/replay/model_endpoint.py
+++ b/packages/standins/src/gypsumbridge_standins/replay/model_endpoint.py
@@ -15,8 +15,9 @@
 
     `executed` counts runs by idempotency key; `started` and `completed`
     count searches. `busy_ms` sums the time for which slots were taken.
-    `replies` holds where the reply of each request goes. `peak_outstanding`
-    is the most requests ever held at once.
+    `answers_version` and `answers_shard`, when set, are what it answers for
+    whatever it is asked. `replies` holds where the reply of each request
+    goes. `peak_outstanding` is the most requests ever held at once.
     """
 
     def __init__(
@@ -35,6 +36,8 @@
         self.versions: set[str] = {'v1'}
         self.slowdown = 1.0
         self.down = False
+        self.answers_version = ''
+        self.answers_shard = ''
         self.draining = False
         self.started = 0
         self.completed = 0
--- a/packages/standins/src/gypsumbridge_standins/soak/checks.py
+++ b/packages/standins/src/gypsumbridge_standins/soak/checks.py
@@ -5,6 +5,7 @@
 
 from gypsumbridge_decisions import errors
 from gypsumbridge_decisions import messages
+from gypsumbridge_standins.replay import endpoint_run
 from gypsumbridge_standins.soak import soak_state
 
 # Time past its deadline at which a front must have answered a query.
@@ -19,6 +20,8 @@
     """Check an answer or refusal as a caller would see it."""
     query_id = result.query_id
     note(state, f'{node_id} {type(result).__name__} {query_id}')
+    if query_id in state.hung_up:
+        return
     if query_id in state.ended:
         raise broken(state, f'query {query_id} ended twice')
     known = state.open.pop(query_id, None)
@@ -50,7 +53,8 @@
     for part in answer.parts:
         if part.version != answer.snapshot:
             raise broken(state, f'{answer.query_id} mixes versions')
-        if part.payload != b'{"shard":"%s"}' % part.shard.encode():
+        content = endpoint_run.make_payload(part.shard, answer.snapshot)
+        if part.payload != content:
             raise broken(state, f'{answer.query_id} has a part of another')
     if answer.coverage < 1 and not answer.missing:
         raise broken(state, f'{answer.query_id} hides missing shards')
--- a/packages/standins/src/gypsumbridge_standins/soak/endpoint_faults.py
+++ b/packages/standins/src/gypsumbridge_standins/soak/endpoint_faults.py
@@ -47,6 +47,30 @@
     return undo
 
 
+def answer_other_version(
+    state: soak_state.SoakState,
+) -> Callable[[], None]:
+    """Let an endpoint answer from another version than it is asked for."""
+    endpoint = choose(state)
+    endpoint.answers_version = f'v{state.index + 1}'
+
+    def undo() -> None:
+        endpoint.answers_version = ''
+
+    return undo
+
+
+def answer_other_shard(state: soak_state.SoakState) -> Callable[[], None]:
+    """Let an endpoint answer for a shard that it was not asked for."""
+    endpoint = choose(state)
+    endpoint.answers_shard = 'set-00-0'
+
+    def undo() -> None:
+        endpoint.answers_shard = ''
+
+    return undo
+
+
 def drain(state: soak_state.SoakState) -> Callable[[], None]:
     """Let an endpoint leave, as one node learns from the host list."""
     replay = state.replay
--- a/packages/standins/src/gypsumbridge_standins/soak/fault_schedule.py
+++ b/packages/standins/src/gypsumbridge_standins/soak/fault_schedule.py
@@ -13,6 +13,8 @@
 MAX_FAULTS = 2
 MEAN_GAP_MS = 400
 MEAN_LENGTH_MS = 1_500
+# A drain must outlast the bound on new work; a new version is an event.
+LENGTHS_MS = {'endpoint_drain': 6_000, 'new_version': 200}
 
 
 def lossy_links(state: soak_state.SoakState) -> Undo:
@@ -41,6 +43,8 @@
     'endpoint_down': endpoint_faults.take_down,
     'endpoint_slow': endpoint_faults.slow_down,
     'endpoint_drain': endpoint_faults.drain,
+    'other_version': endpoint_faults.answer_other_version,
+    'other_shard': endpoint_faults.answer_other_shard,
     'new_version': endpoint_faults.change_version,
 }
 
@@ -65,5 +69,6 @@
         undo()
         state.faults[name] = 0
 
-    length_ms = 1 + round(random.expovariate(1.0) * MEAN_LENGTH_MS)
+    mean_ms = LENGTHS_MS.get(name, MEAN_LENGTH_MS)
+    length_ms = 1 + round(random.expovariate(1.0) * mean_ms)
     scheduler.after(length_ms, end)
--- a/packages/standins/src/gypsumbridge_standins/soak/soak_state.py
+++ b/packages/standins/src/gypsumbridge_standins/soak/soak_state.py
@@ -18,6 +18,7 @@
         self.seed = seed
         self.open: dict[str, tuple[messages.Query, str, int]] = {}
         self.ended: set[str] = set()
+        self.hung_up: set[str] = set()
         self.asked: set[str] = set()
         self.answered = 0
         self.partial = 0
--- a/packages/standins/src/gypsumbridge_standins/soak/traffic.py
+++ b/packages/standins/src/gypsumbridge_standins/soak/traffic.py
@@ -58,7 +58,7 @@
     def run() -> None:
         if state.open.pop(query.query_id, None) is None:
             return
-        state.ended.add(query.query_id)
+        state.hung_up.add(query.query_id)
         gone = messages.QueryGone(query.query_id)
         delivery.deliver(state.replay, node_id, gone)
 
