--- a/packages/standins/src/gypsumbridge_standins/capacity/__main__.py
+++ b/packages/standins/src/gypsumbridge_standins/capacity/__main__.py
@@ -12,6 +12,7 @@
 from gypsumbridge_standins.capacity import routing_costs
 from gypsumbridge_standins.capacity import slope
 from gypsumbridge_standins.capacity import socket_costs
+from gypsumbridge_standins.capacity import target
 
 MEASUREMENTS = (
     catalog_costs.measure,
@@ -31,7 +32,7 @@
     slopes = [found for measure in MEASUREMENTS for found in measure()]
     data = [vars(found) for found in slopes]
     (out / 'slopes.json').write_text(json.dumps(data, indent=1) + '\n')
-    table = make_table(slopes)
+    table = make_table(slopes) + '\n' + make_projection(slopes)
     (out / 'slopes.md').write_text(table)
     print(table)
 
@@ -51,5 +52,13 @@
     return '\n'.join(lines) + '\n'
 
 
+def make_projection(slopes: list[slope.Slope]) -> str:
+    """Return the costs of a node at the target as a Markdown table."""
+    lines = ['| at the target, a node | value | unit |', '|---|---|---|']
+    for name, unit, value in target.project(slopes):
+        lines.append(f'| {name} | {value:,.2f} | {unit} |')
+    return '\n'.join(lines) + '\n'
+
+
 if __name__ == '__main__':
     sys.exit(defopt.run(main))
--- a/packages/standins/src/gypsumbridge_standins/capacity/socket_costs.py
+++ b/packages/standins/src/gypsumbridge_standins/capacity/socket_costs.py
@@ -3,9 +3,10 @@
 import os
 import pathlib
 
-from gypsumbridge_standins.capacity import slope
 import zmq
 
+from gypsumbridge_standins.capacity import slope
+
 SIZES = (50, 100, 200, 400)
 RECEIVE_TIMEOUT_MS = 5_000
 
