Check ranges, addresses and clashes in settings

A node started with a port of 0, a host name as address, its own failure domain missing from the list or one address for two listeners, and failed later or not at all. Each value now has a check, and values that clash are found together; every problem is one line with file, section, key, value and remedy. [limits] holds the largest body and longest deadline.

--- /dev/null
+++ b/packages/node/src/gypsumbridge_node/settings/checks.py
@@ -0,0 +1,156 @@
+"""Checks of values in settings, each a function that returns a problem."""
+
+from collections.abc import Callable
+import ipaddress
+
+from gypsumbridge_node.settings import settings as all_settings
+
+# Returns what is wrong with a value and the remedy, or None.
+Check = Callable[[object], tuple[str, str] | None]
+
+MAX_PORT = 65_535
+LEVELS = ('debug', 'info', 'warning', 'error')
+
+
+def in_range(low: int, high: int) -> Check:
+    """Return a check that a number lies in a range."""
+
+    def check(value: object) -> tuple[str, str] | None:
+        if low <= value <= high:
+            return None
+        return 'out of range', f'use a number from {low} to {high}'
+
+    return check
+
+
+def one_of(allowed: tuple[str, ...]) -> Check:
+    """Return a check that a value is one of a few."""
+
+    def check(value: object) -> tuple[str, str] | None:
+        if value in allowed:
+            return None
+        return 'unknown', f'use one of {", ".join(allowed)}'
+
+    return check
+
+
+def check_name(value: object) -> tuple[str, str] | None:
+    """Check a node id or a prefix of metrics."""
+    text = str(value)
+    plain = text.replace('-', '').replace('_', '').replace('.', '')
+    if plain.isascii() and plain.isalnum() and len(text) <= 128:
+        return None
+    return (
+        'not a name',
+        'use 1 to 128 letters, digits, ".", "_" and "-"',
+    )
+
+
+def check_names(value: object) -> tuple[str, str] | None:
+    """Check a list of names without repeats."""
+    names = list(value)
+    if not names:
+        return 'empty', 'list at least one name, separated by commas'
+    if len(set(names)) != len(names):
+        return 'a name is repeated', 'list each name once'
+    for name in names:
+        problem = check_name(name)
+        if problem is not None:
+            return problem
+    return None
+
+
+def check_address(value: object) -> tuple[str, str] | None:
+    """Check `ip:port`."""
+    remedy = f'use ip:port with an IP number and a port from 1 to {MAX_PORT}'
+    host, colon, port = str(value).rpartition(':')
+    if not colon:
+        return 'not ip:port', remedy
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return 'the host is not an IPv4 number', remedy
+    if not (port.isascii() and port.isdigit() and 1 <= int(port) <= MAX_PORT):
+        return 'the port is not usable', remedy
+    return None
+
+
+def check_optional_address(value: object) -> tuple[str, str] | None:
+    """Check `ip:port`, or nothing."""
+    return check_address(value) if value else None
+
+
+VALUE_CHECKS: dict[tuple[str, str], Check] = {
+    ('node', 'node_id'): check_name,
+    ('node', 'failure_domain'): check_name,
+    ('node', 'failure_domains'): check_names,
+    ('node', 'peer_address'): check_address,
+    ('node', 'http_address'): check_address,
+    ('store', 'address'): check_address,
+    ('store', 'timeout_ms'): in_range(10, 60_000),
+    ('host_list', 'address'): check_address,
+    ('host_list', 'interval_ms'): in_range(10, 600_000),
+    ('timing', 'owner_silence_ms'): in_range(2, 60_000),
+    ('timing', 'balancer_lag_ms'): in_range(0, 600_000),
+    ('timing', 'stop_bound_ms'): in_range(1, 3_600_000),
+    ('limits', 'max_body_bytes'): in_range(1_024, 67_108_864),
+    ('limits', 'max_deadline_ms'): in_range(1, 3_600_000),
+    ('log', 'level'): one_of(LEVELS),
+    ('log', 'decision_lines_per_second'): in_range(0, 1_000_000),
+    ('metrics', 'statsd_address'): check_optional_address,
+    ('metrics', 'prefix'): check_name,
+}
+
+
+def check_together(
+    settings: all_settings.Settings,
+) -> list[tuple[str, str, object, str, str]]:
+    """Return (section, key, value, problem, remedy) of values that clash.
+
+    Values that are wrong on their own are None here and left out.
+    """
+    found: list[tuple[str, str, object, str, str]] = []
+    node = settings.node
+    domains = node.failure_domains
+    if node.failure_domain and domains:
+        if node.failure_domain not in domains:
+            found.append(
+                (
+                    'node',
+                    'failure_domain',
+                    node.failure_domain,
+                    'not in failure_domains',
+                    f'use one of {", ".join(domains)}, or add it there',
+                )
+            )
+    used: dict[str, str] = {}
+    for section, key, value in (
+        ('node', 'peer_address', node.peer_address),
+        ('node', 'http_address', node.http_address),
+        ('store', 'address', settings.store.address),
+        ('host_list', 'address', settings.host_list.address),
+    ):
+        other = used.setdefault(value, f'[{section}] {key}')
+        if value and other != f'[{section}] {key}':
+            found.append(
+                (
+                    section,
+                    key,
+                    value,
+                    f'the same as {other}',
+                    'give each of them an address of its own',
+                )
+            )
+    timing = settings.timing
+    lag_ms, bound_ms = timing.balancer_lag_ms, timing.stop_bound_ms
+    if None not in (lag_ms, bound_ms) and lag_ms >= bound_ms:
+        found.append(
+            (
+                'timing',
+                'balancer_lag_ms',
+                lag_ms,
+                f'not below stop_bound_ms = {bound_ms}',
+                'lower it or raise stop_bound_ms',
+            )
+        )
+    return found
--- /dev/null
+++ b/packages/node/src/gypsumbridge_node/settings/limits_settings.py
@@ -0,0 +1,11 @@
+"""The [limits] section."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class LimitsSettings:
+    """Largest body of a request and longest deadline of a query."""
+
+    max_body_bytes: int = 1_048_576
+    max_deadline_ms: int = 60_000
--- a/packages/node/src/gypsumbridge_node/settings/load.py
+++ b/packages/node/src/gypsumbridge_node/settings/load.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from gypsumbridge_decisions import errors
+from gypsumbridge_node.settings import checks
 from gypsumbridge_node.settings import settings
 
 
@@ -22,7 +23,8 @@
         parser.read_string(path.read_text(encoding='utf-8'), str(path))
     except (OSError, UnicodeDecodeError, configparser.Error) as error:
         raise errors.SettingsError(
-            f'{path} cannot be read: {error}', 'give a readable INI file'
+            f'{path} cannot be read: {error}; give a readable INI file',
+            'correct the settings and start again',
         ) from error
     problems = _unknown_sections(path, parser)
     sections = {}
@@ -33,11 +35,26 @@
         sections[field.name] = _load_section(
             path, field.name, field.type, values, problems
         )
+    loaded = settings.Settings(**sections)
+    for section, key, value, problem, remedy in checks.check_together(loaded):
+        problems.append(_line(path, section, key, value, problem, remedy))
     if problems:
         raise errors.SettingsError(
             '\n'.join(problems), 'correct the settings and start again'
         )
-    return settings.Settings(**sections)
+    return loaded
+
+
+def _line(
+    path: pathlib.Path,
+    section: str,
+    key: str,
+    value: object,
+    problem: str,
+    remedy: str,
+) -> str:
+    text = ', '.join(value) if isinstance(value, tuple) else value
+    return f'{path}: [{section}] {key} = {text}: {problem}; {remedy}'
 
 
 def _unknown_sections(
@@ -58,31 +75,44 @@
     values: dict[str, str],
     problems: list[str],
 ) -> Any:
+    """Return the section; a value with a problem is None in it."""
     fields = {field.name: field for field in dataclasses.fields(section_type)}
+    for key in values.keys() - fields.keys():
+        problems.append(
+            f'{path}: [{section}] {key} = {values[key]}: unknown; use one of'
+            f' {sorted(fields)}'
+        )
     converted: dict[str, Any] = {}
-    for key, value in values.items():
-        field = fields.get(key)
-        if field is None:
-            problems.append(
-                f'{path}: [{section}] {key} is unknown; use one of'
-                f' {sorted(fields)}'
-            )
-            continue
-        try:
-            converted[key] = _convert(value, field.type)
-        except msgspec.ValidationError as error:
-            problems.append(
-                f'{path}: [{section}] {key} = {value}: {error}; give a value'
-                ' of that type'
-            )
     for name, field in fields.items():
-        if name in values or field.default is not dataclasses.MISSING:
+        converted[name] = None
+        if name in values:
+            problem = _read_value(section, field, values[name], converted)
+            if problem is not None:
+                problems.append(
+                    _line(path, section, name, values[name], *problem)
+                )
+            continue
+        if field.default is dataclasses.MISSING:
+            problems.append(f'{path}: [{section}] {name} is missing; set it')
             continue
-        problems.append(f'{path}: [{section}] {name} is missing; set it')
+        converted[name] = field.default
+    return section_type(**converted)
+
+
+def _read_value(
+    section: str,
+    field: dataclasses.Field[Any],
+    text: str,
+    converted: dict[str, Any],
+) -> tuple[str, str] | None:
     try:
-        return section_type(**converted)
-    except TypeError:
-        return None
+        value = _convert(text, field.type)
+    except msgspec.ValidationError as error:
+        return str(error), 'give a value of that type'
+    problem = checks.VALUE_CHECKS[(section, field.name)](value)
+    if problem is None:
+        converted[field.name] = value
+    return problem
 
 
 def _convert(value: str, kind: Any) -> Any:
