Serve the operators' resource API

The operator_http task serves /v1/resources and /v1/nodes. A write is a success once the configuration task reports it accepted, 202 with state stored when it does not in time, 409 with the current revision in a conflict, and 503 with its run state when the store is out. A lost reply is settled from the store's watch history, so a later write does not hide ours. A long poll waits for this node's own configuration and costs the store one read at its end. References are checked against the catalog in memory; only what that refuses is checked again with a full list.

Each task answers StatusQuery with what it holds, which /v1/nodes shows. Unknown paths, wrong methods, long bodies and malformed request heads get a typed JSON error; the body limit and the longest deadline come from [limits].

Ruled out: a store watch for each operator, since a waiting watch counts against the store's rates; and sending a write again after a lost reply.

Seen failing first: without the filter by key, the test of a key with the same start fails.

--- a/packages/node/src/gypsumbridge_node/bounded_request.py
+++ b/packages/node/src/gypsumbridge_node/bounded_request.py
@@ -1,10 +1,15 @@
 """An HTTP request whose body has a size limit."""
 
+from collections.abc import Callable
 import io
 from typing import Any
 
 from twisted.web import server
 
+# A body over the limit is read to its end so that its sender sees the
+# refusal instead of a reset; past this many times the limit it is cut off.
+DISCARD_FACTOR = 64
+
 
 class BoundedRequest(server.Request):
     """Keeps at most `max_body_bytes` of a body, in memory.
@@ -31,6 +36,21 @@
         self.received_bytes += len(data)
         if self.received_bytes > self.max_body_bytes:
             self.too_large = True
+        if self.received_bytes > DISCARD_FACTOR * self.max_body_bytes:
+            self.channel.forceAbortClient()
         if self.too_large:
             return
         self.content.write(data)
+
+
+def make_request_factory(
+    max_body_bytes: int,
+) -> Callable[..., BoundedRequest]:
+    """Return a function that makes requests with a size limit."""
+
+    def make_request(*args: Any, **kwargs: Any) -> BoundedRequest:
+        made = BoundedRequest(*args, **kwargs)
+        made.max_body_bytes = max_body_bytes
+        return made
+
+    return make_request
--- a/packages/node/src/gypsumbridge_node/daemon.py
+++ b/packages/node/src/gypsumbridge_node/daemon.py
@@ -5,7 +5,6 @@
 
 import logbook
 from twisted.internet import task
-from twisted.web import resource
 from twisted.web import server
 import txzmq
 
@@ -13,9 +12,11 @@
 from gypsumbridge_node import address
 from gypsumbridge_node import bounded_request
 from gypsumbridge_node import decision_log
+from gypsumbridge_node import http_channel
 from gypsumbridge_node import json_lines
 from gypsumbridge_node import mailboxes
 from gypsumbridge_node import metrics
+from gypsumbridge_node import path_resource
 from gypsumbridge_node import runtime as runtimes
 from gypsumbridge_node.settings import settings as all_settings
 from gypsumbridge_node.tasks import caller_http
@@ -24,6 +25,7 @@
 from gypsumbridge_node.tasks import front
 from gypsumbridge_node.tasks import lifecycle
 from gypsumbridge_node.tasks import membership
+from gypsumbridge_node.tasks import operator_http
 from gypsumbridge_node.tasks import owner
 from gypsumbridge_node.tasks import peer_link
 from gypsumbridge_node.tasks import store
@@ -36,21 +38,21 @@
     json_lines.install_handler(settings.log.level)
     runtime = make_runtime(reactor, settings)
     factory = txzmq.ZmqFactory()
-    root = resource.Resource()
+    root = path_resource.PathResource()
     owner.start_owner_task(runtime)
     front.start_front_task(runtime)
     endpoint.start_endpoint_task(runtime)
     store.start_store_task(runtime)
     peer_link.start_peer_link_task(runtime, factory)
     caller_http.start_caller_http_task(runtime, root)
+    versions = root.getStaticEntity(b'v1')
+    operator_http.start_operator_http_task(runtime, versions)
     lifecycle.start_lifecycle_task(runtime, root, reactor.stop)
     configuration.start_configuration_task(runtime)
     membership.start_membership_task(runtime)
     flush = task.LoopingCall(runtime.metrics.flush)
     flush.start(metrics.FLUSH_INTERVAL_S, now=False)
-    site = server.Site(root, bounded_request.BoundedRequest)
-    host, port = address.split_address(settings.node.http_address)
-    reactor.listenTCP(port, site, interface=host)
+    listen(reactor, settings, root)
     runtime.logger.info(
         'node started',
         extra={'http': settings.node.http_address},
@@ -59,6 +61,22 @@
     runtime.logger.info('node stopped')
 
 
+def listen(
+    reactor: Any,
+    settings: all_settings.Settings,
+    root: path_resource.PathResource,
+) -> None:
+    """Serve HTTP to callers, operators and health checks."""
+    make_request = bounded_request.make_request_factory(
+        settings.limits.max_body_bytes
+    )
+    # A form would be parsed before its size or type is checked.
+    site = server.Site(root, make_request, parsePOSTFormSubmission=False)
+    site.protocol = http_channel.JsonChannel
+    host, port = address.split_address(settings.node.http_address)
+    reactor.listenTCP(port, site, interface=host)
+
+
 def make_runtime(
     reactor: Any, settings: all_settings.Settings
 ) -> runtimes.Runtime:
--- /dev/null
+++ b/packages/node/src/gypsumbridge_node/operator_api/__init__.py
@@ -0,0 +1,1 @@
+"""What the operators' resource API does for each request."""
--- /dev/null
+++ b/packages/node/src/gypsumbridge_node/operator_api/read.py
@@ -0,0 +1,115 @@
+"""Reads of declared resources."""
+
+from gypsumbridge_decisions import errors
+from gypsumbridge_decisions import messages
+from gypsumbridge_decisions import resources
+from gypsumbridge_node import runtime as runtimes
+from gypsumbridge_node.operator_api import calls as operator_calls
+from gypsumbridge_wire import operator
+from gypsumbridge_wire import store
+
+Reply = tuple[int, bytes]
+
+
+async def read_current(
+    calls: operator_calls.Calls, kind: resources.Kind, name: str
+) -> tuple[resources.Resource | None, int]:
+    """Return the resource, or None, and the store's revision.
+
+    Raises StoreUnavailableError.
+    """
+    key = store.encode_key(kind, name)
+    reply = await calls.store(
+        messages.StoreRequest('', messages.StoreOperation.READ, key)
+    )
+    if reply.status == messages.StoreStatus.NOT_FOUND:
+        return None, reply.revision
+    check_read(reply)
+    return store.decode_item(reply.items[0]), reply.revision
+
+
+async def get_one(
+    calls: operator_calls.Calls, kind: resources.Kind, name: str
+) -> Reply:
+    """Return one resource with its status."""
+    found, _ = await read_current(calls, kind, name)
+    if found is None:
+        raise no_resource(kind, name)
+    return operator.encode_resource(found, await calls.force(found.revision))
+
+
+async def get_all(calls: operator_calls.Calls, kind: resources.Kind) -> Reply:
+    """Return every resource of a kind with its status.
+
+    When the newest is in force, so are the others, and one question does
+    for all of them.
+    """
+    prefix = store.encode_key(kind, '')
+    found, revision = await list_under(calls, prefix)
+    newest = max((r.revision for r in found), default=0)
+    report = await calls.force(newest)
+    listed = []
+    for resource in found:
+        if not report.in_force:
+            report = await calls.force(resource.revision)
+        listed.append((resource, report))
+    return operator.encode_list(listed, revision)
+
+
+async def list_under(
+    calls: operator_calls.Calls, prefix: str
+) -> tuple[list[resources.Resource], int]:
+    """Return the resources under a key prefix and the store's revision."""
+    reply = await calls.store(
+        messages.StoreRequest('', messages.StoreOperation.LIST, prefix)
+    )
+    check_read(reply)
+    return [store.decode_item(item) for item in reply.items], reply.revision
+
+
+async def watch(
+    runtime: runtimes.Runtime,
+    calls: operator_calls.Calls,
+    after: int,
+    wait_ms: int,
+) -> Reply:
+    """Return the changes after a revision, once there are some.
+
+    The wait is for this node's own configuration, so that a waiting
+    operator costs the store nothing; the store is then read once.
+    """
+    await calls.watch(after, wait_ms)
+    reply = await calls.store(
+        messages.StoreRequest(
+            '',
+            messages.StoreOperation.WATCH,
+            store.CONFIG_PREFIX,
+            after_revision=after,
+        )
+    )
+    if reply.status == messages.StoreStatus.COMPACTED:
+        raise errors.CompactedError(
+            f'the store no longer has the changes after revision {after}',
+            'list the resources and watch from the revision of the list',
+        )
+    check_read(reply)
+    changes = [store.decode_item(item) for item in reply.items]
+    return operator.encode_changes(changes, max(after, reply.revision))
+
+
+def check_read(reply: messages.StoreReply) -> None:
+    """Raise StoreUnavailableError unless the store answered a read."""
+    if reply.status == messages.StoreStatus.OK:
+        return
+    raise errors.StoreUnavailableError(
+        f'the configuration store did not answer ({reply.status})',
+        'nothing was changed; try again when the store answers',
+    )
+
+
+def no_resource(kind: resources.Kind, name: str) -> errors.NotFoundError:
+    """Return the error for a resource that does not exist."""
+    return errors.NotFoundError(
+        f'there is no {name} among {kind}',
+        f'list them with GET {operator.RESOURCES_PATH}/{kind}',
+    )
--- /dev/null
+++ b/packages/node/src/gypsumbridge_node/operator_api/settle.py
@@ -0,0 +1,95 @@
+"""Reads back a write whose reply was lost."""
+
+from gypsumbridge_decisions import declaration
+from gypsumbridge_decisions import errors
+from gypsumbridge_decisions import messages
+from gypsumbridge_decisions import resources
+from gypsumbridge_node.operator_api import calls as operator_calls
+from gypsumbridge_node.operator_api import read
+from gypsumbridge_wire import store
+
+# The write may still be on its way when its reply is given up, so the
+# history is read for a few seconds before the outcome is left open.
+ATTEMPTS = 10
+INTERVAL_MS = 300
+
+
+async def settle(
+    calls: operator_calls.Calls,
+    operation: messages.StoreOperation,
+    prepared: declaration.PreparedWrite,
+    since: int,
+) -> int:
+    """Return the revision of a write if it was applied.
+
+    `since` is the store's revision before the write. Raises ConflictError
+    if it was not and cannot be applied any more, and OutcomeUnknownError
+    if that cannot be known.
+    """
+    written = prepared.resource
+    expected = prepared.expected_revision
+    for attempt in range(ATTEMPTS):
+        if attempt:
+            await calls.pause(INTERVAL_MS)
+        history = await read_history(calls, written, since)
+        if history is None:
+            continue
+        if operation == messages.StoreOperation.DELETE:
+            settled, revision = declaration.settle_delete(history, expected)
+        else:
+            settled, revision = declaration.settle_write(
+                history, written, expected
+            )
+        if settled == declaration.Settled.APPLIED:
+            return revision
+        if settled == declaration.Settled.NOT_APPLIED:
+            raise errors.ConflictError(
+                f'{written.kind} {written.name} was replaced before this'
+                f' write, and is at revision {revision}',
+                'nothing was changed; read it, decide again and send that'
+                ' revision',
+                revision,
+            )
+    raise errors.OutcomeUnknownError(
+        f'the reply to the {operation} of {written.kind} {written.name} was'
+        ' lost, and the store does not show whether it was applied',
+        'read the resource when the store answers, compare it with what you'
+        ' sent and send the request again if it differs',
+    )
+
+
+async def read_history(
+    calls: operator_calls.Calls, written: resources.Resource, since: int
+) -> list[resources.Resource] | None:
+    """Return the changes of a resource after a store revision.
+
+    None means that the store did not answer. Where the store no longer
+    has the history, the current value stands for it.
+    """
+    key = store.encode_key(written.kind, written.name)
+    reply = await calls.store(
+        messages.StoreRequest(
+            '',
+            messages.StoreOperation.WATCH,
+            key,
+            after_revision=since,
+        )
+    )
+    if reply.status == messages.StoreStatus.COMPACTED:
+        return await _current_as_history(calls, written, since)
+    if reply.status != messages.StoreStatus.OK:
+        return None
+    # A watch covers every key that starts with this one.
+    return [store.decode_item(i) for i in reply.items if i.key == key]
+
+
+async def _current_as_history(
+    calls: operator_calls.Calls, written: resources.Resource, since: int
+) -> list[resources.Resource] | None:
+    try:
+        current, _ = await read.read_current(calls, written.kind, written.name)
+    except errors.StoreUnavailableError:
+        return None
+    if current is None or current.revision <= since:
+        return []
+    return [current]
--- /dev/null
+++ b/packages/node/src/gypsumbridge_node/operator_api/state.py
@@ -0,0 +1,53 @@
+"""State of the task that serves operators."""
+
+import itertools
+from typing import Any
+
+from twisted.internet import defer
+
+from gypsumbridge_decisions import catalog
+from gypsumbridge_decisions import messages
+
+
+class OperatorState:
+    """Requests in progress and this node's view of the fleet.
+
+    `waiting` maps the token of each request to another task to what waits
+    for its reply. `watches` maps a token to the revision that a long poll
+    waits to pass and what it waits with. `running` counts HTTP requests in
+    progress.
+    """
+
+    def __init__(self) -> None:
+        self.tokens = itertools.count(1)
+        self.waiting: dict[str, defer.Deferred[Any]] = {}
+        self.watches: dict[str, tuple[int, defer.Deferred[Any]]] = {}
+        self.running = 0
+        self.catalog = catalog.empty_catalog()
+        self.members: tuple[messages.Member, ...] = ()
+        self.serving = messages.ServingChanged(
+            messages.MissingReason.CONFIGURATION_STALE
+        )
+
+    def next_token(self) -> str:
+        """Return a token that this task has not used yet."""
+        return str(next(self.tokens))
+
+
+def receive(state: OperatorState, message: Any) -> None:
+    """Keep news about the node, or hand a reply to what waits for it."""
+    match message:
+        case messages.CatalogChanged():
+            state.catalog = message.catalog
+            for token, (after, waiter) in list(state.watches.items()):
+                if message.catalog.revision > after:
+                    del state.watches[token]
+                    waiter.callback(None)
+        case messages.MembersChanged():
+            state.members = message.members
+        case messages.ServingChanged():
+            state.serving = message
+        case _:
+            waiter = state.waiting.pop(message.token, None)
+            if waiter is not None:
+                waiter.callback(message)
--- a/packages/node/src/gypsumbridge_node/tasks/caller_http.py
+++ b/packages/node/src/gypsumbridge_node/tasks/caller_http.py
@@ -11,11 +11,13 @@
 from gypsumbridge_decisions import errors
 from gypsumbridge_decisions import messages
 from gypsumbridge_node import function_resource
+from gypsumbridge_node import json_request
+from gypsumbridge_node import path_resource
 from gypsumbridge_node import runtime as runtimes
+from gypsumbridge_node import task_status
 from gypsumbridge_wire import caller
 
 RUN_ID_BYTES = 6
-JSON = b'application/json'
 
 
 def start_caller_http_task(
@@ -25,6 +27,7 @@
     waiting: dict[str, Any] = {}
     next_id = make_id_source(runtime.settings.node.node_id)
     boxes = runtime.boxes
+    max_deadline_ms = runtime.settings.limits.max_deadline_ms
 
     def forget(query_id: str) -> None:
         if waiting.pop(query_id, None) is not None:
@@ -33,12 +36,16 @@
     def accept(request: Any) -> Any:
         query_id = next_id()
         try:
-            check_request(request)
-            query = caller.decode_query(request.content.read(), query_id)
-        except errors.RequestError as error:
+            json_request.check(request, (b'POST',))
+            query = caller.decode_query(
+                request.content.read(), query_id, max_deadline_ms
+            )
+        except errors.GypsumbridgeError as error:
             runtime.metrics.count('caller.rejected')
             refusal = caller.make_refusal(error, query_id)
-            return respond(request, caller.encode_refusal(refusal))
+            return json_request.respond(
+                request, caller.encode_refusal(refusal)
+            )
         waiting[query_id] = request
         request.notifyFinish().addErrback(lambda _: forget(query_id))
         boxes.front.put(query)
@@ -52,13 +59,17 @@
             encoded = caller.encode_answer(message)
         else:
             encoded = caller.encode_refusal(message)
-        request.write(respond(request, encoded))
+        request.write(json_request.respond(request, encoded))
         request.finish()
 
-    versions = resource.Resource()
+    versions = path_resource.PathResource()
     versions.putChild(b'query', function_resource.FunctionResource(accept))
     root.putChild(b'v1', versions)
-    boxes.caller_http.start(handle)
+    boxes.caller_http.start(
+        task_status.with_status(
+            handle, lambda: {'waiting_requests': len(waiting)}
+        )
+    )
 
 
 def make_id_source(node_id: str) -> Callable[[], str]:
@@ -70,24 +81,3 @@
         return f'{node_id}-{run_id}-{next(numbers)}'
 
     return next_id
-
-
-def check_request(request: Any) -> None:
-    """Raise RequestError for a wrong method or a body over the limit."""
-    if request.method != b'POST':
-        raise errors.RequestError(
-            f'the method is {request.method.decode("latin-1")}', 'use POST'
-        )
-    if request.too_large:
-        raise errors.RequestError(
-            f'the body has more than {request.max_body_bytes} bytes',
-            'send a smaller body',
-        )
-
-
-def respond(request: Any, encoded: tuple[int, bytes]) -> bytes:
-    """Set status and headers and return the body."""
-    status, body = encoded
-    request.setResponseCode(status)
-    request.setHeader(b'Content-Type', JSON)
-    return body
--- a/packages/node/src/gypsumbridge_node/tasks/endpoint.py
+++ b/packages/node/src/gypsumbridge_node/tasks/endpoint.py
@@ -11,6 +11,7 @@
 from gypsumbridge_node import http_client
 from gypsumbridge_node import http_response
 from gypsumbridge_node import runtime as runtimes
+from gypsumbridge_node import task_status
 from gypsumbridge_wire import endpoint
 
 CONNECT_TIMEOUT_MS = 1_000
@@ -75,7 +76,10 @@
     def handle(message: Any) -> None:
         table[type(message)](message)
 
-    runtime.boxes.endpoint.start(handle)
+    def count() -> dict[str, int]:
+        return {'running_requests': len(state.running)}
+
+    runtime.boxes.endpoint.start(task_status.with_status(handle, count))
 
 
 def make_reporter(
--- a/packages/node/src/gypsumbridge_node/tasks/front.py
+++ b/packages/node/src/gypsumbridge_node/tasks/front.py
@@ -6,6 +6,7 @@
 from gypsumbridge_decisions import messages
 from gypsumbridge_node import execute as executors
 from gypsumbridge_node import runtime as runtimes
+from gypsumbridge_node import task_status
 
 
 def start_front_task(runtime: runtimes.Runtime) -> None:
@@ -24,4 +25,7 @@
     def handle(message: Any) -> None:
         execute(front.handle(state, message, runtime.clock.now_ms()))
 
-    runtime.boxes.front.start(handle)
+    answering = task_status.with_status(
+        handle, lambda: front.count_queries(state)
+    )
+    runtime.boxes.front.start(answering)
--- a/packages/node/src/gypsumbridge_node/tasks/membership.py
+++ b/packages/node/src/gypsumbridge_node/tasks/membership.py
@@ -40,6 +40,7 @@
         boxes.peer_link.put(changed)
         boxes.front.put(changed)
         boxes.configuration.put(changed)
+        boxes.operator_http.put(changed)
 
     def handle(message: Any) -> None:
         if message == POLL:
--- /dev/null
+++ b/packages/node/src/gypsumbridge_node/tasks/operator_http.py
@@ -0,0 +1,137 @@
+"""The task that serves the operators' resource API."""
+
+from collections.abc import Coroutine
+from typing import Any
+
+from twisted.internet import defer
+from twisted.python import failure
+from twisted.web import resource
+from twisted.web import server
+
+from gypsumbridge_decisions import errors
+from gypsumbridge_node import function_resource
+from gypsumbridge_node import json_request
+from gypsumbridge_node import runtime as runtimes
+from gypsumbridge_node.operator_api import calls as operator_calls
+from gypsumbridge_node.operator_api import node_status
+from gypsumbridge_node.operator_api import read
+from gypsumbridge_node.operator_api import state as states
+from gypsumbridge_node.operator_api import write
+from gypsumbridge_wire import operator
+
+# Operators are few; more requests than this at once are a fault.
+MAX_RUNNING = 64
+ACCEPT_WAIT_MS = 5_000
+WATCH_WAIT_MS = 10_000
+MAX_WAIT_MS = 30_000
+
+Work = Coroutine[Any, Any, read.Reply]
+
+
+def start_operator_http_task(
+    runtime: runtimes.Runtime, versions: resource.Resource
+) -> None:
+    """Serve `resources` and `nodes` under the API's version."""
+    state = states.OperatorState()
+    calls = operator_calls.make_calls(runtime, state)
+
+    def serve_resources(request: Any) -> Any:
+        return run(request, lambda: route(runtime, state, calls, request))
+
+    def serve_nodes(request: Any) -> Any:
+        def work() -> Work:
+            json_request.check(request, (b'GET',))
+            return node_status.get_status(runtime, state, calls)
+
+        return run(request, work)
+
+    def run(request: Any, start: Any) -> Any:
+        try:
+            if state.running >= MAX_RUNNING:
+                raise errors.BusyError(
+                    f"{MAX_RUNNING} operators' requests are running",
+                    'try again when they have ended',
+                )
+            work = start()
+        except errors.GypsumbridgeError as error:
+            encoded = operator.encode_error(error)
+            return json_request.respond(request, encoded)
+        state.running += 1
+        running = defer.Deferred.fromCoroutine(work)
+        running.addErrback(lambda reason: explain(runtime, reason))
+        running.addBoth(lambda reply: finish(request, reply))
+        # A caller that hangs up ends the work for it.
+        request.notifyFinish().addErrback(lambda _: running.cancel())
+        return server.NOT_DONE_YET
+
+    def finish(request: Any, reply: read.Reply | None) -> None:
+        state.running -= 1
+        if reply is not None and request.channel is not None:
+            request.write(json_request.respond(request, reply))
+            request.finish()
+
+    for path, serve in (
+        (b'resources', serve_resources),
+        (b'nodes', serve_nodes),
+    ):
+        versions.putChild(path, function_resource.FunctionResource(serve))
+    runtime.boxes.operator_http.start(lambda m: states.receive(state, m))
+
+
+def route(
+    runtime: runtimes.Runtime,
+    state: states.OperatorState,
+    calls: operator_calls.Calls,
+    request: Any,
+) -> Work:
+    """Return the work that a request asks for, not yet started.
+
+    Raises a GypsumbridgeError for a request that cannot be accepted.
+    """
+    kind, name = operator.decode_path(json_request.path(request))
+    if kind is None:
+        json_request.check(request, (b'GET',))
+        after = json_request.number(request, 'watch_from', None, 2**62)
+        wait_ms = json_request.number(
+            request, 'wait_ms', WATCH_WAIT_MS, MAX_WAIT_MS
+        )
+        return read.watch(runtime, calls, after, wait_ms)
+    if not name:
+        json_request.check(request, (b'GET',))
+        return read.get_all(calls, kind)
+    json_request.check(request, (b'GET', b'PUT', b'DELETE'))
+    if request.method == b'GET':
+        return read.get_one(calls, kind, name)
+    expected = operator.decode_expected_revision(
+        json_request.header(request, 'If-Match'),
+        json_request.header(request, 'If-None-Match'),
+    )
+    wait_ms = json_request.number(
+        request, 'wait_ms', ACCEPT_WAIT_MS, MAX_WAIT_MS
+    )
+    if request.method == b'DELETE':
+        return write.delete(
+            runtime, state, calls, kind, name, expected, wait_ms
+        )
+    spec = operator.decode_spec(kind, name, request.content.read())
+    return write.put(runtime, state, calls, spec, expected, wait_ms)
+
+
+def explain(
+    runtime: runtimes.Runtime, reason: failure.Failure
+) -> read.Reply | None:
+    """Return the reply for work that failed; None if it was cancelled."""
+    if reason.check(defer.CancelledError):
+        return None
+    if reason.check(errors.GypsumbridgeError):
+        return operator.encode_error(reason.value)
+    runtime.logger.error(
+        'operator request failed', extra={'error': reason.getTraceback()}
+    )
+    return operator.encode_error(
+        errors.InvariantError(
+            'the node failed to handle the request',
+            'read the resource before trying again, and report the log line'
+            ' "operator request failed"',
+        )
+    )
--- a/packages/wire/src/gypsumbridge_wire/caller/decode.py
+++ b/packages/wire/src/gypsumbridge_wire/caller/decode.py
@@ -14,10 +14,12 @@
 _query_decoder = msgspec.json.Decoder(query_body.QueryBody)
 
 
-def decode_query(body: bytes, query_id: str) -> messages.Query:
+def decode_query(
+    body: bytes, query_id: str, max_deadline_ms: int = MAX_DEADLINE_MS
+) -> messages.Query:
     """Return the query in a body; RequestError names what is wrong."""
     decoded = decode_body(_query_decoder, body)
-    check_deadline(decoded.deadline_ms)
+    check_deadline(decoded.deadline_ms, max_deadline_ms)
     check_names(decoded, ('service', 'rank', 'request_id', 'caller'))
     return messages.Query(
         query_id=query_id,
@@ -34,20 +36,22 @@
     """Return the decoded body or raise RequestError."""
     try:
         return decoder.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise errors.RequestError(
             f'the body is not valid: {error}',
             'send a JSON object with the documented fields',
         ) from error
 
 
-def check_deadline(deadline_ms: int) -> None:
+def check_deadline(
+    deadline_ms: int, max_deadline_ms: int = MAX_DEADLINE_MS
+) -> None:
     """Raise RequestError unless the deadline is usable."""
-    if 0 < deadline_ms <= MAX_DEADLINE_MS:
+    if 0 < deadline_ms <= max_deadline_ms:
         return
     raise errors.RequestError(
         f'deadline_ms is {deadline_ms}',
-        f'use 1 to {MAX_DEADLINE_MS} milliseconds',
+        f'use 1 to {max_deadline_ms} milliseconds',
     )
 
 
--- a/packages/wire/src/gypsumbridge_wire/caller/encode.py
+++ b/packages/wire/src/gypsumbridge_wire/caller/encode.py
@@ -14,6 +14,7 @@
     'bad_request': HTTP_BAD_REQUEST,
     'unknown_service': 404,
     'unknown_rank': 404,
+    'method_not_allowed': 405,
     'too_large': 413,
     'conflict': 409,
     'insufficient_coverage': HTTP_GATEWAY_TIMEOUT,
