Add gypsumctl

Operators need a command that keeps declarations in version control and says truthfully what became of a change. apply compares a directory with the current resources and writes only what differs, in an order that passes the cross-resource checks half way; ranks that lose floor go first. A request moves to the next server only where it was surely not run. Exit statuses are fixed for scripts.

Ruled out: sending a write again to another server after a lost reply, and a library for HTTP besides http.client.

--- /dev/null
+++ b/packages/ctl/src/gypsumbridge_ctl/change.py
@@ -0,0 +1,26 @@
+"""A difference between a declaration and the current resource."""
+
+import dataclasses
+from typing import Any
+
+from gypsumbridge_decisions import resources
+
+
+@dataclasses.dataclass(frozen=True)
+class Change:
+    """`before` is None for a new resource; `revision` is then 0."""
+
+    kind: resources.Kind
+    name: str
+    before: dict[str, Any] | None
+    after: dict[str, Any]
+    revision: int
+
+    def fields(self) -> dict[str, tuple[Any, Any]]:
+        """Return old and new value of each field that differs."""
+        before = self.before or {}
+        return {
+            field: (before.get(field), value)
+            for field, value in self.after.items()
+            if self.before is None or before.get(field) != value
+        }
--- /dev/null
+++ b/packages/ctl/src/gypsumbridge_ctl/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The subcommands of gypsumctl."""
--- a/packages/node/src/gypsumbridge_node/operator_api/settle.py
+++ b/packages/node/src/gypsumbridge_node/operator_api/settle.py
@@ -9,7 +9,8 @@
 from gypsumbridge_wire import store
 
 # The write may still be on its way when its reply is given up, so the
-# history is read for a few seconds before the outcome is left open.
+# history is read several times before the outcome is left open: 3 s with a
+# store that answers, and 13 s with one that lets each read time out.
 ATTEMPTS = 10
 INTERVAL_MS = 300
 
