Add sample declarations and apply them in the demo

The demo wrote into the store, past every check.

The demo also waits until every node has the revision, since a node answers for itself alone on what is in force until the pull tree exists.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 export PATH := $(abspath $(VENV))/bin:$(PATH)
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: setup run test lint format bench check-model soak
+.PHONY: setup run samples test lint format bench check-model soak
 
 setup: $(STAMP)
 
@@ -38,6 +38,9 @@
 run: setup
 	python -m gypsumbridge_standins.demo $(if $(KEEP),--keep)
 
+samples: setup
+	python tools/write_samples.py
+
 bench: setup
 	python -m gypsumbridge_standins.bench $(if $(OUT),--out $(OUT))
 
--- a/packages/standins/src/gypsumbridge_standins/demo.py
+++ b/packages/standins/src/gypsumbridge_standins/demo.py
@@ -5,10 +5,12 @@
 import defopt
 
 from gypsumbridge_standins import json_http
+from gypsumbridge_standins.cluster import apply
 from gypsumbridge_standins.cluster import cluster as clusters
 from gypsumbridge_standins.cluster import ports
 from gypsumbridge_standins.cluster import start
 from gypsumbridge_standins.deployment import build
+from gypsumbridge_standins.deployment import declaration_files
 
 NODES = 3
 DOMAINS = ('fd-a', 'fd-b', 'fd-c')
@@ -26,8 +28,8 @@
         chosen = ports.free_ports(build.count_searchers(build.SMALL_GROUPS))
         deployment = build.build(build.SMALL_GROUPS, chosen, SERVICE_MS)
         start.start_platform(cluster, deployment)
-        start.declare(cluster, deployment.specs)
         start.start_nodes(cluster, NODES, DOMAINS)
+        apply.apply(cluster, declaration_files.with_limits(deployment.specs))
         failures = send_queries(cluster)
         if keep:
             wait_for_interrupt(cluster)
--- a/packages/standins/src/gypsumbridge_standins/deployment/build.py
+++ b/packages/standins/src/gypsumbridge_standins/deployment/build.py
@@ -20,7 +20,7 @@
     groups.Group('broker-desk', 20, 2, 25, 6, 1, 0.9, 60),
     groups.Group('editor-queue', 30, 2, 25, 6, 1, 0.9, 120),
     groups.Group('records-room', 2, 2, 35, 1, 1, 0.5, 200),
-    groups.Group('billing-ledger', 1, 2, 35, 1, 2, 0.5, 200),
+    groups.Group('billing-ledger', 2, 2, 35, 1, 1, 0.5, 200, 1),
 )
 SMALL_GROUPS = (
     groups.Group('verify-portal', 6, 2, 25, 6),
@@ -35,7 +35,11 @@
 
 def count_searchers(chosen: Iterable[groups.Group]) -> int:
     """Return how many ports `build` needs."""
-    return sum(group.sets * group.searchers for group in chosen)
+    return sum(
+        group.searchers_of(number)
+        for group in chosen
+        for number in range(group.sets)
+    )
 
 
 def build(
@@ -57,7 +61,7 @@
                 for i in range(group.shards_per_set)
             ]
             shards.update(dict.fromkeys(names, set_name))
-            for replica in range(group.searchers):
+            for replica in range(group.searchers_of(number)):
                 name = f'{group.service}-{set_name}-{"abcdefgh"[replica]}'
                 port = next(unused)
                 domain = domains[(number + replica) % len(domains)]
--- a/packages/standins/src/gypsumbridge_standins/deployment/group.py
+++ b/packages/standins/src/gypsumbridge_standins/deployment/group.py
@@ -8,7 +8,8 @@
     """One declared service and the shape of its replica sets.
 
     `sets` replica sets of `searchers` searchers each, with
-    `shards_per_set` shards on every set.
+    `shards_per_set` shards on every set. The last set has
+    `last_set_searchers` instead, unless that is 0.
     """
 
     service: str
@@ -19,3 +20,10 @@
     shards_per_set: int = 1
     minimum_coverage: float = 1.0
     early_after_ms: int = 0
+    last_set_searchers: int = 0
+
+    def searchers_of(self, number: int) -> int:
+        """Return the number of searchers of a set, counted from 0."""
+        if self.last_set_searchers and number == self.sets - 1:
+            return self.last_set_searchers
+        return self.searchers
