Refuse bad input with a reason and leave nothing behind

Tests against a real node found: a head over twisted's limits closed the connection without a reply or with a status and no body, a reset could take the reply away, and a query part with invalid UTF-8 was sent on to endpoints. The channel now answers with JSON, half-closes, reads for 5 s and drops the rest of a rejected head; bodies must be UTF-8 as a whole. /v1/nodes shows the open connections.

--- a/packages/node/src/gypsumbridge_node/daemon.py
+++ b/packages/node/src/gypsumbridge_node/daemon.py
@@ -52,7 +52,7 @@
     membership.start_membership_task(runtime)
     flush = task.LoopingCall(runtime.metrics.flush)
     flush.start(metrics.FLUSH_INTERVAL_S, now=False)
-    listen(reactor, settings, root)
+    listen(runtime, root)
     runtime.logger.info(
         'node started',
         extra={'http': settings.node.http_address},
@@ -62,19 +62,20 @@
 
 
 def listen(
-    reactor: Any,
-    settings: all_settings.Settings,
-    root: path_resource.PathResource,
+    runtime: runtimes.Runtime, root: path_resource.PathResource
 ) -> None:
     """Serve HTTP to callers, operators and health checks."""
+    settings = runtime.settings
     make_request = bounded_request.make_request_factory(
         settings.limits.max_body_bytes
     )
     # A form would be parsed before its size or type is checked.
     site = server.Site(root, make_request, parsePOSTFormSubmission=False)
-    site.protocol = http_channel.JsonChannel
+    site.protocol = http_channel.make_channel_factory(
+        lambda count: runtime.metrics.gauge('http.connections', count)
+    )
     host, port = address.split_address(settings.node.http_address)
-    reactor.listenTCP(port, site, interface=host)
+    runtime.reactor.listenTCP(port, site, interface=host)
 
 
 def make_runtime(
--- a/packages/node/src/gypsumbridge_node/http_channel.py
+++ b/packages/node/src/gypsumbridge_node/http_channel.py
@@ -1,19 +1,68 @@
 """HTTP connections that answer malformed requests with JSON."""
 
+from collections.abc import Callable
 from typing import Any
 
+from twisted.python import failure
 from twisted.web import http
 
 from gypsumbridge_decisions import errors
 from gypsumbridge_wire import operator
 
+# Closing a socket with unread data resets it, and the caller would lose the
+# error; so what it still sends is read and thrown away for this long.
+LINGER_S = 5
+
 
 class JsonChannel(http.HTTPChannel):
-    """Explains a request whose head cannot be read, then closes."""
+    """Explains a request whose head cannot be read, then closes.
+
+    `count` is called with 1 when the connection opens and -1 when it
+    closes.
+    """
+
+    def __init__(self, count: Callable[[int], None]) -> None:
+        super().__init__()
+        self.count = count
+        self.rejected = False
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Count the connection."""
+        self.count(1)
+        super().connectionMade()
+
+    def connectionLost(self, reason: failure.Failure) -> None:  # noqa: N802
+        """Stop counting the connection."""
+        self.count(-1)
+        super().connectionLost(reason)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Read data unless the request was rejected."""
+        if not self.rejected:
+            super().dataReceived(data)
+
+    # What is left of a rejected request arrives line by line from the
+    # receiver's buffer, and must not become a request of its own.
+    def lineReceived(self, line: bytes) -> None:  # noqa: N802
+        """Read a line of a head unless the request was rejected."""
+        if not self.rejected:
+            super().lineReceived(line)
+
+    def rawDataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Read a part of a body unless the request was rejected."""
+        if not self.rejected:
+            super().rawDataReceived(data)
+
+    def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802
+        """Reject a line that is longer than the receiver keeps."""
+        self._respondToBadRequestAndDisconnect()
 
     def _respondToBadRequestAndDisconnect(self) -> None:  # noqa: N802
         # The parent class sends a status without a body here and has no
         # public hook for it.
+        if self.rejected:
+            return
+        self.rejected = True
         error = errors.RequestError(
             'the request line or a header is malformed or too long',
             f'send at most {self.totalHeadersSize} bytes of headers and'
@@ -27,9 +76,21 @@
             'Connection: close\r\n\r\n'
         )
         self.transport.write(head.encode() + body)
-        self.loseConnection()
+        self.transport.loseWriteConnection()
+        self.setTimeout(LINGER_S)
+
+
+def make_channel_factory(
+    report: Callable[[int], None],
+) -> Callable[..., JsonChannel]:
+    """Return what makes connections; `report` gets the number open."""
+    total = [0]
+
+    def count(change: int) -> None:
+        total[0] += change
+        report(total[0])
 
+    def make_channel(*_: Any) -> JsonChannel:
+        return JsonChannel(count)
 
-def make_channel(*_: Any) -> JsonChannel:
-    """Return the protocol of one connection."""
-    return JsonChannel()
+    return make_channel
--- a/packages/node/src/gypsumbridge_node/operator_api/node_status.py
+++ b/packages/node/src/gypsumbridge_node/operator_api/node_status.py
@@ -42,5 +42,6 @@
             'members': state.members,
             'tasks': tasks,
             'counters': runtime.metrics.totals,
+            'gauges': runtime.metrics.gauges,
         }
     )
--- a/packages/standins/src/gypsumbridge_standins/searchers/searcher_state.py
+++ b/packages/standins/src/gypsumbridge_standins/searchers/searcher_state.py
@@ -41,6 +41,7 @@
     def counts(self) -> dict[str, Any]:
         """Return what the searcher has seen."""
         names = (
+            'running',
             'connections',
             'peak_connections',
             'peak_running',
@@ -51,4 +52,6 @@
             'received',
             'executed',
         )
-        return {name: getattr(self, name) for name in names}
+        counts = {name: getattr(self, name) for name in names}
+        counts['waiting'] = len(self.waiting)
+        return counts
--- a/packages/wire/src/gypsumbridge_wire/caller/decode.py
+++ b/packages/wire/src/gypsumbridge_wire/caller/decode.py
@@ -35,6 +35,8 @@
 def decode_body(decoder: msgspec.json.Decoder[Any], body: bytes) -> Any:
     """Return the decoded body or raise RequestError."""
     try:
+        # A part that is passed on undecoded would keep its invalid bytes.
+        body.decode()
         return decoder.decode(body)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise errors.RequestError(
