--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 export PATH := $(abspath $(VENV))/bin:$(PATH)
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: setup run test lint format bench capacity check-model soak
+.PHONY: setup run samples test lint format bench capacity check-model soak
 
 setup: $(STAMP)
 
@@ -41,6 +41,9 @@
 capacity: setup
 	python -m gypsumbridge_standins.capacity $(or $(OUT),out)
 
+samples: setup
+	python tools/write_samples.py
+
 bench: setup
 	python -m gypsumbridge_standins.bench $(if $(OUT),--out $(OUT))
 
