Stop a node gracefully on SIGTERM

Cause: the node exited after the balancer's lag with whatever was in flight, and its port stayed open until then without a word to clients.

Change: lifecycle decisions with the phases serving, lagging, announcing, draining, leaving, stopped. The caller's port closes after the lag, every response since the signal says Connection: close, ownership moves by the leaving announcement, front, owner and caller task are asked for work in flight, late arrivals are refused as node_draining, the node signs off and exits 0. stop_bound_ms or a second signal exit 1 with a warning.

A refused first call dropped its whole batch, so later calls were neither cancelled nor counted as in flight.

--- a/packages/decisions/src/gypsumbridge_decisions/front/command.py
+++ b/packages/decisions/src/gypsumbridge_decisions/front/command.py
@@ -9,4 +9,5 @@
     | messages.Refusal
     | messages.Decision
     | messages.Count
+    | messages.InFlightReport
 )
--- a/packages/decisions/src/gypsumbridge_decisions/front/handler.py
+++ b/packages/decisions/src/gypsumbridge_decisions/front/handler.py
@@ -34,6 +34,8 @@
             return finishing.drop(state, message)
         case messages.MembersChanged():
             return membership_change.change_members(state, message, now_ms)
+        case messages.InFlightQuery():
+            return [messages.InFlightReport('front', len(state.running))]
         case messages.CatalogChanged():
             state.catalog = message.catalog
         case messages.ServingChanged():
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/lifecycle/__init__.py
@@ -0,0 +1,38 @@
+"""Starting, serving, draining, stopped."""
+
+from gypsumbridge_decisions.lifecycle.bound_timer import (
+    BoundTimer as BoundTimer,
+)
+from gypsumbridge_decisions.lifecycle.close_port import ClosePort as ClosePort
+from gypsumbridge_decisions.lifecycle.command import Command as Command
+from gypsumbridge_decisions.lifecycle.exit_node import ExitNode as ExitNode
+from gypsumbridge_decisions.lifecycle.flush_timer import (
+    FlushTimer as FlushTimer,
+)
+from gypsumbridge_decisions.lifecycle.handler import handle as handle
+from gypsumbridge_decisions.lifecycle.lag_timer import LagTimer as LagTimer
+from gypsumbridge_decisions.lifecycle.phase import Phase as Phase
+from gypsumbridge_decisions.lifecycle.poll_timer import PollTimer as PollTimer
+from gypsumbridge_decisions.lifecycle.serving import combine as combine
+from gypsumbridge_decisions.lifecycle.serving import update as update
+from gypsumbridge_decisions.lifecycle.state import (
+    LifecycleState as LifecycleState,
+)
+from gypsumbridge_decisions.lifecycle.state import (
+    make_lifecycle_state as make_lifecycle_state,
+)
+from gypsumbridge_decisions.lifecycle.stop_requested import (
+    StopRequested as StopRequested,
+)
+from gypsumbridge_decisions.lifecycle.stopping import ask as ask
+from gypsumbridge_decisions.lifecycle.stopping import end as end
+from gypsumbridge_decisions.lifecycle.stopping import end_lag as end_lag
+from gypsumbridge_decisions.lifecycle.stopping import (
+    receive_report as receive_report,
+)
+from gypsumbridge_decisions.lifecycle.stopping import (
+    request_stop as request_stop,
+)
+from gypsumbridge_decisions.lifecycle.stopping import (
+    start_draining as start_draining,
+)
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/lifecycle/bound_timer.py
@@ -0,0 +1,8 @@
+"""The time bound of a graceful stop."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class BoundTimer:
+    """Ends the node with whatever is still in flight."""
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/lifecycle/exit_node.py
@@ -0,0 +1,11 @@
+"""Ends the process."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class ExitNode:
+    """`clean` is False when work in flight was cut short."""
+
+    reason: str
+    clean: bool
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/lifecycle/handler.py
@@ -0,0 +1,40 @@
+"""Runs the lifecycle's decision for a message."""
+
+from typing import Any
+
+from gypsumbridge_decisions import messages
+from gypsumbridge_decisions.lifecycle import bound_timer
+from gypsumbridge_decisions.lifecycle import command
+from gypsumbridge_decisions.lifecycle import flush_timer
+from gypsumbridge_decisions.lifecycle import lag_timer
+from gypsumbridge_decisions.lifecycle import poll_timer
+from gypsumbridge_decisions.lifecycle import serving
+from gypsumbridge_decisions.lifecycle import state as states
+from gypsumbridge_decisions.lifecycle import stop_requested
+from gypsumbridge_decisions.lifecycle import stopping
+
+
+def handle(
+    state: states.LifecycleState, message: Any, now_ms: int
+) -> list[command.Command]:
+    """Return the commands that follow from a message."""
+    match message:
+        case messages.ServingCondition():
+            state.conditions[message.source] = message
+            return serving.update(state)
+        case stop_requested.StopRequested():
+            return stopping.request_stop(state)
+        case lag_timer.LagTimer():
+            return stopping.end_lag(state)
+        case messages.LeavingAnnounced():
+            return stopping.start_draining(state)
+        case poll_timer.PollTimer():
+            return stopping.ask(state)
+        case messages.InFlightReport():
+            return stopping.receive_report(state, message)
+        case flush_timer.FlushTimer():
+            return stopping.end(state, 'drained', True)
+        case bound_timer.BoundTimer():
+            return stopping.end(state, 'stop_bound', False)
+        case _:
+            raise TypeError(f'lifecycle takes no {type(message).__name__}')
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/lifecycle/lag_timer.py
@@ -0,0 +1,8 @@
+"""The end of the balancer's lag."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class LagTimer:
+    """The balancer sends nothing new to this node any more."""
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/lifecycle/state.py
@@ -0,0 +1,27 @@
+"""State of the lifecycle task."""
+
+from gypsumbridge_decisions import messages
+from gypsumbridge_decisions.lifecycle import phase
+
+
+class LifecycleState:
+    """Everything that the lifecycle task owns.
+
+    `conditions` holds the last report of each source, and `in_flight`
+    the answers to the present question. `ready` is what `/readyz` says.
+    """
+
+    def __init__(self, balancer_lag_ms: int, stop_bound_ms: int) -> None:
+        self.balancer_lag_ms = balancer_lag_ms
+        self.stop_bound_ms = stop_bound_ms
+        self.phase = phase.Phase.SERVING
+        self.ready = False
+        self.conditions: dict[str, messages.ServingCondition] = {}
+        self.in_flight: dict[str, int] = {}
+
+
+def make_lifecycle_state(
+    balancer_lag_ms: int, stop_bound_ms: int
+) -> LifecycleState:
+    """Return the state of a node that has just started."""
+    return LifecycleState(balancer_lag_ms, stop_bound_ms)
--- a/packages/decisions/src/gypsumbridge_decisions/messages/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/messages/__init__.py
@@ -21,6 +21,9 @@
 )
 from gypsumbridge_decisions.messages.count import Count as Count
 from gypsumbridge_decisions.messages.decision import Decision as Decision
+from gypsumbridge_decisions.messages.end_keep_alive import (
+    EndKeepAlive as EndKeepAlive,
+)
 from gypsumbridge_decisions.messages.endpoint_cancel import (
     EndpointCancel as EndpointCancel,
 )
@@ -44,6 +47,15 @@
 )
 from gypsumbridge_decisions.messages.host_entry import HostEntry as HostEntry
 from gypsumbridge_decisions.messages.host_list import HostList as HostList
+from gypsumbridge_decisions.messages.in_flight_query import (
+    InFlightQuery as InFlightQuery,
+)
+from gypsumbridge_decisions.messages.in_flight_report import (
+    InFlightReport as InFlightReport,
+)
+from gypsumbridge_decisions.messages.introduction import (
+    Introduction as Introduction,
+)
 from gypsumbridge_decisions.messages.leave_fleet import (
     LeaveFleet as LeaveFleet,
 )
--- a/packages/decisions/src/gypsumbridge_decisions/owner/accept.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/accept.py
@@ -22,13 +22,17 @@
     batch_key = (batch.sender, batch.query_id, batch.attempt)
     if batch_key in state.batches:
         return [messages.Count('owner.batches.duplicate')]
-    state.batches[batch_key] = waiting
-    touched: dict[tuple[str, str], replica_set_state.ReplicaSetState] = {}
+    # All calls are known before one is refused; a refusal that emptied the
+    # batch would forget it and leave the other calls without a way back.
     for shard_call in batch.calls:
-        key = (batch.service, shard_call.replica_set)
-        set_state = catalog_update.find_set(state, key)
         call = _make_call(batch, shard_call, now_ms)
         waiting[shard_call.shard] = call
+    if waiting:
+        state.batches[batch_key] = waiting
+    touched: dict[tuple[str, str], replica_set_state.ReplicaSetState] = {}
+    for call in list(waiting.values()):
+        key = call.replica_set
+        set_state = catalog_update.find_set(state, key)
         reason = refusal_reason(
             state, set_state, call, batch.admission_key, now_ms
         )
--- a/packages/decisions/src/gypsumbridge_decisions/owner/command.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/command.py
@@ -9,4 +9,5 @@
     | messages.EndpointCancel
     | messages.Decision
     | messages.Count
+    | messages.InFlightReport
 )
--- a/packages/decisions/src/gypsumbridge_decisions/owner/handler.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/handler.py
@@ -42,6 +42,9 @@
             return accept.accept_mutation(state, message, now_ms)
         case messages.EndpointLeaving():
             return cancel.set_leaving(state, message)
+        case messages.InFlightQuery():
+            count = len(state.batches) + len(state.calls)
+            return [messages.InFlightReport('owner', count)]
         case messages.CatalogChanged():
             catalog_update.apply_catalog(state, message.catalog)
         case messages.ServingChanged():
--- a/packages/node/src/gypsumbridge_node/daemon.py
+++ b/packages/node/src/gypsumbridge_node/daemon.py
@@ -16,6 +16,7 @@
 from gypsumbridge_node import json_lines
 from gypsumbridge_node import mailboxes
 from gypsumbridge_node import metrics
+from gypsumbridge_node import process_controls
 from gypsumbridge_node import runtime as runtimes
 from gypsumbridge_node.settings import settings as all_settings
 from gypsumbridge_node.tasks import caller_http
@@ -29,34 +30,47 @@
 from gypsumbridge_node.tasks import store
 
 
-def run_daemon(settings: all_settings.Settings) -> None:
-    """Run a node until it is stopped by a signal."""
+def run_daemon(settings: all_settings.Settings) -> int:
+    """Run a node until a signal stops it; return its exit status."""
     from twisted.internet import reactor
 
     json_lines.install_handler(settings.log.level)
     runtime = make_runtime(reactor, settings)
     factory = txzmq.ZmqFactory()
     root = resource.Resource()
+    site = server.Site(root, bounded_request.BoundedRequest)
+    host, port = address.split_address(settings.node.http_address)
+    listening = reactor.listenTCP(port, site, interface=host)
+    exit_statuses = [lifecycle.EXIT_CLEAN]
+
+    def exit_process(status: int) -> None:
+        exit_statuses.append(status)
+        reactor.stop()
+
     owner.start_owner_task(runtime)
     front.start_front_task(runtime)
     endpoint.start_endpoint_task(runtime)
     store.start_store_task(runtime)
     peer_link.start_peer_link_task(runtime, factory)
     caller_http.start_caller_http_task(runtime, root)
-    lifecycle.start_lifecycle_task(runtime, root, reactor.stop)
+    lifecycle.start_lifecycle_task(
+        runtime,
+        root,
+        process_controls.ProcessControls(
+            listening.stopListening, exit_process
+        ),
+    )
     configuration.start_configuration_task(runtime)
     membership.start_membership_task(runtime)
     flush = task.LoopingCall(runtime.metrics.flush)
     flush.start(metrics.FLUSH_INTERVAL_S, now=False)
-    site = server.Site(root, bounded_request.BoundedRequest)
-    host, port = address.split_address(settings.node.http_address)
-    reactor.listenTCP(port, site, interface=host)
     runtime.logger.info(
         'node started',
         extra={'http': settings.node.http_address},
     )
     reactor.run(installSignalHandlers=False)
     runtime.logger.info('node stopped')
+    return exit_statuses[-1]
 
 
 def make_runtime(
--- /dev/null
+++ b/packages/node/src/gypsumbridge_node/keep_alive.py
@@ -0,0 +1,12 @@
+"""Ends persistent HTTP connections without losing a request."""
+
+from typing import Any
+
+
+def end_after(request: Any) -> None:
+    """Close the request's connection once its response has been sent.
+
+    The client is told, so it sends nothing more on the connection.
+    """
+    request.setHeader(b'Connection', b'close')
+    request.channel.persistent = False
--- a/packages/node/src/gypsumbridge_node/main.py
+++ b/packages/node/src/gypsumbridge_node/main.py
@@ -26,8 +26,7 @@
     if check_settings:
         print(f'{config}: settings are valid')
         return 0
-    daemon.run_daemon(settings)
-    return 0
+    return daemon.run_daemon(settings)
 
 
 def run() -> None:
--- a/packages/node/src/gypsumbridge_node/tasks/caller_http.py
+++ b/packages/node/src/gypsumbridge_node/tasks/caller_http.py
@@ -11,6 +11,7 @@
 from gypsumbridge_decisions import errors
 from gypsumbridge_decisions import messages
 from gypsumbridge_node import function_resource
+from gypsumbridge_node import keep_alive
 from gypsumbridge_node import runtime as runtimes
 from gypsumbridge_wire import caller
 
@@ -23,6 +24,7 @@
 ) -> None:
     """Turn HTTP requests into queries and answers into responses."""
     waiting: dict[str, Any] = {}
+    ending = False
     next_id = make_id_source(runtime.settings.node.node_id)
     boxes = runtime.boxes
 
@@ -38,13 +40,29 @@
         except errors.RequestError as error:
             runtime.metrics.count('caller.rejected')
             refusal = caller.make_refusal(error, query_id)
-            return respond(request, caller.encode_refusal(refusal))
+            return finish(request, caller.encode_refusal(refusal))
         waiting[query_id] = request
         request.notifyFinish().addErrback(lambda _: forget(query_id))
         boxes.front.put(query)
         return server.NOT_DONE_YET
 
-    def handle(message: messages.Answer | messages.Refusal) -> None:
+    def finish(request: Any, encoded: tuple[int, bytes]) -> bytes:
+        if ending:
+            keep_alive.end_after(request)
+        return respond(request, encoded)
+
+    def handle(message: Any) -> None:
+        nonlocal ending
+        if isinstance(message, messages.EndKeepAlive):
+            ending = True
+            return
+        if isinstance(message, messages.InFlightQuery):
+            report = messages.InFlightReport('caller_http', len(waiting))
+            boxes.lifecycle.put(report)
+            return
+        deliver(message)
+
+    def deliver(message: messages.Answer | messages.Refusal) -> None:
         request = waiting.pop(message.query_id, None)
         if request is None:
             return
@@ -52,7 +70,7 @@
             encoded = caller.encode_answer(message)
         else:
             encoded = caller.encode_refusal(message)
-        request.write(respond(request, encoded))
+        request.write(finish(request, encoded))
         request.finish()
 
     versions = resource.Resource()
--- a/packages/node/src/gypsumbridge_node/tasks/front.py
+++ b/packages/node/src/gypsumbridge_node/tasks/front.py
@@ -18,7 +18,11 @@
     execute = executors.make_executor(
         runtime,
         runtime.boxes.front,
-        {messages.Answer: deliver, messages.Refusal: deliver},
+        {
+            messages.Answer: deliver,
+            messages.Refusal: deliver,
+            messages.InFlightReport: runtime.boxes.lifecycle.put,
+        },
     )
 
     def handle(message: Any) -> None:
--- a/packages/node/src/gypsumbridge_node/tasks/lifecycle.py
+++ b/packages/node/src/gypsumbridge_node/tasks/lifecycle.py
@@ -1,92 +1,99 @@
 """The task that starts and stops the node."""
 
-from collections.abc import Callable
-from collections.abc import Iterable
 import signal
 from typing import Any
 
 from twisted.web import resource
 
+from gypsumbridge_decisions import lifecycle
 from gypsumbridge_decisions import messages
+from gypsumbridge_node import execute as executors
 from gypsumbridge_node import function_resource
+from gypsumbridge_node import keep_alive
+from gypsumbridge_node import process_controls
 from gypsumbridge_node import runtime as runtimes
 
-STOP = 'stop'
-EXIT = 'exit'
-
-
-class LifecycleState:
-    """Whether the node is ready and whether it is stopping."""
-
-    def __init__(self) -> None:
-        self.ready = False
-        self.conditions: dict[str, messages.ServingCondition] = {}
-        self.stopping = False
-
-
-def combine(
-    conditions: Iterable[messages.ServingCondition],
-) -> messages.ServingChanged:
-    """Return the first refusal, or the earliest expiry of all sources."""
-    valid_until_ms = messages.NO_EXPIRY_MS
-    for condition in conditions:
-        if condition.refusal:
-            return messages.ServingChanged(condition.refusal)
-        valid_until_ms = min(valid_until_ms, condition.valid_until_ms)
-    return messages.ServingChanged(messages.MissingReason.NONE, valid_until_ms)
+EXIT_CLEAN = 0
+EXIT_CUT_SHORT = 1
 
 
 def start_lifecycle_task(
     runtime: runtimes.Runtime,
     root: resource.Resource,
-    stop_reactor: Callable[[], None],
+    controls: process_controls.ProcessControls,
 ) -> None:
     """Serve health checks, and stop gracefully on SIGTERM."""
-    state = LifecycleState()
+    timing = runtime.settings.timing
+    state = lifecycle.make_lifecycle_state(
+        timing.balancer_lag_ms, timing.stop_bound_ms
+    )
     boxes = runtime.boxes
+    execute = make_executor(runtime, controls)
 
     def healthz(request: Any) -> bytes:
         return b'{"alive":true}\n'
 
     def readyz(request: Any) -> bytes:
-        ready = state.ready and not state.stopping
-        request.setResponseCode(200 if ready else 503)
-        return b'{"ready":true}\n' if ready else b'{"ready":false}\n'
-
-    def publish() -> None:
-        changed = combine(state.conditions.values())
-        boxes.front.put(changed)
-        boxes.owner.put(changed)
-        ready = not changed.refusal
-        if ready != state.ready:
-            state.ready = ready
-            runtime.logger.info(
-                'node ready' if ready else 'node not ready',
-                extra={'reason': str(changed.refusal)},
-            )
+        if state.phase != lifecycle.Phase.SERVING:
+            keep_alive.end_after(request)
+        request.setResponseCode(200 if state.ready else 503)
+        return b'{"ready":true}\n' if state.ready else b'{"ready":false}\n'
 
     def handle(message: Any) -> None:
-        if isinstance(message, messages.ServingCondition):
-            state.conditions[message.source] = message
-            publish()
-            return
-        if message == STOP:
-            if state.stopping:
-                runtime.logger.warning('second signal, stopping at once')
-                stop_reactor()
-                return
-            state.stopping = True
-            runtime.logger.info('node stopping')
-            lag_ms = runtime.settings.timing.balancer_lag_ms
-            boxes.lifecycle.put_later(lag_ms, EXIT)
-            return
-        stop_reactor()
+        execute(lifecycle.handle(state, message, runtime.clock.now_ms()))
 
     def on_signal(number: int, frame: Any) -> None:
-        runtime.reactor.callFromThread(boxes.lifecycle.put, STOP)
+        runtime.reactor.callFromThread(
+            boxes.lifecycle.put, lifecycle.StopRequested()
+        )
 
     root.putChild(b'healthz', function_resource.FunctionResource(healthz))
     root.putChild(b'readyz', function_resource.FunctionResource(readyz))
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, on_signal)
     boxes.lifecycle.start(handle)
+
+
+def make_executor(
+    runtime: runtimes.Runtime, controls: process_controls.ProcessControls
+) -> Any:
+    """Return a function that carries out the lifecycle's commands."""
+    boxes = runtime.boxes
+
+    def publish(changed: messages.ServingChanged) -> None:
+        boxes.front.put(changed)
+        boxes.owner.put(changed)
+
+    def ask(query: messages.InFlightQuery) -> None:
+        for box in (boxes.caller_http, boxes.front, boxes.owner):
+            box.put(query)
+
+    def close_port(command: lifecycle.ClosePort) -> None:
+        controls.close_port()
+
+    def end(command: lifecycle.ExitNode) -> None:
+        extra = {'reason': command.reason}
+        if command.clean:
+            runtime.logger.info(
+                'node stopping, nothing in flight', extra=extra
+            )
+            controls.exit_process(EXIT_CLEAN)
+            return
+        runtime.logger.warning(
+            'node stopping, work in flight is cut short', extra=extra
+        )
+        controls.exit_process(EXIT_CUT_SHORT)
+
+    return executors.make_executor(
+        runtime,
+        boxes.lifecycle,
+        {
+            messages.ServingChanged: publish,
+            messages.EndKeepAlive: boxes.caller_http.put,
+            messages.AnnounceLeaving: boxes.membership.put,
+            messages.LeaveFleet: boxes.membership.put,
+            messages.InFlightQuery: ask,
+            lifecycle.ClosePort: close_port,
+            lifecycle.ExitNode: end,
+        },
+    )
--- a/packages/standins/src/gypsumbridge_standins/cluster/cluster.py
+++ b/packages/standins/src/gypsumbridge_standins/cluster/cluster.py
@@ -1,5 +1,6 @@
 """Processes of one deployment on loopback."""
 
+import json
 import pathlib
 import subprocess
 import sys
@@ -23,6 +24,7 @@
         self.nodes: dict[str, node_address.NodeAddress] = {}
         self.store = ''
         self.host_list = ''
+        self.balancer_lag_ms = 300
         self.controls: list[str] = []
 
     def spawn(self, name: str, arguments: list[str]) -> None:
@@ -39,6 +41,12 @@
         """Send a signal to one of the cluster's processes."""
         self.processes[name].send_signal(number)
 
+    def decisions(self, name: str) -> list[str]:
+        """Return the decisions in a node's log as `name reason`."""
+        lines = (self.folder / f'{name}.log').read_text().splitlines()
+        records = [json.loads(line) for line in lines if line[:1] == '{']
+        return [f'{r["message"]} {r.get("reason", "")}' for r in records]
+
     def wait(self, name: str, timeout_s: float = STOP_TIMEOUT_S) -> int:
         """Wait for a process to end and return its exit status."""
         return self.processes.pop(name).wait(timeout_s)
--- a/packages/standins/src/gypsumbridge_standins/cluster/start.py
+++ b/packages/standins/src/gypsumbridge_standins/cluster/start.py
@@ -28,7 +28,11 @@
 address = {host_list}
 
 [timing]
-balancer_lag_ms = 300
+balancer_lag_ms = {balancer_lag_ms}
+
+[log]
+# Enough that tests find every decision they look for.
+decision_lines_per_second = 5000
 """
 
 
@@ -101,6 +105,7 @@
             failure_domains=', '.join(domains),
             store=cluster.store,
             host_list=cluster.host_list,
+            balancer_lag_ms=cluster.balancer_lag_ms,
         )
     )
     cluster.spawn(node.node_id, ['gypsumbridge_node', str(path)])
--- a/packages/wire/src/gypsumbridge_wire/peer.py
+++ b/packages/wire/src/gypsumbridge_wire/peer.py
@@ -20,6 +20,7 @@
     messages.MutationCall,
     messages.MutationResult,
     messages.EndpointLeaving,
+    messages.Introduction,
     messages.Probe,
     messages.ProbeRequest,
     messages.ProbeAck,
--- /dev/null
+++ b/tests/processes/test_node_loss.py
@@ -0,0 +1,142 @@
+import http.client
+import json
+import signal
+import time
+import unittest
+
+from gypsumbridge_standins import json_http
+from gypsumbridge_standins.cluster import cluster as clusters
+from gypsumbridge_standins.cluster import ports
+from gypsumbridge_standins.cluster import start
+from gypsumbridge_standins.deployment import build
+from tests.processes import load
+
+DOMAINS = ('fd-a', 'fd-b', 'fd-c')
+LAG_MS = 1_000
+# Longer than every timeout of the membership of three nodes.
+FREEZE_S = 6.0
+
+
+class NodeLossTest(unittest.TestCase):
+    def setUp(self):
+        self.cluster = clusters.Cluster()
+        self.addCleanup(self.cluster.stop)
+        self.cluster.balancer_lag_ms = LAG_MS
+        chosen = ports.free_ports(build.count_searchers(build.SMALL_GROUPS))
+        deployment = build.build(build.SMALL_GROUPS, chosen, 5.0)
+        start.start_platform(self.cluster, deployment)
+        start.declare(self.cluster, deployment.specs)
+        start.start_nodes(self.cluster, 3, DOMAINS)
+        self.nodes = list(self.cluster.nodes.values())
+        for node in self.nodes:
+            self.wait_covered(node)
+
+    def wait_covered(self, node):
+        body = {
+            'service': 'verify-portal',
+            'rank': 'border',
+            'deadline_ms': 5_000,
+            'query': {},
+        }
+
+        def covered():
+            try:
+                status, _ = json_http.call_json(
+                    'POST', node.http, '/v1/query', body
+                )
+            except OSError:
+                return False
+            return status == 200
+
+        clusters.wait_until(covered, f'{node.node_id} answers queries')
+
+    def assert_answered(self, outcomes):
+        """Every request got a whole answer; none was cut or refused."""
+        bad = [o for o in outcomes if o[1] != 200]
+        self.assertEqual([], bad[:3], f'{len(bad)} of {len(outcomes)}')
+        for _, _, answer in outcomes:
+            self.assertEqual(1, answer['coverage'])
+            self.assertEqual([], answer['missing'])
+
+    def wait_decision(self, node_id, wanted, seen=0):
+        clusters.wait_until(
+            lambda: self.cluster.decisions(node_id).count(wanted) > seen,
+            f'{node_id} logs {wanted}',
+        )
+
+    def test_a_planned_stop_of_each_node_cuts_no_request(self):
+        """Guards against requests lost to a stop: in flight at front or
+        owner, sent during the balancer's lag, or on idle connections.
+        """
+        for node in self.nodes:
+            before = self.cluster.decisions(node.node_id)
+            with load.Load(self.nodes, 0.6 * LAG_MS / 1_000) as sent:
+                time.sleep(0.5)
+                self.cluster.signal(node.node_id, signal.SIGTERM)
+                self.check_last_answer(node)
+                status = self.cluster.wait(node.node_id)
+                start.start_node(self.cluster, node, DOMAINS)
+                start.wait_ready(node)
+                time.sleep(1.0)
+            self.assertEqual(0, status)
+            self.assert_answered(sent.outcomes)
+            self.assertIn(node.node_id, {o[0] for o in sent.outcomes})
+            log = self.cluster.decisions(node.node_id)[len(before) :]
+            self.assertIn('node stopping, nothing in flight drained', log)
+            self.wait_covered(node)
+
+    def check_last_answer(self, node):
+        """A stopping node answers and tells the client to hang up."""
+        clusters.wait_until(
+            lambda: not clusters.answers(node.http, '/readyz'),
+            f'{node.node_id} fails its readiness check',
+        )
+        connection = http.client.HTTPConnection(*node.http.split(':'))
+        self.addCleanup(connection.close)
+        body = {'service': 'verify-portal', 'rank': 'border'}
+        body |= {'deadline_ms': 5_000, 'query': {}}
+        connection.request('POST', '/v1/query', json.dumps(body))
+        response = connection.getresponse()
+        self.assertEqual(200, response.status)
+        self.assertEqual('close', response.getheader('Connection'))
+
+    def test_a_killed_node_costs_no_coverage_elsewhere(self):
+        """Guards against shards that stay with a lost owner."""
+        others = self.nodes[:2]
+        with load.Load(others, 0) as sent:
+            time.sleep(0.5)
+            self.cluster.signal('node-3', signal.SIGKILL)
+            self.cluster.wait('node-3')
+            for node in others:
+                self.wait_decision(node.node_id, 'member_state dead')
+            time.sleep(0.5)
+        self.assert_answered(sent.outcomes)
+
+    def test_a_frozen_node_is_truthful_and_comes_back(self):
+        """Guards against a paused node that works on with old knowledge,
+        and against one that the fleet never takes back.
+        """
+        with load.Load(self.nodes, FREEZE_S, 1_000) as sent:
+            time.sleep(0.5)
+            self.cluster.signal('node-3', signal.SIGSTOP)
+            time.sleep(FREEZE_S)
+            self.cluster.signal('node-3', signal.SIGCONT)
+            self.wait_decision('node-3', 'trust_self acknowledged')
+            self.wait_decision('node-1', 'member_state alive')
+            start.wait_ready(self.nodes[2])
+            woken = len(sent.outcomes)
+            time.sleep(1.0)
+        self.assertIn('doubt_self frozen', self.cluster.decisions('node-3'))
+        self.assert_answered([o for o in sent.outcomes if o[0] != 'node-3'])
+        for _, status, body in sent.outcomes:
+            if status == 200:
+                self.assertEqual(1, body['coverage'])
+                continue
+            # 504 is a query that was running and lost its deadline.
+            self.assertIn(status, (503, 504), body)
+            self.assertEqual('refused', body['status'])
+            state = 'not_run' if status == 503 else 'outcome_unknown'
+            self.assertEqual(state, body['run_state'], body)
+        last = [o for o in sent.outcomes[woken:] if o[0] == 'node-3']
+        self.assertTrue(last)
+        self.assert_answered(last[2:])
