--- a/packages/node/src/gypsumbridge_node/daemon.py
+++ b/packages/node/src/gypsumbridge_node/daemon.py
@@ -17,6 +17,7 @@
 from gypsumbridge_node import mailboxes
 from gypsumbridge_node import metrics
 from gypsumbridge_node import path_resource
+from gypsumbridge_node import process_controls
 from gypsumbridge_node import runtime as runtimes
 from gypsumbridge_node.settings import settings as all_settings
 from gypsumbridge_node.tasks import caller_http
@@ -31,14 +32,21 @@
 from gypsumbridge_node.tasks import store
 
 
-def run_daemon(settings: all_settings.Settings) -> None:
-    """Run a node until it is stopped by a signal."""
+def run_daemon(settings: all_settings.Settings) -> int:
+    """Run a node until a signal stops it; return its exit status."""
     from twisted.internet import reactor
 
     json_lines.install_handler(settings.log.level)
     runtime = make_runtime(reactor, settings)
     factory = txzmq.ZmqFactory()
     root = path_resource.PathResource()
+    listening = listen(runtime, root)
+    exit_statuses = [lifecycle.EXIT_CLEAN]
+
+    def exit_process(status: int) -> None:
+        exit_statuses.append(status)
+        reactor.stop()
+
     owner.start_owner_task(runtime)
     front.start_front_task(runtime)
     endpoint.start_endpoint_task(runtime)
@@ -47,24 +55,31 @@
     caller_http.start_caller_http_task(runtime, root)
     versions = root.getStaticEntity(b'v1')
     operator_http.start_operator_http_task(runtime, versions)
-    lifecycle.start_lifecycle_task(runtime, root, reactor.stop)
+    lifecycle.start_lifecycle_task(
+        runtime,
+        root,
+        process_controls.ProcessControls(
+            listening.stopListening, exit_process
+        ),
+    )
     configuration.start_configuration_task(runtime)
     membership.start_membership_task(runtime)
     flush = task.LoopingCall(runtime.metrics.flush)
     flush.start(metrics.FLUSH_INTERVAL_S, now=False)
-    listen(runtime, root)
     runtime.logger.info(
         'node started',
         extra={'http': settings.node.http_address},
     )
     reactor.run(installSignalHandlers=False)
     runtime.logger.info('node stopped')
+    return exit_statuses[-1]
+
 
+def listen(runtime: runtimes.Runtime, root: path_resource.PathResource) -> Any:
+    """Serve HTTP to callers, operators and health checks.
 
-def listen(
-    runtime: runtimes.Runtime, root: path_resource.PathResource
-) -> None:
-    """Serve HTTP to callers, operators and health checks."""
+    Returns the listening port.
+    """
     settings = runtime.settings
     make_request = bounded_request.make_request_factory(
         settings.limits.max_body_bytes
@@ -75,7 +90,7 @@
         lambda count: runtime.metrics.gauge('http.connections', count)
     )
     host, port = address.split_address(settings.node.http_address)
-    runtime.reactor.listenTCP(port, site, interface=host)
+    return runtime.reactor.listenTCP(port, site, interface=host)
 
 
 def make_runtime(
--- a/packages/node/src/gypsumbridge_node/tasks/caller_http.py
+++ b/packages/node/src/gypsumbridge_node/tasks/caller_http.py
@@ -12,6 +12,7 @@
 from gypsumbridge_decisions import messages
 from gypsumbridge_node import function_resource
 from gypsumbridge_node import json_request
+from gypsumbridge_node import keep_alive
 from gypsumbridge_node import path_resource
 from gypsumbridge_node import runtime as runtimes
 from gypsumbridge_node import task_status
@@ -25,6 +26,7 @@
 ) -> None:
     """Turn HTTP requests into queries and answers into responses."""
     waiting: dict[str, Any] = {}
+    ending = False
     next_id = make_id_source(runtime.settings.node.node_id)
     boxes = runtime.boxes
     max_deadline_ms = runtime.settings.limits.max_deadline_ms
@@ -43,15 +45,29 @@
         except errors.GypsumbridgeError as error:
             runtime.metrics.count('caller.rejected')
             refusal = caller.make_refusal(error, query_id)
-            return json_request.respond(
-                request, caller.encode_refusal(refusal)
-            )
+            return finish(request, caller.encode_refusal(refusal))
         waiting[query_id] = request
         request.notifyFinish().addErrback(lambda _: forget(query_id))
         boxes.front.put(query)
         return server.NOT_DONE_YET
 
-    def handle(message: messages.Answer | messages.Refusal) -> None:
+    def finish(request: Any, encoded: tuple[int, bytes]) -> bytes:
+        if ending:
+            keep_alive.end_after(request)
+        return json_request.respond(request, encoded)
+
+    def handle(message: Any) -> None:
+        nonlocal ending
+        if isinstance(message, messages.EndKeepAlive):
+            ending = True
+            return
+        if isinstance(message, messages.InFlightQuery):
+            report = messages.InFlightReport('caller_http', len(waiting))
+            boxes.lifecycle.put(report)
+            return
+        deliver(message)
+
+    def deliver(message: messages.Answer | messages.Refusal) -> None:
         request = waiting.pop(message.query_id, None)
         if request is None:
             return
@@ -59,7 +75,7 @@
             encoded = caller.encode_answer(message)
         else:
             encoded = caller.encode_refusal(message)
-        request.write(json_request.respond(request, encoded))
+        request.write(finish(request, encoded))
         request.finish()
 
     versions = path_resource.PathResource()
--- a/packages/wire/src/gypsumbridge_wire/peer.py
+++ b/packages/wire/src/gypsumbridge_wire/peer.py
@@ -20,6 +20,10 @@
     messages.MutationCall,
     messages.MutationResult,
     messages.EndpointLeaving,
+    messages.Introduction,
+    messages.Probe,
+    messages.ProbeRequest,
+    messages.ProbeAck,
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/tools/write_init.py
+++ b/tools/write_init.py
@@ -10,7 +10,12 @@
 
 MAX_LINE = 79
 PUBLIC_CONSTANTS = frozenset(
-    {'CONFIG_PREFIX', 'NO_EXPIRY_MS', 'RESOURCES_PATH'}
+    {
+        'CONFIG_PREFIX',
+        'MAX_MESSAGE_UPDATES',
+        'NO_EXPIRY_MS',
+        'RESOURCES_PATH',
+    }
 )
 
 
