--- a/packages/node/src/gypsumbridge_node/main.py
+++ b/packages/node/src/gypsumbridge_node/main.py
@@ -4,11 +4,14 @@
 import sys
 
 import defopt
+from twisted.internet import error as net_errors
+import zmq
 
 from gypsumbridge_decisions import errors
 from gypsumbridge_node import daemon
 from gypsumbridge_node.settings import load
 
+EXIT_FAILED = 1
 EXIT_SETTINGS = 2
 
 
@@ -26,7 +29,17 @@
     if check_settings:
         print(f'{config}: settings are valid')
         return 0
-    daemon.run_daemon(settings)
+    try:
+        daemon.run_daemon(settings)
+    except (net_errors.CannotListenError, zmq.ZMQError) as error:
+        print(
+            f'{config}: cannot listen on [node] http_address ='
+            f' {settings.node.http_address} and peer_address ='
+            f' {settings.node.peer_address}: {error}; stop what uses the'
+            ' address, or give the node another one',
+            file=sys.stderr,
+        )
+        return EXIT_FAILED
     return 0
 
 
--- a/packages/node/src/gypsumbridge_node/operator_api/calls.py
+++ b/packages/node/src/gypsumbridge_node/operator_api/calls.py
@@ -43,28 +43,7 @@
 ) -> Calls:
     """Return the calls of the operator task."""
     boxes = runtime.boxes
-    own = boxes.operator_http
-
-    def expect(token: str) -> 'defer.Deferred[Any]':
-        made: defer.Deferred[Any] = defer.Deferred(
-            lambda _: state.waiting.pop(token, None)
-        )
-        state.waiting[token] = made
-        return made
-
-    def store(request: messages.StoreRequest) -> 'defer.Deferred[Any]':
-        token = state.next_token()
-        made = expect(token)
-        request = dataclasses.replace(request, token=token)
-        boxes.store.put(store_call.StoreCall(request, own))
-        return made
-
-    def question(
-        box: mailbox.Mailbox, request: Any, wait_ms: int, default: Any
-    ) -> 'defer.Deferred[Any]':
-        made = expect(request.token)
-        box.put(ask.Ask(request, own))
-        return _until(runtime, made, wait_ms, default)
+    question = _make_question(runtime, state)
 
     def accepted(revision: int, wait_ms: int) -> 'defer.Deferred[Any]':
         token = state.next_token()
@@ -91,17 +70,14 @@
     def pause(delay_ms: int) -> 'defer.Deferred[Any]':
         return _until(runtime, defer.Deferred(), delay_ms, None)
 
-    def watch(after: int, wait_ms: int) -> 'defer.Deferred[Any]':
-        if state.catalog.revision > after:
-            return defer.succeed(None)
-        token = state.next_token()
-        made: defer.Deferred[Any] = defer.Deferred(
-            lambda _: state.watches.pop(token, None)
-        )
-        state.watches[token] = (after, made)
-        return _until(runtime, made, wait_ms, None)
-
-    return Calls(store, accepted, force, status, pause, watch)
+    return Calls(
+        _make_store(runtime, state),
+        accepted,
+        force,
+        status,
+        pause,
+        _make_watch(runtime, state),
+    )
 
 
 async def await_accepted(
@@ -122,6 +98,60 @@
         await calls.pause(ACCEPT_RETRY_MS)
 
 
+def _expect(state: states.OperatorState, token: str) -> 'defer.Deferred[Any]':
+    made: defer.Deferred[Any] = defer.Deferred(
+        lambda _: state.waiting.pop(token, None)
+    )
+    state.waiting[token] = made
+    return made
+
+
+def _make_store(
+    runtime: runtimes.Runtime, state: states.OperatorState
+) -> Callable[[messages.StoreRequest], 'defer.Deferred[Any]']:
+    boxes = runtime.boxes
+
+    def store(request: messages.StoreRequest) -> 'defer.Deferred[Any]':
+        token = state.next_token()
+        made = _expect(state, token)
+        request = dataclasses.replace(request, token=token)
+        boxes.store.put(store_call.StoreCall(request, boxes.operator_http))
+        return made
+
+    return store
+
+
+def _make_question(
+    runtime: runtimes.Runtime, state: states.OperatorState
+) -> Callable[[mailbox.Mailbox, Any, int, Any], 'defer.Deferred[Any]']:
+    """Return a function that asks a task and gives up after a time."""
+
+    def question(
+        box: mailbox.Mailbox, request: Any, wait_ms: int, default: Any
+    ) -> 'defer.Deferred[Any]':
+        made = _expect(state, request.token)
+        box.put(ask.Ask(request, runtime.boxes.operator_http))
+        return _until(runtime, made, wait_ms, default)
+
+    return question
+
+
+def _make_watch(
+    runtime: runtimes.Runtime, state: states.OperatorState
+) -> Callable[[int, int], 'defer.Deferred[Any]']:
+    def watch(after: int, wait_ms: int) -> 'defer.Deferred[Any]':
+        if state.catalog.revision > after:
+            return defer.succeed(None)
+        token = state.next_token()
+        made: defer.Deferred[Any] = defer.Deferred(
+            lambda _: state.watches.pop(token, None)
+        )
+        state.watches[token] = (after, made)
+        return _until(runtime, made, wait_ms, None)
+
+    return watch
+
+
 def _until(
     runtime: runtimes.Runtime,
     waiting: 'defer.Deferred[Any]',
--- a/packages/node/src/gypsumbridge_node/settings/checks.py
+++ b/packages/node/src/gypsumbridge_node/settings/checks.py
@@ -7,6 +7,8 @@
 
 # Returns what is wrong with a value and the remedy, or None.
 Check = Callable[[object], tuple[str, str] | None]
+# Section, key, value, problem and remedy.
+Clash = tuple[str, str, object, str, str]
 
 MAX_PORT = 65_535
 LEVELS = ('debug', 'info', 'warning', 'error')
@@ -102,55 +104,52 @@
 }
 
 
-def check_together(
-    settings: all_settings.Settings,
-) -> list[tuple[str, str, object, str, str]]:
-    """Return (section, key, value, problem, remedy) of values that clash.
+def check_together(settings: all_settings.Settings) -> list[Clash]:
+    """Return the values that are fine alone but clash with others.
 
     Values that are wrong on their own are None here and left out.
     """
-    found: list[tuple[str, str, object, str, str]] = []
-    node = settings.node
-    domains = node.failure_domains
-    if node.failure_domain and domains:
-        if node.failure_domain not in domains:
-            found.append(
-                (
-                    'node',
-                    'failure_domain',
-                    node.failure_domain,
-                    'not in failure_domains',
-                    f'use one of {", ".join(domains)}, or add it there',
-                )
-            )
+    return [
+        *_check_domain(settings),
+        *_check_addresses(settings),
+        *_check_times(settings),
+    ]
+
+
+def _check_domain(settings: all_settings.Settings) -> list[Clash]:
+    own = settings.node.failure_domain
+    domains = settings.node.failure_domains
+    if not own or not domains or own in domains:
+        return []
+    remedy = f'use one of {", ".join(domains)}, or add it there'
+    problem = 'not in failure_domains'
+    return [('node', 'failure_domain', own, problem, remedy)]
+
+
+def _check_addresses(settings: all_settings.Settings) -> list[Clash]:
+    found: list[Clash] = []
     used: dict[str, str] = {}
     for section, key, value in (
-        ('node', 'peer_address', node.peer_address),
-        ('node', 'http_address', node.http_address),
+        ('node', 'peer_address', settings.node.peer_address),
+        ('node', 'http_address', settings.node.http_address),
         ('store', 'address', settings.store.address),
         ('host_list', 'address', settings.host_list.address),
     ):
-        other = used.setdefault(value, f'[{section}] {key}')
-        if value and other != f'[{section}] {key}':
-            found.append(
-                (
-                    section,
-                    key,
-                    value,
-                    f'the same as {other}',
-                    'give each of them an address of its own',
-                )
-            )
-    timing = settings.timing
-    lag_ms, bound_ms = timing.balancer_lag_ms, timing.stop_bound_ms
-    if None not in (lag_ms, bound_ms) and lag_ms >= bound_ms:
-        found.append(
-            (
-                'timing',
-                'balancer_lag_ms',
-                lag_ms,
-                f'not below stop_bound_ms = {bound_ms}',
-                'lower it or raise stop_bound_ms',
-            )
-        )
+        if not value:
+            continue
+        if value in used:
+            problem = f'the same as {used[value]}'
+            remedy = 'give each of them an address of its own'
+            found.append((section, key, value, problem, remedy))
+        used[value] = f'[{section}] {key}'
     return found
+
+
+def _check_times(settings: all_settings.Settings) -> list[Clash]:
+    lag_ms = settings.timing.balancer_lag_ms
+    bound_ms = settings.timing.stop_bound_ms
+    if lag_ms is None or bound_ms is None or lag_ms < bound_ms:
+        return []
+    problem = f'not below stop_bound_ms = {bound_ms}'
+    remedy = 'lower it or raise stop_bound_ms'
+    return [('timing', 'balancer_lag_ms', lag_ms, problem, remedy)]
--- a/tests/node/settings/test_load.py
+++ b/tests/node/settings/test_load.py
@@ -1,4 +1,5 @@
 import pathlib
+import socket
 import subprocess
 import sys
 import tempfile
@@ -76,6 +77,22 @@
             load.load_settings(path)
         self.assertEqual(4, len(caught.exception.message.splitlines()))
 
+    def test_an_address_in_use_is_explained(self):
+        """Guards against a stack trace for a mistake of the operator."""
+        for key in ('http_address', 'peer_address'):
+            with socket.create_server(('127.0.0.1', 0)) as used:
+                address = f'127.0.0.1:{used.getsockname()[1]}'
+                path = write(self.folder, [('node', key, address)])
+                ended = subprocess.run(
+                    [sys.executable, '-m', 'gypsumbridge_node', path],
+                    capture_output=True,
+                    timeout=60,
+                    check=False,
+                )
+            self.assertEqual(1, ended.returncode)
+            self.assertIn(address.encode(), ended.stderr)
+            self.assertNotIn(b'Traceback', ended.stderr)
+
     def test_bad_settings_start_nothing(self):
         """Guards against a port that is opened before the check."""
         path = write(self.folder, [BAD[0]])
