Keep leaving endpoints from new work by all three sources

Cause: the host list's endpoints were ignored, an operator's declaration waited for the owner's own catalog, and a mark from a reply was never withdrawn, so a restarted endpoint process got no work again.

Change: the owner follows the leaving flags of the host list, of replies and of declarations, each withdrawn on its own. Who learns it tells owner and standby with EndpointLeaving; for the host list and declarations only the two relays of each failure domain do, since every node reads both. A declaration that is ahead of the owner's catalog counts until the catalog has its revision. News from another node's host list counts for 10 s, then the owner's own copy decides. An endpoint that said it is leaving on a reply is asked for its health every 5 s until it serves again.

--- a/packages/decisions/src/gypsumbridge_decisions/messages/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/messages/__init__.py
@@ -27,6 +27,12 @@
 from gypsumbridge_decisions.messages.endpoint_cancel import (
     EndpointCancel as EndpointCancel,
 )
+from gypsumbridge_decisions.messages.endpoint_check import (
+    EndpointCheck as EndpointCheck,
+)
+from gypsumbridge_decisions.messages.endpoint_health import (
+    EndpointHealth as EndpointHealth,
+)
 from gypsumbridge_decisions.messages.endpoint_leaving import (
     EndpointLeaving as EndpointLeaving,
 )
--- a/packages/decisions/src/gypsumbridge_decisions/owner/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/__init__.py
@@ -16,7 +16,6 @@
 from gypsumbridge_decisions.owner.call_queue import CallQueue as CallQueue
 from gypsumbridge_decisions.owner.cancel import answer_check as answer_check
 from gypsumbridge_decisions.owner.cancel import cancel_batch as cancel_batch
-from gypsumbridge_decisions.owner.cancel import set_leaving as set_leaving
 from gypsumbridge_decisions.owner.catalog_update import (
     apply_catalog as apply_catalog,
 )
@@ -38,9 +37,42 @@
 from gypsumbridge_decisions.owner.health import (
     record_success as record_success,
 )
+from gypsumbridge_decisions.owner.health_timer import (
+    HealthTimer as HealthTimer,
+)
 from gypsumbridge_decisions.owner.hedge_timer import HedgeTimer as HedgeTimer
 from gypsumbridge_decisions.owner.hedging import hedge as hedge
+from gypsumbridge_decisions.owner.host_news_timer import (
+    HostNewsTimer as HostNewsTimer,
+)
 from gypsumbridge_decisions.owner.latency import Latency as Latency
+from gypsumbridge_decisions.owner.leaving_marks import mark as mark
+from gypsumbridge_decisions.owner.leaving_marks import refresh as refresh
+from gypsumbridge_decisions.owner.leaving_news import (
+    change_members as change_members,
+)
+from gypsumbridge_decisions.owner.leaving_news import (
+    check_health as check_health,
+)
+from gypsumbridge_decisions.owner.leaving_news import (
+    compare_catalogs as compare_catalogs,
+)
+from gypsumbridge_decisions.owner.leaving_news import (
+    end_host_news as end_host_news,
+)
+from gypsumbridge_decisions.owner.leaving_news import (
+    find_endpoint as find_endpoint,
+)
+from gypsumbridge_decisions.owner.leaving_news import (
+    take_health as take_health,
+)
+from gypsumbridge_decisions.owner.leaving_news import take_hosts as take_hosts
+from gypsumbridge_decisions.owner.leaving_news import take_news as take_news
+from gypsumbridge_decisions.owner.leaving_news import take_reply as take_reply
+from gypsumbridge_decisions.owner.leaving_news import tell as tell
+from gypsumbridge_decisions.owner.operator_news import (
+    OperatorNews as OperatorNews,
+)
 from gypsumbridge_decisions.owner.pending_call import (
     PendingCall as PendingCall,
 )
--- a/packages/decisions/src/gypsumbridge_decisions/owner/cancel.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/cancel.py
@@ -41,30 +41,3 @@
         configuration_revision=state.catalog.revision,
     )
     return [messages.ToPeer(check.sender, batch)]
-
-
-def set_leaving(
-    state: states.OwnerState, news: messages.EndpointLeaving
-) -> list[command.Command]:
-    """Stop or resume new work for an endpoint, by one source."""
-    sources = state.leaving.setdefault(news.endpoint, set())
-    if news.leaving:
-        sources.add(news.source)
-    else:
-        sources.discard(news.source)
-    if not sources:
-        del state.leaving[news.endpoint]
-    for set_state in state.sets.values():
-        replica = set_state.replicas.get(news.endpoint)
-        if replica is None:
-            continue
-        if news.leaving:
-            replica.leaving_sources.add(news.source)
-        else:
-            replica.leaving_sources.discard(news.source)
-    decision = messages.Decision(
-        'stop_endpoint' if news.leaving else 'resume_endpoint',
-        news.source,
-        {'endpoint': news.endpoint},
-    )
-    return [decision]
--- a/packages/decisions/src/gypsumbridge_decisions/owner/catalog_update.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/catalog_update.py
@@ -2,12 +2,11 @@
 
 from gypsumbridge_decisions import catalog as catalogs
 from gypsumbridge_decisions import resources
+from gypsumbridge_decisions.owner import leaving_marks
 from gypsumbridge_decisions.owner import replica_set_state
 from gypsumbridge_decisions.owner import replica_state
 from gypsumbridge_decisions.owner import state as states
 
-OPERATOR_SOURCE = 'operator'
-
 
 def apply_catalog(state: states.OwnerState, catalog: catalogs.Catalog) -> None:
     """Take a newer catalog; measurements of kept endpoints survive.
@@ -16,6 +15,9 @@
     work; their requests in flight end as usual.
     """
     state.catalog = catalog
+    for name, news in list(state.operator_news.items()):
+        if news.revision <= catalog.revision:
+            del state.operator_news[name]
     for key, set_state in state.sets.items():
         _refresh(state, set_state, catalog.replica_sets.get(key, ()))
 
@@ -44,12 +46,8 @@
         replica = set_state.replicas.get(endpoint.name)
         if replica is None:
             replica = replica_state.ReplicaState(endpoint)
-            replica.leaving_sources |= state.leaving.get(endpoint.name, set())
             set_state.replicas[endpoint.name] = replica
         replica.endpoint = endpoint
-        if endpoint.leaving:
-            replica.leaving_sources.add(OPERATOR_SOURCE)
-        else:
-            replica.leaving_sources.discard(OPERATOR_SOURCE)
+        leaving_marks.refresh(state, replica)
     for name in set_state.replicas.keys() - kept:
         del set_state.replicas[name]
--- a/packages/decisions/src/gypsumbridge_decisions/owner/command.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/command.py
@@ -7,6 +7,7 @@
     | messages.Timer
     | messages.EndpointRequest
     | messages.EndpointCancel
+    | messages.EndpointCheck
     | messages.Decision
     | messages.Count
     | messages.InFlightReport
--- a/packages/decisions/src/gypsumbridge_decisions/owner/handler.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/handler.py
@@ -8,8 +8,11 @@
 from gypsumbridge_decisions.owner import catalog_update
 from gypsumbridge_decisions.owner import coalescing
 from gypsumbridge_decisions.owner import command
+from gypsumbridge_decisions.owner import health_timer
 from gypsumbridge_decisions.owner import hedge_timer
 from gypsumbridge_decisions.owner import hedging
+from gypsumbridge_decisions.owner import host_news_timer
+from gypsumbridge_decisions.owner import leaving_news
 from gypsumbridge_decisions.owner import reply
 from gypsumbridge_decisions.owner import state as states
 
@@ -41,12 +44,26 @@
         case messages.MutationCall():
             return accept.accept_mutation(state, message, now_ms)
         case messages.EndpointLeaving():
-            return cancel.set_leaving(state, message)
+            return leaving_news.take_news(state, message, now_ms)
+        case messages.EndpointHealth():
+            return leaving_news.take_health(state, message, now_ms)
+        case health_timer.HealthTimer():
+            return leaving_news.check_health(state, message)
+        case host_news_timer.HostNewsTimer():
+            return leaving_news.end_host_news(state, message, now_ms)
+        case messages.HostList():
+            return leaving_news.take_hosts(state, message, now_ms)
+        case messages.MembersChanged():
+            leaving_news.change_members(state, message)
         case messages.InFlightQuery():
             count = len(state.batches) + len(state.calls)
             return [messages.InFlightReport('owner', count)]
         case messages.CatalogChanged():
+            before = state.catalog
             catalog_update.apply_catalog(state, message.catalog)
+            return leaving_news.compare_catalogs(
+                state, before, message.catalog
+            )
         case messages.ServingChanged():
             state.serving = message
         case _:
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/leaving_marks.py
@@ -0,0 +1,68 @@
+"""Which endpoints are leaving, by the source that says so."""
+
+from gypsumbridge_decisions import messages
+from gypsumbridge_decisions.owner import command
+from gypsumbridge_decisions.owner import dispatching
+from gypsumbridge_decisions.owner import replica_state
+from gypsumbridge_decisions.owner import state as states
+
+HOST_LIST_SOURCE = 'host_list'
+REPLY_SOURCE = 'reply'
+OPERATOR_SOURCE = 'operator'
+
+
+def mark(
+    state: states.OwnerState,
+    endpoint: str,
+    source: str,
+    leaving: bool,
+    now_ms: int,
+) -> list[command.Command]:
+    """Set or withdraw one source; nothing follows when it is known.
+
+    An endpoint without any source left gets work again at once.
+    """
+    sources = state.leaving.setdefault(endpoint, set())
+    if leaving == (source in sources):
+        if not sources:
+            del state.leaving[endpoint]
+        return []
+    if leaving:
+        sources.add(source)
+    else:
+        sources.discard(source)
+    if not sources:
+        del state.leaving[endpoint]
+    decision = messages.Decision(
+        'stop_endpoint' if leaving else 'resume_endpoint',
+        source,
+        {'endpoint': endpoint},
+    )
+    commands: list[command.Command] = [decision]
+    for set_state in state.sets.values():
+        replica = set_state.replicas.get(endpoint)
+        if replica is None:
+            continue
+        refresh(state, replica)
+        if not leaving:
+            commands += dispatching.dispatch(state, set_state, now_ms)
+    return commands
+
+
+def refresh(
+    state: states.OwnerState, replica: replica_state.ReplicaState
+) -> None:
+    """Bring a replica's sources in line with what is known.
+
+    An operator's declaration counts by its revision: a catalog that is
+    older than the news must not undo it.
+    """
+    name = replica.endpoint.name
+    sources = set(state.leaving.get(name, ()))
+    leaving = replica.endpoint.leaving
+    news = state.operator_news.get(name)
+    if news is not None and news.revision > state.catalog.revision:
+        leaving = news.leaving
+    if leaving:
+        sources.add(OPERATOR_SOURCE)
+    replica.leaving_sources = sources
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/leaving_news.py
@@ -0,0 +1,227 @@
+"""Learns that endpoints are leaving and tells the nodes that serve them."""
+
+from gypsumbridge_decisions import catalog as catalogs
+from gypsumbridge_decisions import messages
+from gypsumbridge_decisions import resources
+from gypsumbridge_decisions import routing
+from gypsumbridge_decisions.owner import command
+from gypsumbridge_decisions.owner import dispatching
+from gypsumbridge_decisions.owner import health_timer
+from gypsumbridge_decisions.owner import host_news_timer
+from gypsumbridge_decisions.owner import leaving_marks
+from gypsumbridge_decisions.owner import operator_news
+from gypsumbridge_decisions.owner import state as states
+
+ENDPOINT_ROLE = 'endpoint'
+# The relays of a failure domain, which hold the watches on the store. Only
+# they pass on what every node reads for itself in the end; otherwise each
+# leaving endpoint would cost its owner a message from every node.
+RELAYS = 2
+HEALTH_CHECK_MS = 5_000
+# Longer than the lag between two nodes' copies of the host list.
+HOST_NEWS_MS = 10_000
+
+
+def change_members(
+    state: states.OwnerState, changed: messages.MembersChanged
+) -> None:
+    """Take the new members and see whether this node is a relay."""
+    state.ownership.replace_members(changed.members)
+    own = [m for m in changed.members if m.node_id == state.node_id]
+    state.is_relay = False
+    for member in own:
+        domain = member.failure_domain
+        ids = state.ownership.domains.get(domain, ())
+        first = routing.ordered(ids, domain)[:RELAYS]
+        state.is_relay = state.node_id in first
+
+
+def take_hosts(
+    state: states.OwnerState, hosts: messages.HostList, now_ms: int
+) -> list[command.Command]:
+    """Follow the leaving flags of this node's copy of the host list.
+
+    A host that is no longer listed keeps its mark: it is gone, not back.
+    """
+    commands: list[command.Command] = []
+    for host in hosts.hosts:
+        if host.role != ENDPOINT_ROLE:
+            continue
+        if host.leaving == (host.name in state.hosts_leaving):
+            continue
+        if host.leaving:
+            state.hosts_leaving.add(host.name)
+        else:
+            state.hosts_leaving.discard(host.name)
+        source = leaving_marks.HOST_LIST_SOURCE
+        commands += leaving_marks.mark(
+            state, host.name, source, host.leaving, now_ms
+        )
+        if state.is_relay:
+            commands += tell(state, host.name, source, host.leaving)
+    return commands
+
+
+def take_news(
+    state: states.OwnerState, news: messages.EndpointLeaving, now_ms: int
+) -> list[command.Command]:
+    """Act on another node's news."""
+    if news.source == leaving_marks.OPERATOR_SOURCE:
+        return _take_operator_news(state, news, now_ms)
+    commands = leaving_marks.mark(
+        state, news.endpoint, news.source, news.leaving, now_ms
+    )
+    if not commands:
+        return []
+    if news.source == leaving_marks.HOST_LIST_SOURCE:
+        timer = host_news_timer.HostNewsTimer(news.endpoint)
+        commands.append(messages.Timer(HOST_NEWS_MS, timer))
+    elif news.leaving:
+        commands.append(_health_timer(news.endpoint))
+    return commands
+
+
+def _take_operator_news(
+    state: states.OwnerState, news: messages.EndpointLeaving, now_ms: int
+) -> list[command.Command]:
+    known = state.operator_news.get(news.endpoint)
+    newest = state.catalog.revision if known is None else known.revision
+    if news.revision <= max(newest, state.catalog.revision):
+        return []
+    state.operator_news[news.endpoint] = operator_news.OperatorNews(
+        news.revision, news.leaving
+    )
+    commands: list[command.Command] = [
+        messages.Decision(
+            'stop_endpoint' if news.leaving else 'resume_endpoint',
+            news.source,
+            {'endpoint': news.endpoint, 'revision': news.revision},
+        )
+    ]
+    for set_state in state.sets.values():
+        replica = set_state.replicas.get(news.endpoint)
+        if replica is None:
+            continue
+        leaving_marks.refresh(state, replica)
+        commands += dispatching.dispatch(state, set_state, now_ms)
+    return commands
+
+
+def end_host_news(
+    state: states.OwnerState,
+    timer: host_news_timer.HostNewsTimer,
+    now_ms: int,
+) -> list[command.Command]:
+    """Return to what this node's own copy of the host list says."""
+    return leaving_marks.mark(
+        state,
+        timer.endpoint,
+        leaving_marks.HOST_LIST_SOURCE,
+        timer.endpoint in state.hosts_leaving,
+        now_ms,
+    )
+
+
+def take_reply(
+    state: states.OwnerState, endpoint: str, now_ms: int
+) -> list[command.Command]:
+    """Act on an endpoint that says on a reply that it is leaving."""
+    source = leaving_marks.REPLY_SOURCE
+    commands = leaving_marks.mark(state, endpoint, source, True, now_ms)
+    if not commands:
+        return []
+    commands += tell(state, endpoint, source, True)
+    commands.append(_health_timer(endpoint))
+    return commands
+
+
+def check_health(
+    state: states.OwnerState, timer: health_timer.HealthTimer
+) -> list[command.Command]:
+    """Ask an endpoint that gets no work whether it serves again."""
+    if leaving_marks.REPLY_SOURCE not in state.leaving.get(timer.endpoint, ()):
+        return []
+    found = find_endpoint(state.catalog, timer.endpoint)
+    if found is None:
+        state.leaving.pop(timer.endpoint, None)
+        return []
+    check = messages.EndpointCheck(
+        found.name, found.address, found.port, found.slots + 1
+    )
+    return [check]
+
+
+def take_health(
+    state: states.OwnerState, health: messages.EndpointHealth, now_ms: int
+) -> list[command.Command]:
+    """Resume an endpoint that serves again, or ask again later."""
+    if not health.serving:
+        return [_health_timer(health.endpoint)]
+    source = leaving_marks.REPLY_SOURCE
+    commands = leaving_marks.mark(
+        state, health.endpoint, source, False, now_ms
+    )
+    if not commands:
+        return []
+    return commands + tell(state, health.endpoint, source, False)
+
+
+def compare_catalogs(
+    state: states.OwnerState,
+    before: catalogs.Catalog,
+    after: catalogs.Catalog,
+) -> list[command.Command]:
+    """Tell of the endpoints that an operator has just declared leaving."""
+    if not state.is_relay:
+        return []
+    old, new = _declared_leaving(before), _declared_leaving(after)
+    commands: list[command.Command] = []
+    for name in sorted(old ^ new):
+        source = leaving_marks.OPERATOR_SOURCE
+        commands += tell(state, name, source, name in new)
+    return commands
+
+
+def tell(
+    state: states.OwnerState, endpoint: str, source: str, leaving: bool
+) -> list[command.Command]:
+    """Tell owner and standby of an endpoint's replica set."""
+    found = find_endpoint(state.catalog, endpoint)
+    if found is None:
+        return []
+    service = state.catalog.services.get(found.service)
+    if service is None:
+        return []
+    ownership = state.ownership.find(service, found.replica_set)
+    news = messages.EndpointLeaving(
+        state.node_id, endpoint, source, leaving, state.catalog.revision
+    )
+    return [
+        messages.ToPeer(node_id, news)
+        for node_id in (ownership.owner, ownership.standby)
+        if node_id is not None and node_id != state.node_id
+    ]
+
+
+def find_endpoint(
+    catalog: catalogs.Catalog, name: str
+) -> resources.Endpoint | None:
+    """Return a declared endpoint; a scan, since this is rarely needed."""
+    for endpoints in catalog.replica_sets.values():
+        for endpoint in endpoints:
+            if endpoint.name == name:
+                return endpoint
+    return None
+
+
+def _declared_leaving(catalog: catalogs.Catalog) -> set[str]:
+    return {
+        endpoint.name
+        for endpoints in catalog.replica_sets.values()
+        for endpoint in endpoints
+        if endpoint.leaving
+    }
+
+
+def _health_timer(endpoint: str) -> messages.Timer:
+    return messages.Timer(HEALTH_CHECK_MS, health_timer.HealthTimer(endpoint))
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/operator_news.py
@@ -0,0 +1,11 @@
+"""An operator's declaration that is ahead of this node's catalog."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class OperatorNews:
+    """Counts until the catalog has reached `revision`."""
+
+    revision: int
+    leaving: bool
--- a/packages/decisions/src/gypsumbridge_decisions/owner/reply.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/reply.py
@@ -4,14 +4,13 @@
 from gypsumbridge_decisions.owner import command
 from gypsumbridge_decisions.owner import dispatching
 from gypsumbridge_decisions.owner import health
+from gypsumbridge_decisions.owner import leaving_news
 from gypsumbridge_decisions.owner import pending_call
 from gypsumbridge_decisions.owner import replica_choice
 from gypsumbridge_decisions.owner import replica_set_state
 from gypsumbridge_decisions.owner import result
 from gypsumbridge_decisions.owner import state as states
 
-REPLY_SOURCE = 'reply'
-
 _REASONS = {
     messages.EndpointStatus.SHED: messages.MissingReason.ENDPOINT_SHED,
     messages.EndpointStatus.DRAINING: messages.MissingReason.ENDPOINT_SHED,
@@ -56,9 +55,8 @@
         return []
     started_ms = replica.running.pop(reply.call_id, now_ms)
     commands: list[command.Command] = []
-    if reply.leaving and REPLY_SOURCE not in replica.leaving_sources:
-        replica.leaving_sources.add(REPLY_SOURCE)
-        commands.append(_log_leaving(reply.endpoint))
+    if reply.leaving:
+        commands += leaving_news.take_reply(state, reply.endpoint, now_ms)
     if call.done:
         return commands
     if reply.status == messages.EndpointStatus.OK:
@@ -151,12 +149,6 @@
     return False
 
 
-def _log_leaving(endpoint: str) -> messages.Decision:
-    return messages.Decision(
-        'stop_endpoint', REPLY_SOURCE, {'endpoint': endpoint}
-    )
-
-
 def _log_ejection(
     endpoint: str, reply: messages.EndpointReply
 ) -> messages.Decision:
--- a/packages/decisions/src/gypsumbridge_decisions/owner/state.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/state.py
@@ -2,7 +2,9 @@
 
 from gypsumbridge_decisions import catalog
 from gypsumbridge_decisions import messages
+from gypsumbridge_decisions import routing
 from gypsumbridge_decisions.owner import extra_load_budget
+from gypsumbridge_decisions.owner import operator_news
 from gypsumbridge_decisions.owner import pending_call
 from gypsumbridge_decisions.owner import replica_set_state
 
@@ -12,7 +14,9 @@
 
     `calls` maps the id of each request in flight to its call. `batches`
     maps (sender, request id, attempt) to the calls that have no result
-    yet.
+    yet. `leaving` maps endpoints to the sources, other than the catalog,
+    that say they are leaving; `hosts_leaving` is what this node's own
+    copy of the host list says.
     """
 
     def __init__(self, node_id: str) -> None:
@@ -29,7 +33,11 @@
         self.batches: dict[
             tuple[str, str, int], dict[str, pending_call.PendingCall]
         ] = {}
+        self.ownership = routing.OwnershipCache()
+        self.is_relay = False
         self.leaving: dict[str, set[str]] = {}
+        self.hosts_leaving: set[str] = set()
+        self.operator_news: dict[str, operator_news.OperatorNews] = {}
         self.next_call_id = 1
 
     def serving_refusal(self, now_ms: int) -> messages.MissingReason:
--- a/packages/node/src/gypsumbridge_node/tasks/endpoint.py
+++ b/packages/node/src/gypsumbridge_node/tasks/endpoint.py
@@ -36,7 +36,9 @@
     reactor = runtime.reactor
     report = make_reporter(runtime, state)
 
-    def call_for(request: messages.EndpointRequest) -> http_client.Call:
+    def call_for(
+        request: messages.EndpointRequest | messages.EndpointCheck,
+    ) -> http_client.Call:
         key = f'{request.endpoint} {request.address}:{request.port}'
         found = state.calls.get(key)
         if found is None:
@@ -67,9 +69,21 @@
         state.cancelled.add(command.call_id)
         running.cancel()
 
+    def check(request: messages.EndpointCheck) -> None:
+        running = call_for(request)(
+            request.address, request.port, endpoint.encode_check()
+        )
+        running.addTimeout(CONNECT_TIMEOUT_MS / 1000, reactor)
+        running.addCallbacks(
+            lambda r: endpoint.decode_health(request, r.status, r.headers),
+            lambda _: messages.EndpointHealth(request.endpoint, False),
+        )
+        running.addCallback(runtime.boxes.owner.put)
+
     table: dict[type, Callable[[Any], None]] = {
         messages.EndpointRequest: send,
         messages.EndpointCancel: cancel,
+        messages.EndpointCheck: check,
     }
 
     def handle(message: Any) -> None:
--- a/packages/node/src/gypsumbridge_node/tasks/membership.py
+++ b/packages/node/src/gypsumbridge_node/tasks/membership.py
@@ -23,8 +23,10 @@
     poll = make_poll(runtime)
 
     def publish(changed: messages.MembersChanged) -> None:
-        for box in (boxes.peer_link, boxes.front, boxes.configuration):
-            box.put(changed)
+        boxes.peer_link.put(changed)
+        boxes.front.put(changed)
+        boxes.owner.put(changed)
+        boxes.configuration.put(changed)
 
     execute = executors.make_executor(
         runtime,
@@ -41,6 +43,9 @@
         if message == POLL:
             poll()
             return
+        if isinstance(message, messages.HostList):
+            # It also lists the endpoints that are leaving.
+            boxes.owner.put(message)
         execute(membership.handle(state, message, runtime.clock.now_ms()))
 
     boxes.membership.start(handle)
--- a/packages/node/src/gypsumbridge_node/tasks/owner.py
+++ b/packages/node/src/gypsumbridge_node/tasks/owner.py
@@ -18,6 +18,7 @@
         {
             messages.EndpointRequest: to_endpoint,
             messages.EndpointCancel: to_endpoint,
+            messages.EndpointCheck: to_endpoint,
             messages.InFlightReport: runtime.boxes.lifecycle.put,
         },
     )
--- a/packages/wire/src/gypsumbridge_wire/endpoint/decode.py
+++ b/packages/wire/src/gypsumbridge_wire/endpoint/decode.py
@@ -49,6 +49,15 @@
     )
 
 
+def decode_health(
+    check: messages.EndpointCheck, http_status: int, headers: Mapping[str, str]
+) -> messages.EndpointHealth:
+    """Return what an endpoint says about itself on a health check."""
+    state = headers.get(fields.STATE_HEADER.lower(), '')
+    serving = http_status == 200 and state == fields.STATE_SERVING
+    return messages.EndpointHealth(check.endpoint, serving)
+
+
 def failed_reply(
     request: messages.EndpointRequest,
     status: messages.EndpointStatus,
--- a/packages/wire/src/gypsumbridge_wire/endpoint/encode.py
+++ b/packages/wire/src/gypsumbridge_wire/endpoint/encode.py
@@ -7,6 +7,11 @@
 from gypsumbridge_wire.endpoint import fields
 
 
+def encode_check() -> http_request.HttpRequest:
+    """Return the HTTP request that asks an endpoint for its state."""
+    return http_request.HttpRequest('GET', fields.HEALTH_PATH, {}, b'')
+
+
 def encode_request(
     request: messages.EndpointRequest,
 ) -> http_request.HttpRequest:
