--- a/packages/node/src/gypsumbridge_node/tasks/membership.py
+++ b/packages/node/src/gypsumbridge_node/tasks/membership.py
@@ -26,6 +26,7 @@
         for box in (
             boxes.peer_link,
             boxes.front,
+            boxes.owner,
             boxes.configuration,
             boxes.operator_http,
         ):
@@ -46,6 +47,9 @@
         if message == POLL:
             poll()
             return
+        if isinstance(message, messages.HostList):
+            # It also lists the endpoints that are leaving.
+            boxes.owner.put(message)
         execute(membership.handle(state, message, runtime.clock.now_ms()))
 
     boxes.membership.start(handle)
