Ignore copies of a mutation call at the owner

Cause: the owner recognised a duplicated MutationCall only until the first had a result; a later copy ran again. A call without an idempotency key was treated as a search, and a hedge timer could add a second request.

Change: the owner remembers (sender, mutation id) for 10 minutes, in a bounded table; copies, calls without a key and calls past the bound get no result, because not_run would let the claimant release the claim. A hedge never applies to a mutation.

Ruled out: answering not_run for a copy, and evicting recent entries when the table is full.

--- a/packages/decisions/src/gypsumbridge_decisions/owner/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/__init__.py
@@ -4,9 +4,15 @@
 from gypsumbridge_decisions.owner.accept import (
     accept_mutation as accept_mutation,
 )
+from gypsumbridge_decisions.owner.accept import (
+    MAX_REMEMBERED_MUTATIONS as MAX_REMEMBERED_MUTATIONS,
+)
 from gypsumbridge_decisions.owner.accept import (
     refusal_reason as refusal_reason,
 )
+from gypsumbridge_decisions.owner.accept import (
+    REMEMBER_MUTATION_MS as REMEMBER_MUTATION_MS,
+)
 from gypsumbridge_decisions.owner.accept import (
     wait_target_ms as wait_target_ms,
 )
--- a/packages/decisions/src/gypsumbridge_decisions/owner/accept.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/accept.py
@@ -12,6 +12,12 @@
 from gypsumbridge_decisions.owner import result
 from gypsumbridge_decisions.owner import state as states
 
+# A duplicate of a message between nodes is recognised for this long. Its
+# claimant's connection would have to hold it back longer to run it twice.
+REMEMBER_MUTATION_MS = 600_000
+# 83 a second over that time, in about 10 MB; the store carries fewer.
+MAX_REMEMBERED_MUTATIONS = 50_000
+
 
 def accept_batch(
     state: states.OwnerState, batch: messages.ShardBatch, now_ms: int
@@ -47,8 +53,9 @@
 ) -> list[command.Command]:
     """Queue a claimed mutation or refuse it as not run."""
     batch_key = (mutation.sender, mutation.mutation_id, 0)
-    if batch_key in state.batches:
-        return [messages.Count('owner.mutations.duplicate')]
+    ignored = _ignore_mutation(state, mutation, now_ms)
+    if ignored:
+        return [messages.Count(f'owner.mutations.{ignored}')]
     key = (mutation.service, mutation.replica_set)
     set_state = catalog_update.find_set(state, key)
     call = pending_call.PendingCall(
@@ -74,6 +81,32 @@
     return dispatching.dispatch(state, set_state, now_ms)
 
 
+def _ignore_mutation(
+    state: states.OwnerState, mutation: messages.MutationCall, now_ms: int
+) -> str:
+    """Remember a mutation; say why it must not run, or return ''.
+
+    What is ignored gets no result, since not_run would let the claimant
+    release a claim under which the first message runs. A mutation without
+    a key would be hedged like a search.
+    """
+    if not mutation.idempotency_key:
+        return 'without_key'
+    seen = state.mutations
+    while seen:
+        oldest = next(iter(seen))
+        if now_ms - seen[oldest] < REMEMBER_MUTATION_MS:
+            break
+        del seen[oldest]
+    key = (mutation.sender, mutation.mutation_id)
+    if key in seen:
+        return 'duplicate'
+    if len(seen) >= MAX_REMEMBERED_MUTATIONS:
+        return 'memory_full'
+    seen[key] = now_ms
+    return ''
+
+
 def refusal_reason(
     state: states.OwnerState,
     set_state: replica_set_state.ReplicaSetState,
--- a/packages/decisions/src/gypsumbridge_decisions/owner/hedging.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/hedging.py
@@ -14,7 +14,9 @@
 ) -> list[command.Command]:
     """Send a running call to a second replica that has a free slot."""
     call = state.calls.get(timer.call_id)
-    if call is None or call.done or len(call.tried) > 1:
+    if call is None or call.done or call.is_mutation():
+        return []
+    if len(call.tried) > 1:
         return []
     set_state = state.sets[call.replica_set]
     replica = replica_choice.choose_replica(set_state, call.tried, 0, now_ms)
--- a/packages/decisions/src/gypsumbridge_decisions/owner/state.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/state.py
@@ -12,7 +12,8 @@
 
     `calls` maps the id of each request in flight to its call. `batches`
     maps (sender, request id, attempt) to the calls that have no result
-    yet.
+    yet. `mutations` holds when each recent (sender, mutation id) arrived,
+    oldest first.
     """
 
     def __init__(self, node_id: str) -> None:
@@ -30,6 +31,7 @@
             tuple[str, str, int], dict[str, pending_call.PendingCall]
         ] = {}
         self.leaving: dict[str, set[str]] = {}
+        self.mutations: dict[tuple[str, str], int] = {}
         self.next_call_id = 1
 
     def serving_refusal(self, now_ms: int) -> messages.MissingReason:
--- a/tools/write_init.py
+++ b/tools/write_init.py
@@ -9,7 +9,14 @@
 import sys
 
 MAX_LINE = 79
-PUBLIC_CONSTANTS = frozenset({'NO_EXPIRY_MS'})
+PUBLIC_CONSTANTS = frozenset(
+    {
+        'NO_EXPIRY_MS',
+        'BUCKETS',
+        'REMEMBER_MUTATION_MS',
+        'MAX_REMEMBERED_MUTATIONS',
+    }
+)
 
 
 def public_names(path: pathlib.Path) -> list[str]:
