Run mutations at most once through claims in the store

Change: the claim protocol as frozen state and step functions in decisions/mutation, a state class with handle() around it, the claim codec in wire/store, the callers' JSON in wire/caller, the mutation task, and the HTTP paths under /v1/mutations. Serving, catalog and membership changes now go to the mutation mailbox too.

--- a/packages/decisions/src/gypsumbridge_decisions/messages/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/messages/__init__.py
@@ -16,6 +16,21 @@
 from gypsumbridge_decisions.messages.catalog_changed import (
     CatalogChanged as CatalogChanged,
 )
+from gypsumbridge_decisions.messages.claim import Claim as Claim
+from gypsumbridge_decisions.messages.claim_call import ClaimCall as ClaimCall
+from gypsumbridge_decisions.messages.claim_item import ClaimItem as ClaimItem
+from gypsumbridge_decisions.messages.claim_outcome import (
+    ClaimOutcome as ClaimOutcome,
+)
+from gypsumbridge_decisions.messages.claim_phase import (
+    ClaimPhase as ClaimPhase,
+)
+from gypsumbridge_decisions.messages.claim_reply import (
+    ClaimReply as ClaimReply,
+)
+from gypsumbridge_decisions.messages.claim_report import (
+    ClaimReport as ClaimReport,
+)
 from gypsumbridge_decisions.messages.count import Count as Count
 from gypsumbridge_decisions.messages.decision import Decision as Decision
 from gypsumbridge_decisions.messages.endpoint_cancel import (
@@ -54,9 +69,19 @@
 from gypsumbridge_decisions.messages.missing_shard import (
     MissingShard as MissingShard,
 )
+from gypsumbridge_decisions.messages.mutation import Mutation as Mutation
+from gypsumbridge_decisions.messages.mutation_answer import (
+    MutationAnswer as MutationAnswer,
+)
 from gypsumbridge_decisions.messages.mutation_call import (
     MutationCall as MutationCall,
 )
+from gypsumbridge_decisions.messages.mutation_lookup import (
+    MutationLookup as MutationLookup,
+)
+from gypsumbridge_decisions.messages.mutation_resolve import (
+    MutationResolve as MutationResolve,
+)
 from gypsumbridge_decisions.messages.mutation_result import (
     MutationResult as MutationResult,
 )
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/messages/claim_item.py
@@ -0,0 +1,14 @@
+"""A claim as the store holds it."""
+
+import dataclasses
+
+from gypsumbridge_decisions.messages import claim as claims
+
+
+@dataclasses.dataclass(frozen=True)
+class ClaimItem:
+    """An idempotency key, its claim and the revision of its last write."""
+
+    key: str
+    claim: claims.Claim
+    revision: int
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/messages/claim_outcome.py
@@ -0,0 +1,11 @@
+"""What a claim records about execution."""
+
+import enum
+
+
+class ClaimOutcome(enum.StrEnum):
+    """`UNKNOWN` until the claimant or an operator records the outcome."""
+
+    UNKNOWN = 'unknown'
+    RAN = 'ran'
+    NOT_RUN = 'not_run'
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/messages/claim_phase.py
@@ -0,0 +1,12 @@
+"""The phase of a claim in the store."""
+
+import enum
+
+
+class ClaimPhase(enum.StrEnum):
+    """Only a released claim may be claimed again."""
+
+    CLAIMED = 'claimed'
+    RELEASED = 'released'
+    DONE = 'done'
+    RESOLVED = 'resolved'
--- a/packages/decisions/src/gypsumbridge_decisions/messages/refusal.py
+++ b/packages/decisions/src/gypsumbridge_decisions/messages/refusal.py
@@ -11,7 +11,7 @@
     """Why a request was refused, whether it was run, and the remedy.
 
     `missing` lists the shards without a result when the query was
-    refused for its coverage.
+    refused for its coverage. `idempotency_key` is empty for a query.
     """
 
     query_id: str
@@ -21,3 +21,4 @@
     message: str
     remedy: str
     missing: tuple[missing_shard.MissingShard, ...] = ()
+    idempotency_key: str = ''
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/mutation/concluding.py
@@ -0,0 +1,117 @@
+"""Steps after the mutation was sent."""
+
+import dataclasses
+
+from gypsumbridge_decisions import messages
+from gypsumbridge_decisions.mutation import claim_run
+from gypsumbridge_decisions.mutation import read_claim
+from gypsumbridge_decisions.mutation import settling
+from gypsumbridge_decisions.mutation import stage as stages
+from gypsumbridge_decisions.mutation import step
+from gypsumbridge_decisions.mutation import timing as timings
+from gypsumbridge_decisions.mutation import try_later
+from gypsumbridge_decisions.mutation import verdict_kind
+from gypsumbridge_decisions.mutation import verdicts
+from gypsumbridge_decisions.mutation import write_claim
+
+# A record is kept for every key until it expires, so payloads are bounded:
+# at 4.3 million claims this is at most 4 GB in the store.
+MAX_RECORDED_PAYLOAD_BYTES = 1024
+_ENDS_WRITE = (messages.StoreStatus.OK, messages.StoreStatus.REJECTED)
+
+
+def receive_result(
+    run: claim_run.ClaimRun,
+    outcome: messages.PartOutcome,
+    reason: str,
+    payload: bytes,
+    timing: timings.Timing,
+) -> step.Step:
+    """Answer the caller, then record the outcome or release the claim.
+
+    The answer comes before the release, so that no other request can run
+    under the key before this caller is told not_run. A failure of unknown
+    effect leaves the claim as it is.
+    """
+    if run.stage != stages.Stage.SENT:
+        return run, []
+    if outcome == messages.PartOutcome.COVERED:
+        return _record(run, payload)
+    if outcome == messages.PartOutcome.NOT_RUN:
+        run, actions = verdicts.refuse_held(run, reason, timing)
+        run, more = settling.release(run, run.held_revision)
+        return run, actions + more
+    ended = dataclasses.replace(run, stage=stages.Stage.ENDED)
+    return verdicts.answer(
+        ended, verdict_kind.VerdictKind.OUTCOME_UNKNOWN, reason
+    )
+
+
+def receive_record_written(
+    run: claim_run.ClaimRun, status: messages.StoreStatus
+) -> step.Step:
+    """Repeat the write of an outcome or release until the store took it.
+
+    A conflict means that an operator or the lost earlier write came
+    first; a release then looks again, since the conflicting write may be
+    this run's own claim, applied late.
+    """
+    ended = dataclasses.replace(run, stage=stages.Stage.ENDED)
+    if status in _ENDS_WRITE:
+        return ended, []
+    if status == messages.StoreStatus.CONFLICT:
+        if run.stage == stages.Stage.RECORDING:
+            return ended, []
+        looking = dataclasses.replace(run, stage=stages.Stage.SETTLING)
+        return looking, [read_claim.ReadClaim()]
+    return run, [try_later.TryLater()]
+
+
+def resume(run: claim_run.ClaimRun) -> step.Step:
+    """Go on after `TryLater`."""
+    if run.stage == stages.Stage.WAITING:
+        reading = dataclasses.replace(run, stage=stages.Stage.READING)
+        return reading, [read_claim.ReadClaim()]
+    if run.stage == stages.Stage.SETTLING:
+        return run, [read_claim.ReadClaim()]
+    if run.stage in (stages.Stage.RECORDING, stages.Stage.RELEASING):
+        write = write_claim.WriteClaim(run.claim, run.held_revision)
+        return run, [write]
+    return run, []
+
+
+def pass_deadline(
+    run: claim_run.ClaimRun, code: str, timing: timings.Timing
+) -> step.Step:
+    """Answer a caller whose deadline is reached; nothing is sent later."""
+    if run.stage == stages.Stage.SENT:
+        return verdicts.answer(
+            run, verdict_kind.VerdictKind.OUTCOME_UNKNOWN, code
+        )
+    waiting = run.stage == stages.Stage.WAITING
+    run, actions = verdicts.refuse(run, code, timing)
+    if waiting:
+        run = dataclasses.replace(run, stage=stages.Stage.ENDED)
+    return run, actions
+
+
+def _record(run: claim_run.ClaimRun, payload: bytes) -> step.Step:
+    omitted = len(payload) > MAX_RECORDED_PAYLOAD_BYTES
+    done = dataclasses.replace(
+        run.claim,
+        phase=messages.ClaimPhase.DONE,
+        outcome=messages.ClaimOutcome.RAN,
+        payload=b'' if omitted else payload,
+        payload_omitted=omitted,
+    )
+    complete = dataclasses.replace(
+        done, payload=payload, payload_omitted=False
+    )
+    run, actions = verdicts.answer(
+        run, verdict_kind.VerdictKind.RAN, '', complete
+    )
+    recording = dataclasses.replace(
+        run, stage=stages.Stage.RECORDING, claim=done
+    )
+    write = write_claim.WriteClaim(done, run.held_revision)
+    return recording, [*actions, write]
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/mutation/settling.py
@@ -0,0 +1,69 @@
+"""Steps that undo a claim under which nothing was sent."""
+
+import dataclasses
+
+from gypsumbridge_decisions import messages
+from gypsumbridge_decisions.mutation import claim_run
+from gypsumbridge_decisions.mutation import stage as stages
+from gypsumbridge_decisions.mutation import step
+from gypsumbridge_decisions.mutation import timing as timings
+from gypsumbridge_decisions.mutation import try_later
+from gypsumbridge_decisions.mutation import verdicts
+from gypsumbridge_decisions.mutation import write_claim
+
+
+def give_up(
+    run: claim_run.ClaimRun, code: str, timing: timings.Timing
+) -> step.Step:
+    """Refuse the request, and see later whether a claim write applied."""
+    run, actions = verdicts.refuse(run, code, timing)
+    if not run.maybe_written:
+        return dataclasses.replace(run, stage=stages.Stage.ENDED), actions
+    settling = dataclasses.replace(run, stage=stages.Stage.SETTLING)
+    return settling, [*actions, try_later.TryLater()]
+
+
+def release(run: claim_run.ClaimRun, revision: int) -> step.Step:
+    """Write the released claim over what the key holds at a revision."""
+    released = dataclasses.replace(
+        run.claim, phase=messages.ClaimPhase.RELEASED
+    )
+    releasing = dataclasses.replace(
+        run,
+        stage=stages.Stage.RELEASING,
+        claim=released,
+        held_revision=revision,
+        maybe_written=True,
+    )
+    return releasing, [write_claim.WriteClaim(released, revision)]
+
+
+def receive_settled(
+    run: claim_run.ClaimRun,
+    status: messages.StoreStatus,
+    found: messages.ClaimItem | None,
+) -> step.Step:
+    """Release our claim, or make sure that its write cannot apply later.
+
+    While the key still has the revision that the lost write expects, that
+    write may arrive yet; a released claim in its place prevents it.
+    """
+    ended = dataclasses.replace(run, stage=stages.Stage.ENDED)
+    if not run.maybe_written:
+        return ended, []
+    if status == messages.StoreStatus.NOT_FOUND:
+        if run.expected_revision == 0:
+            return release(run, 0)
+        return ended, []
+    if status != messages.StoreStatus.OK or found is None:
+        settling = dataclasses.replace(run, stage=stages.Stage.SETTLING)
+        return settling, [try_later.TryLater()]
+    phase = found.claim.phase
+    if found.claim.nonce == run.claim.nonce:
+        if phase == messages.ClaimPhase.CLAIMED:
+            return release(run, found.revision)
+        return ended, []
+    if phase == messages.ClaimPhase.RELEASED:
+        if found.revision == run.expected_revision:
+            return release(run, found.revision)
+    return ended, []
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/mutation/state.py
@@ -0,0 +1,42 @@
+"""State of the mutation task."""
+
+from gypsumbridge_decisions import catalog
+from gypsumbridge_decisions import messages
+from gypsumbridge_decisions import routing
+from gypsumbridge_decisions.mutation import inquiry
+from gypsumbridge_decisions.mutation import limits as all_limits
+from gypsumbridge_decisions.mutation import running_mutation
+
+
+class MutationState:
+    """Everything that the mutation task owns.
+
+    `running` includes mutations that are answered but whose claim still
+    has to be recorded or released.
+    """
+
+    def __init__(self, node_id: str, limits: all_limits.Limits) -> None:
+        self.node_id = node_id
+        self.limits = limits
+        self.catalog = catalog.empty_catalog()
+        self.ownership = routing.OwnershipCache()
+        self.serving = messages.ServingChanged(
+            messages.MissingReason.CONFIGURATION_STALE
+        )
+        self.running: dict[str, running_mutation.RunningMutation] = {}
+        self.inquiries: dict[str, inquiry.Inquiry] = {}
+
+    def serving_refusal(self, now_ms: int) -> messages.MissingReason:
+        """Return why no new work is taken now, or NONE."""
+        if self.serving.refusal:
+            return self.serving.refusal
+        if now_ms >= self.serving.valid_until_ms:
+            return messages.MissingReason.CONFIGURATION_STALE
+        return messages.MissingReason.NONE
+
+
+def make_mutation_state(
+    node_id: str, limits: all_limits.Limits
+) -> MutationState:
+    """Return the state of a node that has no mutation yet."""
+    return MutationState(node_id, limits)
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/mutation/try_later.py
@@ -0,0 +1,8 @@
+"""A command of the claim protocol: come back after a delay."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class TryLater:
+    """Calls `resume` after a delay that grows with each time."""
--- a/packages/node/src/gypsumbridge_node/daemon.py
+++ b/packages/node/src/gypsumbridge_node/daemon.py
@@ -24,6 +24,7 @@
 from gypsumbridge_node.tasks import front
 from gypsumbridge_node.tasks import lifecycle
 from gypsumbridge_node.tasks import membership
+from gypsumbridge_node.tasks import mutation
 from gypsumbridge_node.tasks import owner
 from gypsumbridge_node.tasks import peer_link
 from gypsumbridge_node.tasks import store
@@ -39,6 +40,7 @@
     root = resource.Resource()
     owner.start_owner_task(runtime)
     front.start_front_task(runtime)
+    mutation.start_mutation_task(runtime)
     endpoint.start_endpoint_task(runtime)
     store.start_store_task(runtime)
     peer_link.start_peer_link_task(runtime, factory)
--- a/packages/node/src/gypsumbridge_node/settings/settings.py
+++ b/packages/node/src/gypsumbridge_node/settings/settings.py
@@ -5,6 +5,7 @@
 from gypsumbridge_node.settings import host_list_settings
 from gypsumbridge_node.settings import log_settings
 from gypsumbridge_node.settings import metrics_settings
+from gypsumbridge_node.settings import mutation_settings
 from gypsumbridge_node.settings import node_settings
 from gypsumbridge_node.settings import store_settings
 from gypsumbridge_node.settings import timing_settings
@@ -18,5 +19,6 @@
     store: store_settings.StoreSettings
     host_list: host_list_settings.HostListSettings
     timing: timing_settings.TimingSettings
+    mutation: mutation_settings.MutationSettings
     log: log_settings.LogSettings
     metrics: metrics_settings.MetricsSettings
--- a/packages/node/src/gypsumbridge_node/tasks/caller_http.py
+++ b/packages/node/src/gypsumbridge_node/tasks/caller_http.py
@@ -12,10 +12,11 @@
 from gypsumbridge_decisions import messages
 from gypsumbridge_node import function_resource
 from gypsumbridge_node import runtime as runtimes
+from gypsumbridge_node.tasks import http_rules
+from gypsumbridge_node.tasks import mutation_http
 from gypsumbridge_wire import caller
 
 RUN_ID_BYTES = 6
-JSON = b'application/json'
 
 
 def start_caller_http_task(
@@ -33,30 +34,43 @@
     def accept(request: Any) -> Any:
         query_id = next_id()
         try:
-            check_request(request)
+            http_rules.check_request(request, b'POST')
             query = caller.decode_query(request.content.read(), query_id)
         except errors.RequestError as error:
             runtime.metrics.count('caller.rejected')
             refusal = caller.make_refusal(error, query_id)
-            return respond(request, caller.encode_refusal(refusal))
+            return http_rules.respond(request, caller.encode_refusal(refusal))
         waiting[query_id] = request
         request.notifyFinish().addErrback(lambda _: forget(query_id))
         boxes.front.put(query)
         return server.NOT_DONE_YET
 
-    def handle(message: messages.Answer | messages.Refusal) -> None:
-        request = waiting.pop(message.query_id, None)
+    def reply(request_id: str, encoded: tuple[int, bytes]) -> None:
+        request = waiting.pop(request_id, None)
         if request is None:
             return
-        if isinstance(message, messages.Answer):
-            encoded = caller.encode_answer(message)
-        else:
-            encoded = caller.encode_refusal(message)
-        request.write(respond(request, encoded))
+        request.write(http_rules.respond(request, encoded))
         request.finish()
 
+    def handle(message: Any) -> None:
+        match message:
+            case messages.Answer():
+                reply(message.query_id, caller.encode_answer(message))
+            case messages.Refusal():
+                reply(message.query_id, caller.encode_refusal(message))
+            case messages.MutationAnswer():
+                encoded = caller.encode_mutation_answer(message)
+                reply(message.mutation_id, encoded)
+            case messages.ClaimReport():
+                encoded = caller.encode_claim_report(message)
+                reply(message.lookup_id, encoded)
+
     versions = resource.Resource()
     versions.putChild(b'query', function_resource.FunctionResource(accept))
+    mutations = mutation_http.make_handler(runtime, waiting, next_id)
+    versions.putChild(
+        b'mutations', function_resource.FunctionResource(mutations)
+    )
     root.putChild(b'v1', versions)
     boxes.caller_http.start(handle)
 
@@ -70,24 +84,3 @@
         return f'{node_id}-{run_id}-{next(numbers)}'
 
     return next_id
-
-
-def check_request(request: Any) -> None:
-    """Raise RequestError for a wrong method or a body over the limit."""
-    if request.method != b'POST':
-        raise errors.RequestError(
-            f'the method is {request.method.decode("latin-1")}', 'use POST'
-        )
-    if request.too_large:
-        raise errors.RequestError(
-            f'the body has more than {request.max_body_bytes} bytes',
-            'send a smaller body',
-        )
-
-
-def respond(request: Any, encoded: tuple[int, bytes]) -> bytes:
-    """Set status and headers and return the body."""
-    status, body = encoded
-    request.setResponseCode(status)
-    request.setHeader(b'Content-Type', JSON)
-    return body
--- a/packages/node/src/gypsumbridge_node/tasks/configuration.py
+++ b/packages/node/src/gypsumbridge_node/tasks/configuration.py
@@ -58,6 +58,7 @@
         changed = messages.CatalogChanged(made)
         boxes.front.put(changed)
         boxes.owner.put(changed)
+        boxes.mutation.put(changed)
         boxes.lifecycle.put(
             messages.ServingCondition(SOURCE, messages.MissingReason.NONE)
         )
--- a/packages/node/src/gypsumbridge_node/tasks/lifecycle.py
+++ b/packages/node/src/gypsumbridge_node/tasks/lifecycle.py
@@ -57,6 +57,7 @@
         changed = combine(state.conditions.values())
         boxes.front.put(changed)
         boxes.owner.put(changed)
+        boxes.mutation.put(changed)
         ready = not changed.refusal
         if ready != state.ready:
             state.ready = ready
--- a/packages/node/src/gypsumbridge_node/tasks/membership.py
+++ b/packages/node/src/gypsumbridge_node/tasks/membership.py
@@ -39,6 +39,7 @@
         changed = messages.MembersChanged(make_members(hosts))
         boxes.peer_link.put(changed)
         boxes.front.put(changed)
+        boxes.mutation.put(changed)
         boxes.configuration.put(changed)
 
     def handle(message: Any) -> None:
--- /dev/null
+++ b/packages/node/src/gypsumbridge_node/tasks/mutation.py
@@ -0,0 +1,57 @@
+"""The task that claims mutations and sends them once."""
+
+from typing import Any
+
+from gypsumbridge_decisions import errors
+from gypsumbridge_decisions import messages
+from gypsumbridge_decisions import mutation
+from gypsumbridge_node import execute as executors
+from gypsumbridge_node import runtime as runtimes
+from gypsumbridge_node import store_call
+from gypsumbridge_wire import store
+
+
+def start_mutation_task(runtime: runtimes.Runtime) -> None:
+    """Run the claim protocol on the task's mailbox."""
+    boxes = runtime.boxes
+    settings = runtime.settings.mutation
+    state = mutation.make_mutation_state(
+        runtime.settings.node.node_id,
+        mutation.Limits(settings.clock_skew_ms, settings.max_key_lifetime_ms),
+    )
+    deliver = boxes.caller_http.put
+
+    def call_store(call: messages.ClaimCall) -> None:
+        request = store.encode_claim_call(call)
+        boxes.store.put(store_call.StoreCall(request, boxes.mutation))
+
+    execute = executors.make_executor(
+        runtime,
+        boxes.mutation,
+        {
+            messages.ClaimCall: call_store,
+            messages.MutationAnswer: deliver,
+            messages.ClaimReport: deliver,
+            messages.Refusal: deliver,
+        },
+    )
+
+    def decode(reply: messages.StoreReply) -> messages.ClaimReply:
+        try:
+            return store.decode_claim_reply(reply)
+        except errors.FrameError as error:
+            runtime.logger.error('claim rejected', extra={'error': str(error)})
+            return messages.ClaimReply(
+                reply.token, messages.StoreStatus.REJECTED
+            )
+
+    def handle(message: Any) -> None:
+        if isinstance(message, messages.StoreReply):
+            message = decode(message)
+        clock = runtime.clock
+        execute(
+            mutation.handle(state, message, clock.now_ms(), clock.wall_ms())
+        )
+
+    boxes.mutation.start(handle)
+    boxes.mutation.put(mutation.SweepTimer())
--- a/packages/wire/src/gypsumbridge_wire/caller/encode.py
+++ b/packages/wire/src/gypsumbridge_wire/caller/encode.py
@@ -16,6 +16,12 @@
     'unknown_rank': 404,
     'too_large': 413,
     'conflict': 409,
+    'claim_in_use': 409,
+    'unknown_shard': 404,
+    'unknown_key': 404,
+    'key_expired': 410,
+    'key_expiry_too_late': HTTP_BAD_REQUEST,
+    'deadline': HTTP_GATEWAY_TIMEOUT,
     'insufficient_coverage': HTTP_GATEWAY_TIMEOUT,
 }
 
@@ -53,6 +59,8 @@
         'remedy': refusal.remedy,
         'missing': _encode_missing(refusal.missing),
     }
+    if refusal.idempotency_key:
+        body['idempotency_key'] = refusal.idempotency_key
     status = _STATUS_BY_CODE.get(refusal.code, HTTP_UNAVAILABLE)
     return status, msgspec.json.encode(body)
 
--- a/packages/wire/src/gypsumbridge_wire/store/__init__.py
+++ b/packages/wire/src/gypsumbridge_wire/store/__init__.py
@@ -1,5 +1,14 @@
 """Calls to the configuration store and the values kept there."""
 
+from gypsumbridge_wire.store.claim_value import (
+    decode_claim_reply as decode_claim_reply,
+)
+from gypsumbridge_wire.store.claim_value import (
+    encode_claim_call as encode_claim_call,
+)
+from gypsumbridge_wire.store.claim_value import (
+    encode_claim_key as encode_claim_key,
+)
 from gypsumbridge_wire.store.decode import decode_reply as decode_reply
 from gypsumbridge_wire.store.encode import encode_call as encode_call
 from gypsumbridge_wire.store.reply_body import ReplyBody as ReplyBody
--- a/tools/write_init.py
+++ b/tools/write_init.py
@@ -15,6 +15,8 @@
         'BUCKETS',
         'REMEMBER_MUTATION_MS',
         'MAX_REMEMBERED_MUTATIONS',
+        'MAX_RUNNING',
+        'MAX_RECORDED_PAYLOAD_BYTES',
     }
 )
 
