Check the mutation claim protocol with a model

Cause: interleavings of pauses, lost writes and kills are too many for examples.

The test in tests/standins runs without faults and with all mutants. Ruled out: unlimited faults (over 400,000 states) and increasing revision numbers (only their equality matters).

--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/models/__init__.py
@@ -0,0 +1,1 @@
+"""Models of the core protocols, built on the program's own steps."""
--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/models/claim_steps.py
@@ -0,0 +1,17 @@
+"""The step functions that the claim model runs."""
+
+from collections.abc import Callable
+import dataclasses
+from typing import Any
+
+from gypsumbridge_decisions import mutation
+
+
+@dataclasses.dataclass(frozen=True)
+class ClaimSteps:
+    """The program's own steps, or a mutant's."""
+
+    receive_store: Callable[..., Any] = mutation.receive_store
+    receive_result: Callable[..., Any] = mutation.receive_result
+    resume: Callable[..., Any] = mutation.resume
+    pass_deadline: Callable[..., Any] = mutation.pass_deadline
--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/models/mutation_claim.py
@@ -0,0 +1,155 @@
+"""Model check of the claim protocol of mutations.
+
+Two nodes and one key: repeats through the other node, lost and delayed
+writes, store outages, pauses past every timeout, kills before and after
+the first byte, operators and the removal of expired claims.
+"""
+
+from collections.abc import Callable
+import functools
+
+import minicheck
+
+from gypsumbridge_standins.models import claim_mutants
+from gypsumbridge_standins.models import claim_node
+from gypsumbridge_standins.models import claim_request
+from gypsumbridge_standins.models import claim_steps
+from gypsumbridge_standins.models import claim_store
+from gypsumbridge_standins.models import claim_world
+
+MAX_STATES = 400_000
+# Losses, outages, kills and the expiry count as faults; a pause does not.
+FAULTS = 1
+NOT_RUN = 'not_run'
+CONFLICT = 'conflict'
+
+
+def is_refused_and_run(world: claim_world.ClaimWorld, told: str) -> bool:
+    """Say whether a request that was told so has run."""
+    return any(r.told == told and r.executed for r in world.requests)
+
+
+RULES: dict[str, Callable[[claim_world.ClaimWorld], bool]] = {
+    'a key runs at most once': lambda w: w.executed() <= 1,
+    'not_run never runs': lambda w: not is_refused_and_run(w, NOT_RUN),
+    'a conflict never runs': lambda w: not is_refused_and_run(w, CONFLICT),
+    'nothing wrong is said or sent': lambda w: not w.wrong,
+}
+
+
+def make_protocol(
+    world: claim_world.ClaimWorld,
+    steps: claim_steps.ClaimSteps,
+    stop_early: bool,
+) -> minicheck.Protocol:
+    """Return the model that starts in a given state.
+
+    With `stop_early` no state is expanded after the first broken rule.
+    """
+    stopped = [False]
+
+    def moves(state: tuple[claim_world.ClaimWorld]) -> list:
+        (now,) = state
+        if stop_early and not all(holds(now) for holds in RULES.values()):
+            stopped[0] = True
+        if stopped[0]:
+            return []
+        found = [
+            (label, (after,))
+            for label, after in claim_store.operator_moves(now)
+        ]
+        for number in range(len(now.requests)):
+            for label, after in (
+                *claim_node.node_moves(now, number, steps),
+                *claim_store.store_moves(now, number),
+                *claim_store.owner_moves(now, number),
+            ):
+                found.append((f'request {number}: {label}', (after,)))
+        return found
+
+    return minicheck.Protocol(
+        name='mutation claim',
+        candidate=False,
+        fields=('world',),
+        initial=(world,),
+        transitions=moves,
+        invariants={
+            name: lambda d, holds=holds: holds(d['world'])
+            for name, holds in RULES.items()
+        },
+    )
+
+
+def make_scenarios(
+    faults: int = FAULTS,
+) -> dict[str, claim_world.ClaimWorld]:
+    """Return the initial states by what the caller does."""
+    request = functools.partial(claim_request.ClaimRequest, fingerprint='f')
+    again = request(nonce='b', first_attempt=False)
+    other = claim_request.ClaimRequest('b', 'g', False)
+    return {
+        'first attempt and repeat': claim_world.ClaimWorld(
+            (request(nonce='a', first_attempt=True), again), faults=faults
+        ),
+        'two at once': claim_world.ClaimWorld(
+            (request(nonce='a', first_attempt=False), again), faults=faults
+        ),
+        'another request with the key': claim_world.ClaimWorld(
+            (request(nonce='a', first_attempt=False), other), faults=faults
+        ),
+    }
+
+
+def check() -> bool:
+    """Print the result of every scenario and mutant; say if all is well."""
+    passed = True
+    scenarios = make_scenarios()
+    for name, world in scenarios.items():
+        result = run(world, claim_steps.ClaimSteps())
+        print(f'mutation claim, {name}: {result["reachable_states"]} states')
+        for invariant, found in result['properties'].items():
+            if found['holds']:
+                continue
+            passed = False
+            print(f'  fails: {invariant} ({found.get("reason", "")})')
+            print_trace(found)
+    for name, steps in claim_mutants.make_mutants().items():
+        rejected = reject(name, steps, scenarios)
+        passed = passed and rejected
+    return passed
+
+
+def reject(
+    name: str,
+    steps: claim_steps.ClaimSteps,
+    scenarios: dict[str, claim_world.ClaimWorld],
+) -> bool:
+    """Say whether a scenario rejects a mutant, and print the trace."""
+    for scenario, world in scenarios.items():
+        result = run(world, steps, stop_early=True)
+        for invariant, found in result['properties'].items():
+            if found['holds'] is False:
+                print(
+                    f'mutant "{name}" rejected by {scenario}: {invariant},'
+                    f' {result["reachable_states"]} states'
+                )
+                print_trace(found)
+                return True
+    print(f'mutant "{name}" passes')
+    return False
+
+
+def run(
+    world: claim_world.ClaimWorld,
+    steps: claim_steps.ClaimSteps,
+    stop_early: bool = False,
+) -> dict:
+    """Search all states that a model reaches."""
+    protocol = make_protocol(world, steps, stop_early)
+    return minicheck.check_safety(protocol, MAX_STATES)
+
+
+def print_trace(found: dict) -> None:
+    """Print the steps of a counterexample."""
+    for step in (found.get('counterexample') or [])[1:]:
+        print(f'    {step["label"]}')
--- /dev/null
+++ b/tests/standins/test_models.py
@@ -0,0 +1,32 @@
+"""Model checks with bounds that are small enough for every run."""
+
+import contextlib
+import io
+import unittest
+
+from gypsumbridge_standins.models import claim_mutants
+from gypsumbridge_standins.models import claim_steps
+from gypsumbridge_standins.models import mutation_claim
+
+
+class MutationClaimModelTest(unittest.TestCase):
+    def test_rules_hold_without_faults(self):
+        """Guards against a step that breaks a rule by interleaving alone.
+
+        `make check-model` adds the faults.
+        """
+        for name, world in mutation_claim.make_scenarios(0).items():
+            result = mutation_claim.run(world, claim_steps.ClaimSteps())
+            self.assertTrue(result['exhaustive'], name)
+            for rule, found in result['properties'].items():
+                self.assertTrue(found['holds'], (name, rule))
+
+    def test_every_mutant_is_rejected(self):
+        """Guards against a model that cannot see a broken protocol."""
+        scenarios = mutation_claim.make_scenarios()
+        for name, steps in claim_mutants.make_mutants().items():
+            printed = io.StringIO()
+            with contextlib.redirect_stdout(printed):
+                rejected = mutation_claim.reject(name, steps, scenarios)
+            self.assertTrue(rejected, name)
+            self.assertIn('start', printed.getvalue())
