--- a/packages/decisions/src/gypsumbridge_decisions/owner/state.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/state.py
@@ -16,7 +16,8 @@
     maps (sender, request id, attempt) to the calls that have no result
     yet. `leaving` maps endpoints to the sources, other than the catalog,
     that say they are leaving; `hosts_leaving` is what this node's own
-    copy of the host list says.
+    copy of the host list says. `mutations`
+    holds when each recent (sender, mutation id) arrived, oldest first.
     """
 
     def __init__(self, node_id: str) -> None:
@@ -38,6 +39,7 @@
         self.leaving: dict[str, set[str]] = {}
         self.hosts_leaving: set[str] = set()
         self.operator_news: dict[str, operator_news.OperatorNews] = {}
+        self.mutations: dict[tuple[str, str], int] = {}
         self.next_call_id = 1
 
     def serving_refusal(self, now_ms: int) -> messages.MissingReason:
--- a/packages/node/src/gypsumbridge_node/settings/checks.py
+++ b/packages/node/src/gypsumbridge_node/settings/checks.py
@@ -97,6 +97,8 @@
     ('timing', 'stop_bound_ms'): in_range(1, 3_600_000),
     ('limits', 'max_body_bytes'): in_range(1_024, 67_108_864),
     ('limits', 'max_deadline_ms'): in_range(1, 3_600_000),
+    ('mutation', 'clock_skew_ms'): in_range(0, 3_600_000),
+    ('mutation', 'max_key_lifetime_ms'): in_range(1_000, 366 * 86_400_000),
     ('log', 'level'): one_of(LEVELS),
     ('log', 'decision_lines_per_second'): in_range(0, 1_000_000),
     ('metrics', 'statsd_address'): check_optional_address,
--- a/packages/node/src/gypsumbridge_node/tasks/caller_http.py
+++ b/packages/node/src/gypsumbridge_node/tasks/caller_http.py
@@ -16,6 +16,7 @@
 from gypsumbridge_node import path_resource
 from gypsumbridge_node import runtime as runtimes
 from gypsumbridge_node import task_status
+from gypsumbridge_node.tasks import mutation_http
 from gypsumbridge_wire import caller
 
 RUN_ID_BYTES = 6
@@ -67,19 +68,32 @@
             return
         deliver(message)
 
-    def deliver(message: messages.Answer | messages.Refusal) -> None:
-        request = waiting.pop(message.query_id, None)
+    def reply(request_id: str, encoded: tuple[int, bytes]) -> None:
+        request = waiting.pop(request_id, None)
         if request is None:
             return
-        if isinstance(message, messages.Answer):
-            encoded = caller.encode_answer(message)
-        else:
-            encoded = caller.encode_refusal(message)
         request.write(finish(request, encoded))
         request.finish()
 
+    def deliver(message: Any) -> None:
+        match message:
+            case messages.Answer():
+                reply(message.query_id, caller.encode_answer(message))
+            case messages.Refusal():
+                reply(message.query_id, caller.encode_refusal(message))
+            case messages.MutationAnswer():
+                encoded = caller.encode_mutation_answer(message)
+                reply(message.mutation_id, encoded)
+            case messages.ClaimReport():
+                encoded = caller.encode_claim_report(message)
+                reply(message.lookup_id, encoded)
+
     versions = path_resource.PathResource()
     versions.putChild(b'query', function_resource.FunctionResource(accept))
+    mutations = mutation_http.make_handler(runtime, waiting, next_id)
+    versions.putChild(
+        b'mutations', function_resource.FunctionResource(mutations)
+    )
     root.putChild(b'v1', versions)
     boxes.caller_http.start(
         task_status.with_status(
--- a/packages/node/src/gypsumbridge_node/tasks/configuration.py
+++ b/packages/node/src/gypsumbridge_node/tasks/configuration.py
@@ -59,6 +59,7 @@
         boxes.front.put(changed)
         boxes.owner.put(changed)
         boxes.operator_http.put(changed)
+        boxes.mutation.put(changed)
         boxes.lifecycle.put(
             messages.ServingCondition(SOURCE, messages.MissingReason.NONE)
         )
--- a/packages/node/src/gypsumbridge_node/tasks/lifecycle.py
+++ b/packages/node/src/gypsumbridge_node/tasks/lifecycle.py
@@ -64,9 +64,15 @@
         boxes.front.put(changed)
         boxes.owner.put(changed)
         boxes.operator_http.put(changed)
+        boxes.mutation.put(changed)
 
     def ask(query: messages.InFlightQuery) -> None:
-        for box in (boxes.caller_http, boxes.front, boxes.owner):
+        for box in (
+            boxes.caller_http,
+            boxes.front,
+            boxes.owner,
+            boxes.mutation,
+        ):
             box.put(query)
 
     def close_port(command: lifecycle.ClosePort) -> None:
--- a/packages/node/src/gypsumbridge_node/tasks/membership.py
+++ b/packages/node/src/gypsumbridge_node/tasks/membership.py
@@ -27,6 +27,7 @@
             boxes.peer_link,
             boxes.front,
             boxes.owner,
+            boxes.mutation,
             boxes.configuration,
             boxes.operator_http,
         ):
--- a/tests/decisions/test_lifecycle.py
+++ b/tests/decisions/test_lifecycle.py
@@ -57,15 +57,19 @@
     def test_the_node_leaves_only_when_every_task_is_idle(self):
         """Guards against an exit on the word of the first idle task."""
         self.drain()
-        self.assertEqual(set(), self.report(front=0, owner=0))
+        self.assertEqual(
+            set(), self.report(front=0, owner=0, mutation=0)
+        )
         busy = self.report(caller_http=1)
         self.assertEqual({messages.Timer}, busy)
         self.assertIn(
             messages.InFlightQuery, self.kinds(lifecycle.PollTimer())
         )
         # Answers to the last question do not count for this one.
-        self.assertEqual(set(), self.report(caller_http=0, front=0))
-        self.assertIn(messages.LeaveFleet, self.report(owner=0))
+        self.assertEqual(
+            set(), self.report(caller_http=0, front=0, owner=0)
+        )
+        self.assertIn(messages.LeaveFleet, self.report(mutation=0))
         self.assertEqual(
             [lifecycle.ExitNode('drained', True)],
             self.exits(lifecycle.FlushTimer()),
@@ -74,7 +78,7 @@
     def test_the_bound_ends_a_stop_with_work_in_flight(self):
         """Guards against a stop that waits for ever for one request."""
         self.drain()
-        self.report(caller_http=0, front=1, owner=0)
+        self.report(caller_http=0, front=1, owner=0, mutation=0)
         self.assertEqual(
             [lifecycle.ExitNode('stop_bound', False)],
             self.exits(lifecycle.BoundTimer()),
--- a/tools/write_init.py
+++ b/tools/write_init.py
@@ -11,9 +11,14 @@
 MAX_LINE = 79
 PUBLIC_CONSTANTS = frozenset(
     {
+        'BUCKETS',
         'CONFIG_PREFIX',
         'MAX_MESSAGE_UPDATES',
+        'MAX_RECORDED_PAYLOAD_BYTES',
+        'MAX_REMEMBERED_MUTATIONS',
+        'MAX_RUNNING',
         'NO_EXPIRY_MS',
+        'REMEMBER_MUTATION_MS',
         'RESOURCES_PATH',
     }
 )
