Exit with 1 when gypsumctl is interrupted, and print every failure

Ctrl-C during apply ended with status 0, which a script takes for success; only a watch ends that way. Of several failed writes only the first was printed.

No test covers it.

--- a/packages/ctl/src/gypsumbridge_ctl/commands/apply.py
+++ b/packages/ctl/src/gypsumbridge_ctl/commands/apply.py
@@ -2,6 +2,7 @@
 
 from concurrent import futures
 import pathlib
+import sys
 from typing import Any
 
 from gypsumbridge_ctl import change
@@ -94,6 +95,8 @@
                 written.append(item)
                 text = f'{item["state"]}: {output.describe(item)}'
                 output.show(json, item, text)
+        for failure in failures[1:]:
+            print(f'gypsumctl: {failure}', file=sys.stderr)
         if failures:
             raise failures[0]
     return written
--- a/packages/ctl/src/gypsumbridge_ctl/commands/read.py
+++ b/packages/ctl/src/gypsumbridge_ctl/commands/read.py
@@ -65,13 +65,17 @@
     """
     call = client.make_call(server)
     done = 0
-    while not polls or done < polls:
-        path = f'/v1/resources?watch_from={after}'
-        body = replies.check(call('GET', path, None, {}))
-        for item in body['items']:
-            output.show(json, item, output.describe(item))
-        after = body['revision']
-        done += 1
+    try:
+        while not polls or done < polls:
+            path = f'/v1/resources?watch_from={after}'
+            body = replies.check(call('GET', path, None, {}))
+            for item in body['items']:
+                output.show(json, item, output.describe(item))
+            after = body['revision']
+            done += 1
+    except KeyboardInterrupt:
+        # This is how a watch ends.
+        pass
     return exit_code.ExitCode.DONE
 
 
--- a/packages/ctl/src/gypsumbridge_ctl/main.py
+++ b/packages/ctl/src/gypsumbridge_ctl/main.py
@@ -5,6 +5,7 @@
 import defopt
 
 from gypsumbridge_ctl import ctl_error
+from gypsumbridge_ctl import exit_code
 from gypsumbridge_ctl.commands import apply
 from gypsumbridge_ctl.commands import mutations
 from gypsumbridge_ctl.commands import read
@@ -32,5 +33,6 @@
         print(f'gypsumctl: {error}', file=sys.stderr)
         status = error.code
     except KeyboardInterrupt:
-        status = 0
+        print('gypsumctl: interrupted before the end', file=sys.stderr)
+        status = exit_code.ExitCode.FAILED
     sys.exit(int(status))
