Add leases to the store stand-in

Cause: the platform's store has leases and its stand-in had none.

Change: create a lease with a time to live, keep it alive, bind a key to it; a lapsed lease deletes its keys and wakes watchers. The calls count as writes.

--- a/packages/standins/src/gypsumbridge_standins/store/server.py
+++ b/packages/standins/src/gypsumbridge_standins/store/server.py
@@ -7,6 +7,7 @@
 from twisted.web import server
 
 from gypsumbridge_standins import serve
+from gypsumbridge_standins.store import leases
 from gypsumbridge_standins.store import operations
 from gypsumbridge_standins.store import store_state
 
@@ -30,7 +31,7 @@
         path = request.path.decode()
         if path == '/control':
             return control(state, request)
-        kind = 'write' if request.method in (b'PUT', b'DELETE') else 'read'
+        kind = 'read' if request.method == b'GET' else 'write'
         state.calls[kind] = state.calls.get(kind, 0) + 1
         if state.outage:
             return serve.reply_json(request, 503, {})
@@ -38,7 +39,10 @@
             return serve.reply_json(request, 429, {})
         if path == '/v1/watch':
             return watch(reactor, state, request)
-        status, body = run(state, request, path)
+        if path.startswith(leases.LEASES):
+            status, body = run_lease(reactor, state, request, path)
+        else:
+            status, body = run(state, request, path)
         if kind == 'write' and status == 200:
             wake_watchers(state)
             if state.lose_replies > 0:
@@ -68,7 +72,21 @@
     value = None
     if request.method == b'PUT':
         value = request.content.read().decode()
-    return operations.write(state, key, value, expected)
+    lease = int(serve.argument(request, 'lease', '0'))
+    return leases.write_bound(state, key, value, expected, lease)
+
+
+def run_lease(
+    reactor: Any, state: store_state.StoreState, request: Any, path: str
+) -> operations.Reply:
+    """Create a lease (`POST /v1/leases?ttl_ms=`) or keep one alive
+    (`POST /v1/leases/<lease>`).
+    """
+    name = path.removeprefix(leases.LEASES).strip('/')
+    if name:
+        return leases.keep_alive(state, int(name))
+    ttl_ms = int(serve.argument(request, 'ttl_ms', '0'))
+    return leases.grant(reactor, state, ttl_ms, lambda: wake_watchers(state))
 
 
 def watch(reactor: Any, state: store_state.StoreState, request: Any) -> Any:
--- a/packages/standins/src/gypsumbridge_standins/store/store_state.py
+++ b/packages/standins/src/gypsumbridge_standins/store/store_state.py
@@ -13,7 +13,8 @@
 
     `slow_ms` delays every reply, `outage` refuses every call, and
     `lose_replies` is the number of writes still to be applied without a
-    reply. `calls` counts calls by operation.
+    reply. `calls` counts calls by operation. `leases` maps a lease to its
+    timer and time to live, `lease_keys` to the keys bound to it.
     """
 
     def __init__(self, reads_per_second: int, writes_per_second: int) -> None:
@@ -24,6 +25,9 @@
         )
         self.compacted = 0
         self.watchers: list[Any] = []
+        self.leases: dict[int, tuple[Any, int]] = {}
+        self.lease_keys: dict[int, set[str]] = {}
+        self.last_lease = 0
         self.outage = False
         self.slow_ms = 0
         self.lose_replies = 0
