--- a/packages/standins/src/gypsumbridge_standins/cluster/start.py
+++ b/packages/standins/src/gypsumbridge_standins/cluster/start.py
@@ -33,6 +33,9 @@
 [log]
 # Enough that tests find every decision they look for.
 decision_lines_per_second = 5000
+
+[mutation]
+clock_skew_ms = 200
 """
 
 
