Add a policy bench on the in-memory replay

The replay's endpoints now count the slot time that was really spent, report it in each payload, and keep each node's peak of requests, which bounds the connections.

Before this commit there was no figure of the decisions under load.

--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/policy_bench/__main__.py
@@ -0,0 +1,59 @@
+"""Command line of the policy bench."""
+
+from concurrent import futures
+import pathlib
+import sys
+
+import defopt
+
+from gypsumbridge_standins.policy_bench import cases
+from gypsumbridge_standins.policy_bench import metrics
+from gypsumbridge_standins.policy_bench import rank_table
+from gypsumbridge_standins.policy_bench import report
+from gypsumbridge_standins.policy_bench import run
+from gypsumbridge_standins.policy_bench import systems
+
+QUIET = 'quiet'
+
+
+def main(
+    *, out: str = '', seeds: int = 3, case: str = '', jobs: int = 4
+) -> None:
+    """Run the cases and print their tables.
+
+    :param out: directory for the tables
+    :param seeds: runs of each system with seeds from 1 on
+    :param case: run only this case, with the quiet one to compare with
+    :param jobs: processes to run at once
+    """
+    chosen = [c for c in cases.make_cases() if case in ('', c.name)]
+    if not chosen:
+        names = ', '.join(c.name for c in cases.make_cases())
+        raise SystemExit(f'unknown case {case!r}; use one of {names}')
+    if chosen[0].name != QUIET:
+        chosen.insert(0, cases.make_cases()[0])
+    work = [
+        (one, deployment, policy, seed)
+        for one in chosen
+        for deployment in run.DEPLOYMENTS
+        for policy in systems.policy_names()
+        for seed in range(1, seeds + 1)
+    ]
+    with futures.ProcessPoolExecutor(jobs) as pool:
+        running = [pool.submit(run.run, *item) for item in work]
+        results = report.index(done.result() for done in running)
+    shown = [
+        m for m in metrics.make_metrics() if m.case in {c.name for c in chosen}
+    ]
+    table = report.make_table(results, shown, seeds)
+    sys.stdout.write(table)
+    if out:
+        folder = pathlib.Path(out)
+        folder.mkdir(parents=True, exist_ok=True)
+        (folder / 'policy.md').write_text(table, 'utf-8')
+        ranks = rank_table.make_rank_table(results)
+        (folder / 'policy_ranks.md').write_text(ranks, 'utf-8')
+
+
+if __name__ == '__main__':
+    defopt.run(main)
--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/policy_bench/baseline/__init__.py
@@ -0,0 +1,1 @@
+"""Small client-side policies that the product is compared with."""
--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/policy_bench/baseline/choosing.py
@@ -0,0 +1,39 @@
+"""Replica choice of the baselines."""
+
+from gypsumbridge_decisions import resources
+from gypsumbridge_standins.policy_bench.baseline import client_fleet
+
+REPORT_EVERY_MS = 100
+REPORT_LAG_MS = 1_000
+
+
+def choose(
+    fleet: client_fleet.ClientFleet,
+    key: tuple[str, str],
+    tried: list[str],
+) -> resources.Endpoint | None:
+    """Return a replica that was not tried, or None."""
+    left = [e for e in fleet.catalog.replica_sets[key] if e.name not in tried]
+    if not left:
+        return None
+    first = fleet.random.choice(left)
+    if not fleet.policy.two_choices:
+        return first
+    second = fleet.random.choice(left)
+    if not fleet.reports:
+        return first
+    report = fleet.reports[0]
+    if report[second.name] < report[first.name]:
+        return second
+    return first
+
+
+def report_loads(fleet: client_fleet.ClientFleet) -> None:
+    """Record the endpoints' load; the oldest record is the one in use."""
+    replay = fleet.replay
+    fleet.reports.append(
+        {name: e.outstanding() for name, e in replay.endpoints.items()}
+    )
+    if len(fleet.reports) > REPORT_LAG_MS // REPORT_EVERY_MS + 1:
+        fleet.reports.pop(0)
+    replay.scheduler.after(REPORT_EVERY_MS, lambda: report_loads(fleet))
--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/policy_bench/baseline/client_run.py
@@ -0,0 +1,171 @@
+"""Runs queries through a baseline fleet."""
+
+import collections
+
+from gypsumbridge_decisions import messages
+from gypsumbridge_decisions import resources
+from gypsumbridge_standins.policy_bench.baseline import choosing
+from gypsumbridge_standins.policy_bench.baseline import client_end
+from gypsumbridge_standins.policy_bench.baseline import client_fleet
+from gypsumbridge_standins.policy_bench.baseline import client_node
+from gypsumbridge_standins.policy_bench.baseline import client_query
+from gypsumbridge_standins.replay import endpoint_run
+
+RETRY_SHARE = 0.05
+MAX_TOKENS = 10.0
+
+
+def arrive(
+    fleet: client_fleet.ClientFleet, node_id: str, query: messages.Query
+) -> None:
+    """Queue every shard of a query, or refuse what would wait too long."""
+    node = fleet.nodes[node_id]
+    service = fleet.catalog.services[query.service]
+    urgency = fleet.catalog.ranks[query.rank].urgency
+    now_ms = fleet.replay.scheduler.now_ms()
+    running = client_query.ClientQuery(
+        query, service, urgency if fleet.policy.ranked else 0, now_ms
+    )
+    scheduler = fleet.replay.scheduler
+    scheduler.after(
+        query.deadline_ms, lambda: client_end.time_out(fleet, node, running)
+    )
+    if service.last_shards == resources.LastShards.EARLY:
+        scheduler.after(
+            service.early_after_ms,
+            lambda: client_end.give_up_early(fleet, node, running),
+        )
+    for shard in sorted(running.pending):
+        if not running.done:
+            ask(fleet, node, running, shard)
+
+
+def ask(
+    fleet: client_fleet.ClientFleet,
+    node: client_node.ClientNode,
+    running: client_query.ClientQuery,
+    shard: str,
+) -> None:
+    """Queue a shard at a replica that was not tried yet."""
+    key = (running.service.name, running.version.shards[shard])
+    tried = running.tried.setdefault(shard, [])
+    endpoint = choosing.choose(fleet, key, tried)
+    reasons = messages.MissingReason
+    if endpoint is None:
+        client_end.miss(fleet, node, running, shard, reasons.ENDPOINT_FAILED)
+        return
+    queues = node.queues.setdefault(endpoint.name, {})
+    service_ms = fleet.replay.endpoints[endpoint.name].service_ms
+    ahead = sum(len(q) for u, q in queues.items() if u <= running.urgency)
+    left_ms = running.deadline_at_ms - fleet.replay.scheduler.now_ms()
+    if (ahead + 1) * service_ms / share(fleet, endpoint) > left_ms:
+        client_end.miss(fleet, node, running, shard, reasons.OVERLOAD)
+        return
+    queue = queues.setdefault(running.urgency, collections.deque())
+    queue.append((running, shard))
+    fill(fleet, node, endpoint)
+
+
+def share(
+    fleet: client_fleet.ClientFleet, endpoint: resources.Endpoint
+) -> int:
+    """Return the slots of an endpoint that one node may use, at least 1."""
+    return max(endpoint.slots // len(fleet.nodes), 1)
+
+
+def fill(
+    fleet: client_fleet.ClientFleet,
+    node: client_node.ClientNode,
+    endpoint: resources.Endpoint,
+) -> None:
+    """Send queued calls while the node's share of the slots allows."""
+    queues = node.queues.get(endpoint.name, {})
+    for urgency in sorted(queues):
+        queue = queues[urgency]
+        while queue:
+            if node.outstanding.get(endpoint.name, 0) >= share(
+                fleet, endpoint
+            ):
+                return
+            running, shard = queue.popleft()
+            if running.done or shard not in running.pending:
+                continue
+            _send(fleet, node, endpoint, running, shard)
+
+
+def _send(
+    fleet: client_fleet.ClientFleet,
+    node: client_node.ClientNode,
+    endpoint: resources.Endpoint,
+    running: client_query.ClientQuery,
+    shard: str,
+) -> None:
+    call_id = node.next_call_id
+    node.next_call_id += 1
+    node.running[call_id] = (running, shard)
+    node.outstanding[endpoint.name] = (
+        node.outstanding.get(endpoint.name, 0) + 1
+    )
+    if not running.tried[shard]:
+        node.tokens = min(node.tokens + RETRY_SHARE, MAX_TOKENS)
+    running.tried[shard].append(endpoint.name)
+    running.running[call_id] = endpoint.name
+    running.attempts += 1
+    now_ms = fleet.replay.scheduler.now_ms()
+    request = messages.EndpointRequest(
+        call_id=call_id,
+        endpoint=endpoint.name,
+        address=endpoint.address,
+        port=endpoint.port,
+        connections=1,
+        shard=shard,
+        version=running.version.name,
+        remaining_ms=max(running.deadline_at_ms - now_ms, 1),
+        body=running.query.body,
+    )
+    received = not fleet.replay.endpoints[endpoint.name].down
+    fleet.tally.sent(running.query.query_id, shard, received)
+    endpoint_run.request(
+        fleet.replay, node.node_id, request, reply_to(fleet, node, endpoint)
+    )
+
+
+def reply_to(
+    fleet: client_fleet.ClientFleet,
+    node: client_node.ClientNode,
+    endpoint: resources.Endpoint,
+) -> endpoint_run.ReplyTo:
+    """Return a function that takes an endpoint's reply to a node."""
+
+    def reply(delay_ms: int, message: messages.EndpointReply) -> None:
+        fleet.replay.scheduler.after(
+            delay_ms, lambda: _receive(fleet, node, endpoint, message)
+        )
+
+    return reply
+
+
+def _receive(
+    fleet: client_fleet.ClientFleet,
+    node: client_node.ClientNode,
+    endpoint: resources.Endpoint,
+    message: messages.EndpointReply,
+) -> None:
+    if not fleet.replay.nodes[node.node_id].alive:
+        return
+    found = node.running.pop(message.call_id, None)
+    if found is None:
+        return
+    node.outstanding[endpoint.name] -= 1
+    running, shard = found
+    running.running.pop(message.call_id, None)
+    if not running.done and shard in running.pending:
+        if message.status == messages.EndpointStatus.OK:
+            client_end.cover(fleet, node, running, message)
+        elif node.tokens >= 1.0:
+            node.tokens -= 1.0
+            ask(fleet, node, running, shard)
+        else:
+            reason = messages.MissingReason.ENDPOINT_FAILED
+            client_end.miss(fleet, node, running, shard, reason)
+    fill(fleet, node, endpoint)
--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/policy_bench/load.py
@@ -0,0 +1,131 @@
+"""Open-loop load on a fleet."""
+
+from collections.abc import Callable
+import random
+
+from gypsumbridge_decisions import messages
+from gypsumbridge_decisions import resources
+from gypsumbridge_standins.deployment import deployment as deployments
+from gypsumbridge_standins.policy_bench import case
+from gypsumbridge_standins.policy_bench import issued_query
+from gypsumbridge_standins.policy_bench import tally as tallies
+from gypsumbridge_standins.replay import replay as replays
+
+Submit = Callable[[str, messages.Query], None]
+# A caller waits for twice what it expects.
+DEADLINE_PER_TARGET = 2
+CALLERS = 8
+# The callers that send what a flood adds to the usual load.
+FLOODING_CALLERS = 2
+
+
+def start(
+    replay: replays.Replay,
+    deployment: deployments.Deployment,
+    chosen: case.Case,
+    tally: tallies.Tally,
+    submit: Submit,
+    seed: int,
+) -> None:
+    """Schedule the arrivals of every service and rank.
+
+    Arrivals are a Poisson process and wait for nothing; a query goes to a
+    random live node, as the platform's load balancer sends it.
+    """
+    choice = random.Random(f'load {seed}')
+    ranks = [s for s in deployment.specs if isinstance(s, resources.Rank)]
+    for spec in deployment.specs:
+        if not isinstance(spec, resources.Service):
+            continue
+        full = capacity_qps(deployment, spec)
+        for rank in ranks:
+            usual = dict(chosen.before)[rank.name] * full
+            changed = dict(chosen.load)[rank.name] * full
+            _run_stream(replay, spec, rank, usual, choice, tally, submit, 0)
+            if changed > usual:
+                _run_stream(
+                    replay,
+                    spec,
+                    rank,
+                    changed - usual,
+                    choice,
+                    tally,
+                    submit,
+                    case.START_MS,
+                )
+
+
+def capacity_qps(
+    deployment: deployments.Deployment, service: resources.Service
+) -> float:
+    """Return the queries per second that take all slots of a service."""
+    version = service.versions[0]
+    calls: dict[str, int] = {}
+    for replica_set in version.shards.values():
+        calls[replica_set] = calls.get(replica_set, 0) + 1
+    speeds = {s.name: s.slots / s.service_ms for s in deployment.searchers}
+    rates: dict[str, float] = {}
+    for spec in deployment.specs:
+        if not isinstance(spec, resources.Endpoint):
+            continue
+        if spec.service == service.name:
+            rate = rates.get(spec.replica_set, 0.0)
+            rates[spec.replica_set] = rate + speeds[spec.name]
+    return min(1_000 * rates[name] / calls[name] for name in calls)
+
+
+def window(due_ms: int) -> str:
+    """Return the window that a query counts in."""
+    if due_ms < case.START_MS:
+        return 'before'
+    if due_ms < case.START_MS + case.MEMBERSHIP_MS:
+        return 'onset'
+    return 'steady'
+
+
+def _run_stream(
+    replay: replays.Replay,
+    service: resources.Service,
+    rank: resources.Rank,
+    qps: float,
+    choice: random.Random,
+    tally: tallies.Tally,
+    submit: Submit,
+    start_ms: int,
+) -> None:
+    """Issue one Poisson stream; one that starts later is a flood."""
+    flooding = start_ms > 0
+    callers = FLOODING_CALLERS if flooding else CALLERS
+    due = float(start_ms)
+    number = 0
+    while True:
+        due += choice.expovariate(qps) * 1_000
+        if due >= case.END_MS:
+            return
+        number += 1
+        name = f'{service.name}/{rank.name}/{start_ms}/{number}'
+        caller = f'caller-{choice.randrange(callers)}'
+        if flooding:
+            caller = f'flood-{caller}'
+        query = messages.Query(
+            name,
+            name,
+            service.name,
+            rank.name,
+            caller,
+            rank.target_ms * DEADLINE_PER_TARGET,
+            b'{}',
+        )
+        issued = issued_query.IssuedQuery(
+            query, int(due), window(int(due)), flooding
+        )
+        pick = choice.random()
+
+        def arrive(
+            i: issued_query.IssuedQuery = issued, p: float = pick
+        ) -> None:
+            live = [n for n, node in replay.nodes.items() if node.alive]
+            tally.issue(i)
+            submit(live[int(p * len(live))], i.query)
+
+        replay.scheduler.after(int(due) - replay.scheduler.now_ms(), arrive)
--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/policy_bench/run.py
@@ -0,0 +1,96 @@
+"""Runs one system on one case."""
+
+from gypsumbridge_decisions import resources
+from gypsumbridge_standins.deployment import build
+from gypsumbridge_standins.deployment import deployment as deployments
+from gypsumbridge_standins.policy_bench import case
+from gypsumbridge_standins.policy_bench import load
+from gypsumbridge_standins.policy_bench import reference
+from gypsumbridge_standins.policy_bench import run_result
+from gypsumbridge_standins.policy_bench import systems
+from gypsumbridge_standins.policy_bench import tally as tallies
+from gypsumbridge_standins.replay import fleet
+from gypsumbridge_standins.replay import replay as replays
+
+NODES = 9
+DOMAINS = ('fd-a', 'fd-b', 'fd-c')
+SERVICE_MS = 20.0
+STEADY_MS = case.START_MS + case.MEMBERSHIP_MS
+DEPLOYMENTS = {'Almaty': build.ALMATY_GROUPS, 'Addis': build.ADDIS_GROUPS}
+
+
+def run(
+    chosen: case.Case, deployment_name: str, policy: str, seed: int
+) -> run_result.RunResult:
+    """Return what a system gave on a case with one seed."""
+    deployment = build.build(
+        DEPLOYMENTS[deployment_name], range(20_000, 21_000), SERVICE_MS
+    )
+    replay = fleet.make_fleet(deployment, NODES, DOMAINS, seed)
+    ranks = {
+        s.name: s for s in deployment.specs if isinstance(s, resources.Rank)
+    }
+    tally = tallies.Tally(ranks)
+    submit = systems.start(policy, replay, tally, seed)
+    load.start(replay, deployment, chosen, tally, submit, seed)
+    scheduler = replay.scheduler
+    scheduler.after(case.START_MS, lambda: chosen.fault(replay))
+    scheduler.run_until(case.START_MS)
+    busy_start = busy_ms(replay)
+    scheduler.run_until(STEADY_MS)
+    busy_steady = busy_ms(replay)
+    scheduler.run_until(case.END_MS)
+    worked_ms = busy_ms(replay) - busy_steady
+    scheduler.run_until(case.END_MS + case.DRAIN_MS)
+    spent_ms = busy_ms(replay) - busy_start
+    cells = tally.cells()
+    useful_ms = sum(
+        cells[('all', '*', rank)].useful_ms
+        for rank in ranks
+        if ('all', '*', rank) in cells
+    )
+    slots = sum(e.slots for e in replay.endpoints.values() if not e.down)
+    steady_ms = slots * (case.END_MS - STEADY_MS)
+    return run_result.RunResult(
+        case=chosen.name,
+        deployment=deployment_name,
+        policy=policy,
+        seed=seed,
+        cells=cells,
+        extra={
+            window: tally.attempts[window] / tally.needed[window] - 1
+            for window in tally.needed
+        },
+        worked=worked_ms / steady_ms,
+        useful=useful_ms / max(spent_ms, 1),
+        served={
+            rank: cells[('steady', '*', rank)].useful_ms / steady_ms
+            for rank in ranks
+        },
+        false_not_run=len(tally.asked & tally.refused),
+        connection_share=_connection_share(replay, deployment),
+        reference_ms={
+            s.name: reference.slowest_of_ms(len(s.versions[0].shards))
+            for s in deployment.specs
+            if isinstance(s, resources.Service)
+        },
+    )
+
+
+def busy_ms(replay: replays.Replay) -> int:
+    """Return the slot time that all endpoints have spent."""
+    return sum(endpoint.busy_ms for endpoint in replay.endpoints.values())
+
+
+def _connection_share(
+    replay: replays.Replay, deployment: deployments.Deployment
+) -> float:
+    limits = {
+        s.name: s.connections
+        for s in deployment.specs
+        if isinstance(s, resources.Endpoint)
+    }
+    return max(
+        sum(endpoint.peak_by_node.values()) / limits[name]
+        for name, endpoint in replay.endpoints.items()
+    )
--- a/packages/standins/src/gypsumbridge_standins/replay/endpoint_run.py
+++ b/packages/standins/src/gypsumbridge_standins/replay/endpoint_run.py
@@ -44,6 +44,7 @@
     endpoint.peak_outstanding = max(
         endpoint.peak_outstanding, endpoint.outstanding()
     )
+    record_peak(endpoint, node_id)
     fill_slots(replay, endpoint, {job: reply})
 
     def time_out() -> None:
@@ -53,6 +54,18 @@
     replay.scheduler.after(sent.remaining_ms, time_out)
 
 
+def record_peak(endpoint: model_endpoint.ModelEndpoint, node_id: str) -> None:
+    """Keep the most requests that a node ever had here at once.
+
+    A node keeps its connections open, so their sum over the nodes bounds
+    the connections that the endpoint ever had.
+    """
+    held = sum(node == node_id for node, _ in endpoint.running)
+    held += sum(job.node_id == node_id for job in endpoint.waiting)
+    peak = endpoint.peak_by_node.get(node_id, 0)
+    endpoint.peak_by_node[node_id] = max(peak, held)
+
+
 def fill_slots(
     replay: replays.Replay,
     endpoint: model_endpoint.ModelEndpoint,
@@ -78,14 +91,18 @@
         endpoint.executed[once] = endpoint.executed.get(once, 0) + 1
     delay_ms = endpoint.search_time_ms()
     endpoint.busy_ms += delay_ms
+    endpoint.ends_ms[key] = replay.scheduler.now_ms() + delay_ms
 
     def finish() -> None:
         if endpoint.running.get(key) is not job or endpoint.down:
             return
         del endpoint.running[key]
+        del endpoint.ends_ms[key]
         endpoint.completed += 1
         reply = endpoint.replies.pop(job)
-        done = make_reply(job.request, messages.EndpointStatus.OK, True)
+        done = make_reply(
+            job.request, messages.EndpointStatus.OK, True, delay_ms
+        )
         reply(NETWORK_MS, done)
         fill_slots(replay, endpoint, {})
 
@@ -119,6 +136,9 @@
     key = (job.node_id, job.request.call_id)
     if endpoint.running.get(key) is job:
         del endpoint.running[key]
+        # Only the time until the cancellation was spent.
+        unused_ms = endpoint.ends_ms.pop(key) - replay.scheduler.now_ms()
+        endpoint.busy_ms -= max(unused_ms, 0)
     elif job in endpoint.waiting:
         endpoint.waiting.remove(job)
     else:
@@ -132,11 +152,15 @@
     sent: messages.EndpointRequest,
     status: messages.EndpointStatus,
     executed: bool,
+    took_ms: int = 0,
 ) -> messages.EndpointReply:
-    """Return the reply of a request."""
+    """Return the reply of a request; its payload states the slot time."""
     payload = b''
     if status == messages.EndpointStatus.OK:
-        payload = b'{"shard":"%s"}' % sent.shard.encode()
+        payload = b'{"shard":"%s","took_ms":%d}' % (
+            sent.shard.encode(),
+            took_ms,
+        )
     return messages.EndpointReply(
         call_id=sent.call_id,
         endpoint=sent.endpoint,
--- a/packages/standins/src/gypsumbridge_standins/replay/model_endpoint.py
+++ b/packages/standins/src/gypsumbridge_standins/replay/model_endpoint.py
@@ -14,9 +14,11 @@
     """Slots, a bounded queue and faults of one endpoint.
 
     `executed` counts runs by idempotency key; `started` and `completed`
-    count searches. `busy_ms` sums the time for which slots were taken.
+    count searches. `busy_ms` sums the time for which slots were taken, and
+    `ends_ms` holds when each running search ends.
     `replies` holds where the reply of each request goes. `peak_outstanding`
-    is the most requests ever held at once.
+    is the most requests ever held at once, and `peak_by_node` the same for
+    each node's requests.
     """
 
     def __init__(
@@ -42,6 +44,8 @@
         self.shed = 0
         self.busy_ms = 0
         self.peak_outstanding = 0
+        self.peak_by_node: dict[str, int] = {}
+        self.ends_ms: dict[tuple[str, int], int] = {}
         self.executed: dict[str, int] = {}
 
     def search_time_ms(self) -> int:
