Watch owners for silence once per owner and bypass silent ones

Cause: each sent batch had its own silence timer and asked its owner for a sign of life every 25 ms, even when the owner had just sent something. In a flood with waiting queries most messages were OwnerCheck and their answers: over 230 a millisecond after 0.3 s of flood.

Now there is one timer for each owner with open batches, an owner that was heard since is not asked, and while an owner is silent its standby gets new batches at once.

--- a/packages/decisions/src/gypsumbridge_decisions/front/membership_change.py
+++ b/packages/decisions/src/gypsumbridge_decisions/front/membership_change.py
@@ -14,6 +14,7 @@
     present = {member.node_id for member in changed.members}
     for node_id in state.last_heard_ms.keys() - present:
         del state.last_heard_ms[node_id]
+    state.silent &= present
     commands: list[command.Command] = []
     for running in list(state.running.values()):
         for batch in list(running.batches.values()):
--- a/packages/decisions/src/gypsumbridge_decisions/front/merge.py
+++ b/packages/decisions/src/gypsumbridge_decisions/front/merge.py
@@ -34,6 +34,7 @@
 ) -> list[command.Command]:
     """Merge the parts of a batch; late and duplicate ones are dropped."""
     state.last_heard_ms[batch.sender] = now_ms
+    state.silent.discard(batch.sender)
     state.levels.update(batch.levels, now_ms)
     running = state.running.get(batch.query_id)
     if running is None:
--- a/packages/decisions/src/gypsumbridge_decisions/front/send.py
+++ b/packages/decisions/src/gypsumbridge_decisions/front/send.py
@@ -11,7 +11,11 @@
 def send_pending(
     state: states.FrontState, running: running_query.RunningQuery, now_ms: int
 ) -> list[command.Command]:
-    """Send every pending shard to its owner; without one it is missing."""
+    """Send every pending shard to its owner; without one it is missing.
+
+    While an owner is silent its standby gets the shards at once, so only
+    the queries that were running when it went silent wait for a hedge.
+    """
     by_owner: dict[str, list[str]] = {}
     for shard in sorted(running.pending):
         replica_set = running.version.shards[shard]
@@ -20,7 +24,10 @@
             running.pending.discard(shard)
             running.missing[shard] = messages.MissingReason.NO_OWNER
             continue
-        by_owner.setdefault(found.owner, []).append(shard)
+        target = found.owner
+        if target in state.silent and found.standby is not None:
+            target = found.standby
+        by_owner.setdefault(target, []).append(shard)
     commands: list[command.Command] = []
     for owner, shards in by_owner.items():
         commands += send_batch(state, running, owner, shards, False, now_ms)
@@ -35,7 +42,7 @@
     hedged: bool,
     now_ms: int,
 ) -> list[command.Command]:
-    """Send one batch and arm its silence timer."""
+    """Send one batch and watch its owner for silence."""
     attempt = running.next_attempt
     running.next_attempt += 1
     running.batches[attempt] = sent_batch.SentBatch(
@@ -60,7 +67,6 @@
         ),
         hedged=hedged,
     )
-    timer = silence_timer.SilenceTimer(query.query_id, attempt, None)
     decision = messages.Decision(
         'send_batch',
         'owner_silent' if hedged else 'owner',
@@ -72,11 +78,25 @@
             'snapshot': running.version.name,
         },
     )
-    return [
-        messages.ToPeer(node_id, batch),
-        messages.Timer(max(state.owner_silence_ms // 2, 1), timer),
-        decision,
-    ]
+    watch = _watch(state, node_id, query.query_id, attempt, now_ms)
+    return [messages.ToPeer(node_id, batch), *watch, decision]
+
+
+def _watch(
+    state: states.FrontState,
+    node_id: str,
+    query_id: str,
+    attempt: int,
+    now_ms: int,
+) -> list[command.Command]:
+    """Watch a batch; arm the owner's silence timer unless it runs."""
+    watched = state.watched.get(node_id)
+    if watched is not None:
+        watched[(query_id, attempt)] = None
+        return []
+    state.watched[node_id] = {(query_id, attempt): None}
+    timer = silence_timer.SilenceTimer(node_id, now_ms, False)
+    return [messages.Timer(max(state.owner_silence_ms // 2, 1), timer)]
 
 
 def cancel_batches(
--- a/packages/decisions/src/gypsumbridge_decisions/front/silence.py
+++ b/packages/decisions/src/gypsumbridge_decisions/front/silence.py
@@ -1,4 +1,4 @@
-"""Hedges batches of an owner that shows no sign of life."""
+"""Hedges the batches of an owner that shows no sign of life."""
 
 from collections.abc import Iterable
 
@@ -14,35 +14,65 @@
 def check_silence(
     state: states.FrontState, timer: silence_timer.SilenceTimer, now_ms: int
 ) -> list[command.Command]:
-    """Ask a silent owner for a sign of life, then hedge to standbys."""
-    running = state.running.get(timer.query_id)
-    if running is None:
-        return []
-    batch = running.batches.get(timer.attempt)
-    if batch is None or not batch.unreported:
+    """Ask a silent owner for a sign of life, then hedge to standbys.
+
+    There is one timer for each owner and not for each batch: an overloaded
+    owner holds thousands of waiting batches, and asking for each of them
+    would only add to its load.
+    """
+    node_id = timer.node_id
+    if state.last_heard_ms.get(node_id, -1) > timer.since_ms:
+        if not _prune(state, node_id):
+            return []
+        return [_arm(state, node_id, False, now_ms)]
+    open_batches = _prune(state, node_id)
+    if not open_batches and node_id not in state.silent:
         return []
-    since_ms = timer.checked_ms
-    if since_ms is None:
-        since_ms = batch.sent_ms
-    heard_ms = state.last_heard_ms.get(batch.node_id, -1)
-    if heard_ms > since_ms or timer.checked_ms is None:
-        return _ask(state, timer, batch, now_ms)
-    shards = sorted(batch.unreported)
-    return resend(state, running, batch, shards, now_ms)
+    ask: list[command.Command] = [
+        messages.ToPeer(node_id, messages.OwnerCheck(state.node_id, '', 0)),
+        _arm(state, node_id, True, now_ms),
+    ]
+    if not timer.asked:
+        return ask
+    state.silent.add(node_id)
+    commands: list[command.Command] = []
+    for query_id, attempt in open_batches:
+        running = state.running.get(query_id)
+        if running is None:
+            continue
+        batch = running.batches.get(attempt)
+        if batch is None or not batch.unreported:
+            continue
+        shards = sorted(batch.unreported)
+        commands += resend(state, running, batch, shards, now_ms)
+    return commands + ask
 
 
-def _ask(
-    state: states.FrontState,
-    timer: silence_timer.SilenceTimer,
-    batch: sent_batch.SentBatch,
-    now_ms: int,
-) -> list[command.Command]:
-    check = messages.OwnerCheck(state.node_id, timer.query_id, timer.attempt)
-    again = silence_timer.SilenceTimer(timer.query_id, timer.attempt, now_ms)
-    return [
-        messages.ToPeer(batch.node_id, check),
-        messages.Timer(max(state.owner_silence_ms // 2, 1), again),
-    ]
+def _arm(
+    state: states.FrontState, node_id: str, asked: bool, now_ms: int
+) -> messages.Timer:
+    timer = silence_timer.SilenceTimer(node_id, now_ms, asked)
+    return messages.Timer(max(state.owner_silence_ms // 2, 1), timer)
+
+
+def _prune(state: states.FrontState, node_id: str) -> list[tuple[str, int]]:
+    """Forget the owner's oldest batches that have ended; return the rest.
+
+    Without open batches and silence the owner is no longer watched.
+    """
+    watched = state.watched.get(node_id)
+    if watched is None:
+        return []
+    while watched:
+        query_id, attempt = next(iter(watched))
+        running = state.running.get(query_id)
+        batch = running.batches.get(attempt) if running else None
+        if batch is not None and batch.unreported:
+            break
+        del watched[(query_id, attempt)]
+    if not watched and node_id not in state.silent:
+        del state.watched[node_id]
+    return list(watched)
 
 
 def resend(
--- a/packages/decisions/src/gypsumbridge_decisions/front/silence_timer.py
+++ b/packages/decisions/src/gypsumbridge_decisions/front/silence_timer.py
@@ -1,16 +1,16 @@
-"""A timer of a sent batch."""
+"""A timer of an owner that has work of this front."""
 
 import dataclasses
 
 
 @dataclasses.dataclass(frozen=True)
 class SilenceTimer:
-    """An owner has had its time to show that it received a batch.
+    """An owner has had its time to send something.
 
-    `checked_ms` is when the front asked it for a sign of life, or None
-    before that.
+    `since_ms` is when the timer was armed. `asked` says that the front
+    asked the owner for a sign of life then.
     """
 
-    query_id: str
-    attempt: int
-    checked_ms: int | None
+    node_id: str
+    since_ms: int
+    asked: bool
--- a/packages/decisions/src/gypsumbridge_decisions/front/state.py
+++ b/packages/decisions/src/gypsumbridge_decisions/front/state.py
@@ -12,7 +12,9 @@
     """Everything that the front task owns.
 
     A node takes no work before it is told to. `last_heard_ms` holds when
-    each owner last sent anything.
+    each owner last sent anything. `watched` holds the (query id, attempt)
+    of the batches of each owner, oldest first, while its silence timer
+    runs; `silent` owners did not answer when they were asked.
     """
 
     def __init__(self, node_id: str, owner_silence_ms: int) -> None:
@@ -25,6 +27,8 @@
         )
         self.running: dict[str, running_query.RunningQuery] = {}
         self.last_heard_ms: dict[str, int] = {}
+        self.watched: dict[str, dict[tuple[str, int], None]] = {}
+        self.silent: set[str] = set()
         self.levels = levels.Levels()
         self.caller_shares = caller_shares.CallerShares()
 
