Control the admission level by predicted wait and dispatched work

Cause: the level was lowered by the delay of calls that had left the queue, which lags by the queueing delay itself. In a flood of a rank with a 1 s wait target it was halved in each window for as long as the queue drained, reached its minimum, and needed 3 s to recover; and it returned to admitting everything as soon as it exceeded the largest key seen, which is always so, because fronts hold back the larger keys. Both together oscillate and make queries partial.

Now the next window admits what this one dispatched, corrected by at most half towards the target queue, and the level is the quantile of the keys seen. It rises faster without a queue and catches up over windows without arrivals.

--- a/packages/decisions/src/gypsumbridge_decisions/owner/accept.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/accept.py
@@ -92,13 +92,13 @@
         return messages.MissingReason.NO_ENDPOINT
     admission = set_state.admission(call.rank)
     queue = set_state.queue(call.rank)
-    admission.adjust(queue.length, wait_target_ms(rank), now_ms)
+    wait_ms = predict.wait_ms(state, set_state, rank, now_ms)
+    admission.adjust(queue.length, wait_ms, wait_target_ms(rank), now_ms)
     if not admission.admit(admission_key):
         return messages.MissingReason.OVERLOAD
     limit = state.catalog.limits.get((call.replica_set[0], call.rank))
     if limit is not None and queue.length >= limit.max_queued:
         return messages.MissingReason.OVERLOAD
-    wait_ms = predict.wait_ms(state, set_state, rank, now_ms)
     service_ms = predict.service_ms(set_state, now_ms)
     if wait_ms + service_ms > call.deadline_at_ms - now_ms:
         return messages.MissingReason.OVERLOAD
--- a/packages/decisions/src/gypsumbridge_decisions/owner/admission.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/admission.py
@@ -9,65 +9,99 @@
 WINDOW_MS = 100
 MIN_LEVEL = 0.01
 MAX_DECREASE = 0.5
-MIN_DECREASE = 0.95
-INCREASE = 1.1
+MAX_INCREASE = 1.25
+# Without a queue the level is far too low, so it rises faster.
+IDLE_INCREASE = 1.6
+# The queue is brought back to its target within this time. A shorter one
+# makes the level follow the noise of single windows.
+CORRECTION_MS = 500
+# Share of the dispatched calls that a correction may add or take away. The
+# level then stays near what is served while a long queue drains; without
+# the bound it fell to a tenth of that and the slots ran empty.
+MAX_CORRECTION = 0.5
+# Bounds the memory of a window at any rate of arrivals.
+MAX_KEYS = 256
 
 
 class Admission:
-    """Lowers the level while calls wait too long and raises it otherwise."""
+    """Holds a rank's queueing delay at its target while it is overloaded.
+
+    `keys` are admission keys that were admitted in the present window,
+    the first `MAX_KEYS` of them.
+    """
 
     def __init__(self) -> None:
         self.level = ADMIT_ALL
         self.window_started_ms = 0
         self.admitted = 0
         self.dispatched = 0
-        self.waited_ms = 0
-        self.largest_key = 0.0
+        self.keys: list[float] = []
 
     def admit(self, key: float) -> bool:
         """Count an arrival and say whether its key is below the level."""
-        self.largest_key = max(self.largest_key, key)
         if key >= self.level:
             return False
         self.admitted += 1
+        if len(self.keys) < MAX_KEYS:
+            self.keys.append(key)
         return True
 
-    def record_wait(self, waited_ms: int) -> None:
-        """Count a dispatch after a queueing delay."""
+    def record_dispatch(self) -> None:
+        """Count a call that left the queue for an endpoint."""
         self.dispatched += 1
-        self.waited_ms += waited_ms
 
-    def adjust(self, queued: int, target_wait_ms: float, now_ms: int) -> None:
-        """Move the level once per window.
+    def adjust(
+        self,
+        queued: int,
+        wait_ms: float,
+        target_wait_ms: float,
+        now_ms: int,
+    ) -> None:
+        """Move the level once per window; `wait_ms` is the predicted wait.
 
-        The decrease follows the share of arrivals that was dispatched,
-        so that one or two windows reach the rate that can be served.
+        The next window shall admit what this one dispatched, plus or minus
+        a share of the distance between the queue and its target. Judging
+        by the delay of calls that left the queue would react a whole
+        queueing delay late, and the level would fall until the queue is
+        empty.
         """
-        if now_ms - self.window_started_ms < WINDOW_MS:
+        elapsed_ms = now_ms - self.window_started_ms
+        if elapsed_ms < WINDOW_MS:
             return
-        if self._overloaded(queued, target_wait_ms):
-            ceiling = min(self.level, self.largest_key)
-            served = self.dispatched / max(self.admitted, 1)
-            factor = min(max(served, MAX_DECREASE), MIN_DECREASE)
-            self.level = max(ceiling * factor, MIN_LEVEL)
-        elif self.level < ADMIT_ALL:
-            self.level *= INCREASE
-            if self.level > self.largest_key:
-                self.level = ADMIT_ALL
+        if self.level < ADMIT_ALL or wait_ms > target_wait_ms:
+            target = queued * target_wait_ms / max(wait_ms, 1.0)
+            correction = (target - queued) * elapsed_ms / CORRECTION_MS
+            bound = MAX_CORRECTION * self.dispatched
+            correction = min(max(correction, -bound), bound)
+            self._move(self.dispatched + correction, queued, elapsed_ms)
         self.window_started_ms = now_ms
         self.admitted = 0
         self.dispatched = 0
-        self.waited_ms = 0
-        self.largest_key = 0.0
+        self.keys = []
 
     def shedding(self) -> bool:
         """Say whether some arrivals are refused."""
         return self.level < ADMIT_ALL
 
-    def _overloaded(self, queued: int, target_wait_ms: float) -> bool:
-        if not self.dispatched:
-            return queued > 0 and self.admitted > 0
-        return self.waited_ms / self.dispatched > target_wait_ms
+    def _move(self, wanted: float, queued: int, elapsed_ms: int) -> None:
+        """Set the level at which about `wanted` calls are admitted."""
+        if not queued:
+            # Several windows have passed where nothing arrived.
+            windows = elapsed_ms // WINDOW_MS
+            self.level = min(self.level * IDLE_INCREASE**windows, ADMIT_ALL)
+            return
+        if not self.keys:
+            return
+        if wanted >= self.admitted:
+            factor = min(wanted / self.admitted, MAX_INCREASE)
+            self.level = min(self.level * factor, ADMIT_ALL)
+            return
+        share = max(wanted / self.admitted, MAX_DECREASE)
+        # Keys of callers differ in scale, so a quantile of those seen is
+        # closer than the same share of the level.
+        ordered = sorted(self.keys)
+        lowered = ordered[int(share * (len(ordered) - 1))]
+        self.level = max(min(lowered, self.level), MIN_LEVEL)
 
 
 def make_level(
--- a/packages/decisions/src/gypsumbridge_decisions/owner/dispatching.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/dispatching.py
@@ -41,7 +41,7 @@
                 state, call, messages.MissingReason.DEADLINE
             )
             continue
-        set_state.admission(rank).record_wait(now_ms - call.arrived_ms)
+        set_state.admission(rank).record_dispatch()
         commands += start_request(state, set_state, call, replica, now_ms)
         if not call.is_mutation():
             commands += _arm_hedge(state, set_state, call, now_ms)
