Move calls off unreachable replicas for free and hedge stragglers late

A mutation's hedge timer, which is never armed, is now also ignored when it comes (a test sent one and saw a second request).

--- a/packages/decisions/src/gypsumbridge_decisions/owner/dispatching.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/dispatching.py
@@ -92,6 +92,7 @@
     state.calls[call_id] = call
     call.running[call_id] = replica.endpoint.name
     call.tried.append(replica.endpoint.name)
+    call.started_ms = now_ms
     replica.running[call_id] = now_ms
     used = set_state.running_by_rank.get(call.rank, 0)
     set_state.running_by_rank[call.rank] = used + 1
--- a/packages/decisions/src/gypsumbridge_decisions/owner/extra_load_budget.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/extra_load_budget.py
@@ -4,6 +4,11 @@
 MAX_TOKENS = 10.0
 
 
+# Kept for retries and late hedges. Hedges at a percentile use up a budget of
+# the same share, and left nothing for the calls of a real straggler.
+HEDGE_RESERVE = MAX_TOKENS / 2
+
+
 class ExtraLoadBudget:
     """Earns a share of a token for each first attempt; an extra costs one."""
 
@@ -14,9 +19,9 @@
         """Count a first attempt under a declared share."""
         self.tokens = min(self.tokens + share, MAX_TOKENS)
 
-    def spend(self) -> bool:
-        """Take one token; False when there is none."""
-        if self.tokens < 1.0:
+    def spend(self, reserve: float = 0.0) -> bool:
+        """Take one token; False when that would leave less than `reserve`."""
+        if self.tokens < 1.0 + reserve:
             return False
         self.tokens -= 1.0
         return True
--- a/packages/decisions/src/gypsumbridge_decisions/owner/health.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/health.py
@@ -22,6 +22,18 @@
     replica.latency.record(latency_ms, now_ms)
 
 
+def record_cancelled(
+    replica: replica_state.ReplicaState, elapsed_ms: int, now_ms: int
+) -> None:
+    """Take the time of a cancelled request as a lower bound.
+
+    Without it a straggler whose calls are always won by a hedge would
+    never look slow.
+    """
+    if elapsed_ms > replica.latency.expected_ms(now_ms) > 0:
+        replica.latency.record_bound(elapsed_ms, now_ms)
+
+
 def record_shed(replica: replica_state.ReplicaState, now_ms: int) -> None:
     """Leave a replica alone that says it has too much work."""
     replica.backoff_until_ms = now_ms + SHED_BACKOFF_MS
--- a/packages/decisions/src/gypsumbridge_decisions/owner/hedging.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/hedging.py
@@ -3,7 +3,9 @@
 from gypsumbridge_decisions import messages
 from gypsumbridge_decisions.owner import command
 from gypsumbridge_decisions.owner import dispatching
+from gypsumbridge_decisions.owner import extra_load_budget
 from gypsumbridge_decisions.owner import hedge_timer
+from gypsumbridge_decisions.owner import pending_call
 from gypsumbridge_decisions.owner import replica_choice
 from gypsumbridge_decisions.owner import reply
 from gypsumbridge_decisions.owner import state as states
@@ -16,17 +18,45 @@
     call = state.calls.get(timer.call_id)
     if call is None or call.done or len(call.tried) > 1:
         return []
+    if call.is_mutation():
+        return []
     set_state = state.sets[call.replica_set]
     replica = replica_choice.choose_replica(set_state, call.tried, 0, now_ms)
-    if replica is None:
+    if replica is not None and replica.ejected_until_ms > now_ms:
+        # The last resort of first attempts; a hedge to it is wasted.
         return []
+    if replica is None and not timer.late:
+        return _try_later(call, timer, now_ms)
     service = call.replica_set[0]
     if reply.is_shedding(state, service):
         return [messages.Count('owner.hedges.closed')]
-    if not state.budget(service).spend():
-        return [messages.Count('owner.hedges.no_budget')]
+    reserve = 0.0 if timer.late else extra_load_budget.HEDGE_RESERVE
+    if not state.budget(service).spend(reserve):
+        return [
+            messages.Count('owner.hedges.no_budget'),
+            *_try_later(call, timer, now_ms),
+        ]
+    if replica is None:
+        # The other replicas are busy. The call takes their next free slot
+        # ahead of queued calls, or it would wait for the straggler for as
+        # long as there is a queue.
+        set_state.retries.append(call)
+        return [messages.Count('owner.hedges.waiting')]
     commands = dispatching.start_request(
         state, set_state, call, replica, now_ms
     )
     commands.append(messages.Count('owner.hedges'))
     return commands
+
+
+def _try_later(
+    call: pending_call.PendingCall,
+    timer: hedge_timer.HedgeTimer,
+    now_ms: int,
+) -> list[command.Command]:
+    """Arm the timer once more, for twice the time that the call has run."""
+    if timer.late:
+        return []
+    delay_ms = max(now_ms - call.started_ms, 1)
+    again = hedge_timer.HedgeTimer(timer.call_id, late=True)
+    return [messages.Timer(delay_ms, again)]
--- a/packages/decisions/src/gypsumbridge_decisions/owner/latency.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/latency.py
@@ -12,6 +12,10 @@
 PERCENTILE_TTL_MS = 100
 # Weight of the latest sample in the moving average.
 AVERAGE_GAIN = 0.2
+# A sample this many times above the average counts more: a straggler gives
+# few samples, since each of them takes long.
+SLOW_FACTOR = 3.0
+SLOW_GAIN = 0.6
 # The average of a replica that gets no work halves in this time, so that a
 # replica that was slow once is tried again.
 AVERAGE_HALF_LIFE_MS = 2_000
@@ -35,10 +39,15 @@
         if self.average_ms == 0.0:
             self.average_ms = float(latency_ms)
         else:
-            delta = latency_ms - self.average_ms
-            self.average_ms += AVERAGE_GAIN * delta
+            self._average(latency_ms)
         self.sampled_ms = now_ms
 
+    def record_bound(self, latency_ms: int, now_ms: int) -> None:
+        """Raise the average; the percentiles count whole requests only."""
+        if latency_ms > self.average_ms:
+            self._average(latency_ms)
+            self.sampled_ms = now_ms
+
     def expected_ms(self, now_ms: int) -> float:
         """Return the average, decayed since the last sample; 0 if none."""
         idle_ms = max(now_ms - self.sampled_ms, 0)
@@ -59,6 +68,12 @@
         self.cached[percentile] = (value, now_ms + PERCENTILE_TTL_MS)
         return value
 
+    def _average(self, latency_ms: int) -> None:
+        gain = AVERAGE_GAIN
+        if latency_ms > SLOW_FACTOR * self.average_ms:
+            gain = SLOW_GAIN
+        self.average_ms += gain * (latency_ms - self.average_ms)
+
     def _rotate(self, now_ms: int) -> None:
         if now_ms - self.window_started_ms < WINDOW_MS:
             return
--- a/packages/decisions/src/gypsumbridge_decisions/owner/pending_call.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/pending_call.py
@@ -8,7 +8,8 @@
 
     `key` says where the result goes. `running` maps the call ids of
     requests in flight to endpoint names, and `tried` lists every endpoint
-    that was asked. An empty `idempotency_key` marks a search.
+    that was asked. `started_ms` is the start of the latest request. An
+    empty `idempotency_key` marks a search.
     """
 
     def __init__(
@@ -34,6 +35,7 @@
         self.deadline_at_ms = deadline_at_ms
         self.running: dict[int, str] = {}
         self.tried: list[str] = []
+        self.started_ms = arrived_ms
         self.queued = False
         self.done = False
 
--- a/packages/decisions/src/gypsumbridge_decisions/owner/predict.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/predict.py
@@ -1,6 +1,7 @@
 """Predicts how long a call would wait."""
 
 from gypsumbridge_decisions import resources
+from gypsumbridge_decisions.owner import replica_choice
 from gypsumbridge_decisions.owner import replica_set_state
 from gypsumbridge_decisions.owner import state as states
 
@@ -41,5 +42,7 @@
     by_urgency = float(own + ahead)
     if rank.floor > 0:
         by_urgency = min(by_urgency, own / rank.floor)
-    turns = (by_urgency + 1) / max(set_state.slots(), 1)
+    usable = replica_choice.usable_replicas(set_state, (), now_ms)
+    slots = sum(replica.endpoint.slots for replica in usable)
+    turns = (by_urgency + 1) / max(slots, 1)
     return turns * service_ms(set_state, now_ms)
--- a/packages/decisions/src/gypsumbridge_decisions/owner/reply.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/reply.py
@@ -17,6 +17,12 @@
     messages.EndpointStatus.DRAINING: messages.MissingReason.ENDPOINT_SHED,
     messages.EndpointStatus.VERSION_GONE: messages.MissingReason.VERSION_GONE,
 }
+_UNCHARGED = frozenset(
+    {
+        messages.EndpointStatus.DRAINING,
+        messages.EndpointStatus.UNREACHABLE,
+    }
+)
 _FAILURES = frozenset(
     {
         messages.EndpointStatus.UNREACHABLE,
@@ -60,6 +66,7 @@
         replica.leaving_sources.add(REPLY_SOURCE)
         commands.append(_log_leaving(reply.endpoint))
     if call.done:
+        health.record_cancelled(replica, now_ms - started_ms, now_ms)
         return commands
     if reply.status == messages.EndpointStatus.OK:
         health.record_success(replica, now_ms - started_ms, now_ms)
@@ -127,14 +134,16 @@
 ) -> bool:
     """Say whether another replica may try, and pay for it.
 
-    An endpoint that drains has done nothing with the request, so moving
-    it is not charged; planned maintenance must not use up the budget.
+    An endpoint that drains or cannot be reached has done nothing with the
+    request, so moving it costs no slot and is not charged. Otherwise a lost
+    replica uses up the budget and its calls go missing although another
+    replica could run them.
     """
     if call.is_mutation() or call.deadline_at_ms <= now_ms:
         return False
     if not replica_choice.usable_replicas(set_state, call.tried, now_ms):
         return False
-    if reply.status == messages.EndpointStatus.DRAINING:
+    if reply.status in _UNCHARGED:
         return True
     if is_shedding(state, call.replica_set[0]):
         return False
