--- a/packages/standins/src/gypsumbridge_standins/policy_bench/__main__.py
+++ b/packages/standins/src/gypsumbridge_standins/policy_bench/__main__.py
@@ -32,27 +32,35 @@
         raise SystemExit(f'unknown case {case!r}; use one of {names}')
     if chosen[0].name != QUIET:
         chosen.insert(0, cases.make_cases()[0])
-    work = [
-        (one, deployment, policy, seed)
-        for one in chosen
-        for deployment in run.DEPLOYMENTS
-        for policy in systems.policy_names()
-        for seed in range(1, seeds + 1)
-    ]
+    results: report.Results = {}
     with futures.ProcessPoolExecutor(jobs) as pool:
-        running = [pool.submit(run.run, *item) for item in work]
-        results = report.index(done.result() for done in running)
-    shown = [
-        m for m in metrics.make_metrics() if m.case in {c.name for c in chosen}
-    ]
+        for seed in range(1, seeds + 1):
+            running = [
+                pool.submit(run.run, one, deployment, policy, seed)
+                for one in chosen
+                for deployment in run.DEPLOYMENTS
+                for policy in systems.policy_names()
+            ]
+            results |= report.index(done.result() for done in running)
+            # Written after each seed, so that a run that is ended early
+            # leaves the tables of the seeds that are complete.
+            _write(results, {c.name for c in chosen}, seed, out)
+
+
+def _write(
+    results: report.Results, names: set[str], seeds: int, out: str
+) -> None:
+    shown = [m for m in metrics.make_metrics() if m.case in names]
     table = report.make_table(results, shown, seeds)
-    sys.stdout.write(table)
-    if out:
-        folder = pathlib.Path(out)
-        folder.mkdir(parents=True, exist_ok=True)
-        (folder / 'policy.md').write_text(table, 'utf-8')
-        ranks = rank_table.make_rank_table(results)
-        (folder / 'policy_ranks.md').write_text(ranks, 'utf-8')
+    sys.stdout.write(f'Seeds 1 to {seeds}\n\n{table}\n')
+    sys.stdout.flush()
+    if not out:
+        return
+    folder = pathlib.Path(out)
+    folder.mkdir(parents=True, exist_ok=True)
+    (folder / 'policy.md').write_text(table, 'utf-8')
+    ranks = rank_table.make_rank_table(results)
+    (folder / 'policy_ranks.md').write_text(ranks, 'utf-8')
 
 
 if __name__ == '__main__':
