--- a/packages/standins/src/gypsumbridge_standins/policy_bench/__main__.py
+++ b/packages/standins/src/gypsumbridge_standins/policy_bench/__main__.py
@@ -8,6 +8,7 @@
 
 from gypsumbridge_standins.policy_bench import cases
 from gypsumbridge_standins.policy_bench import metrics
+from gypsumbridge_standins.policy_bench import plot
 from gypsumbridge_standins.policy_bench import rank_table
 from gypsumbridge_standins.policy_bench import report
 from gypsumbridge_standins.policy_bench import run
@@ -61,6 +62,7 @@
     (folder / 'policy.md').write_text(table, 'utf-8')
     ranks = rank_table.make_rank_table(results)
     (folder / 'policy_ranks.md').write_text(ranks, 'utf-8')
+    (folder / 'policy_plot.md').write_text(plot.make_plot(results), 'utf-8')
 
 
 if __name__ == '__main__':
--- a/packages/standins/src/gypsumbridge_standins/policy_bench/load.py
+++ b/packages/standins/src/gypsumbridge_standins/policy_bench/load.py
@@ -1,6 +1,9 @@
 """Open-loop load on a fleet."""
 
 from collections.abc import Callable
+from collections.abc import Iterator
+import functools
+import itertools
 import random
 
 from gypsumbridge_decisions import messages
@@ -8,6 +11,7 @@
 from gypsumbridge_standins.deployment import deployment as deployments
 from gypsumbridge_standins.policy_bench import case
 from gypsumbridge_standins.policy_bench import issued_query
+from gypsumbridge_standins.policy_bench import stream as streams
 from gypsumbridge_standins.policy_bench import tally as tallies
 from gypsumbridge_standins.replay import replay as replays
 
@@ -33,6 +37,25 @@
     random live node, as the platform's load balancer sends it.
     """
     choice = random.Random(f'load {seed}')
+
+    def arrive(issued: issued_query.IssuedQuery, pick: float) -> None:
+        live = [n for n, node in replay.nodes.items() if node.alive]
+        tally.issue(issued)
+        submit(live[int(pick * len(live))], issued.query)
+
+    for stream in make_streams(deployment, chosen):
+        for issued in issue(stream, choice):
+            replay.scheduler.after(
+                issued.due_ms,
+                functools.partial(arrive, issued, choice.random()),
+            )
+
+
+def make_streams(
+    deployment: deployments.Deployment, chosen: case.Case
+) -> list[streams.Stream]:
+    """Return the usual stream of each service and rank, and the floods."""
+    found = []
     ranks = [s for s in deployment.specs if isinstance(s, resources.Rank)]
     for spec in deployment.specs:
         if not isinstance(spec, resources.Service):
@@ -40,19 +63,13 @@
         full = capacity_qps(deployment, spec)
         for rank in ranks:
             usual = dict(chosen.before)[rank.name] * full
-            changed = dict(chosen.load)[rank.name] * full
-            _run_stream(replay, spec, rank, usual, choice, tally, submit, 0)
-            if changed > usual:
-                _run_stream(
-                    replay,
-                    spec,
-                    rank,
-                    changed - usual,
-                    choice,
-                    tally,
-                    submit,
-                    case.START_MS,
+            added = dict(chosen.load)[rank.name] * full - usual
+            found.append(streams.Stream(spec.name, rank, usual, 0))
+            if added > 0:
+                found.append(
+                    streams.Stream(spec.name, rank, added, case.START_MS)
                 )
+    return found
 
 
 def capacity_qps(
@@ -83,49 +100,30 @@
     return 'steady'
 
 
-def _run_stream(
-    replay: replays.Replay,
-    service: resources.Service,
-    rank: resources.Rank,
-    qps: float,
-    choice: random.Random,
-    tally: tallies.Tally,
-    submit: Submit,
-    start_ms: int,
-) -> None:
-    """Issue one Poisson stream; one that starts later is a flood."""
-    flooding = start_ms > 0
+def issue(
+    stream: streams.Stream, choice: random.Random
+) -> Iterator[issued_query.IssuedQuery]:
+    """Draw the queries of a Poisson stream; one that starts late floods."""
+    flooding = stream.start_ms > 0
     callers = FLOODING_CALLERS if flooding else CALLERS
-    due = float(start_ms)
-    number = 0
-    while True:
-        due += choice.expovariate(qps) * 1_000
+    due = float(stream.start_ms)
+    rank = stream.rank
+    for number in itertools.count():
+        due += choice.expovariate(stream.qps) * 1_000
         if due >= case.END_MS:
             return
-        number += 1
-        name = f'{service.name}/{rank.name}/{start_ms}/{number}'
+        name = f'{stream.service}/{rank.name}/{stream.start_ms}/{number}'
         caller = f'caller-{choice.randrange(callers)}'
         if flooding:
             caller = f'flood-{caller}'
         query = messages.Query(
             name,
             name,
-            service.name,
+            stream.service,
             rank.name,
             caller,
             rank.target_ms * DEADLINE_PER_TARGET,
             b'{}',
         )
-        issued = issued_query.IssuedQuery(
-            query, int(due), window(int(due)), flooding
-        )
-        pick = choice.random()
-
-        def arrive(
-            i: issued_query.IssuedQuery = issued, p: float = pick
-        ) -> None:
-            live = [n for n, node in replay.nodes.items() if node.alive]
-            tally.issue(i)
-            submit(live[int(p * len(live))], i.query)
-
-        replay.scheduler.after(int(due) - replay.scheduler.now_ms(), arrive)
+        due_ms = int(due)
+        yield issued_query.IssuedQuery(query, due_ms, window(due_ms), flooding)
--- a/packages/standins/src/gypsumbridge_standins/policy_bench/run.py
+++ b/packages/standins/src/gypsumbridge_standins/policy_bench/run.py
@@ -7,6 +7,7 @@
 from gypsumbridge_standins.policy_bench import load
 from gypsumbridge_standins.policy_bench import reference
 from gypsumbridge_standins.policy_bench import run_result
+from gypsumbridge_standins.policy_bench import spent_time
 from gypsumbridge_standins.policy_bench import systems
 from gypsumbridge_standins.policy_bench import tally as tallies
 from gypsumbridge_standins.replay import fleet
@@ -33,22 +34,9 @@
     tally = tallies.Tally(ranks)
     submit = systems.start(policy, replay, tally, seed)
     load.start(replay, deployment, chosen, tally, submit, seed)
-    scheduler = replay.scheduler
-    scheduler.after(case.START_MS, lambda: chosen.fault(replay))
-    scheduler.run_until(case.START_MS)
-    busy_start = busy_ms(replay)
-    scheduler.run_until(STEADY_MS)
-    busy_steady = busy_ms(replay)
-    scheduler.run_until(case.END_MS)
-    worked_ms = busy_ms(replay) - busy_steady
-    scheduler.run_until(case.END_MS + case.DRAIN_MS)
-    spent_ms = busy_ms(replay) - busy_start
+    spent = _run_windows(replay, chosen)
     cells = tally.cells()
-    useful_ms = sum(
-        cells[('all', '*', rank)].useful_ms
-        for rank in ranks
-        if ('all', '*', rank) in cells
-    )
+    useful_ms = sum(cells[('all', '*', rank)].useful_ms for rank in ranks)
     slots = sum(e.slots for e in replay.endpoints.values() if not e.down)
     steady_ms = slots * (case.END_MS - STEADY_MS)
     return run_result.RunResult(
@@ -61,22 +49,42 @@
             window: tally.attempts[window] / tally.needed[window] - 1
             for window in tally.needed
         },
-        worked=worked_ms / steady_ms,
-        useful=useful_ms / max(spent_ms, 1),
+        worked=spent.steady_ms / steady_ms,
+        useful=useful_ms / max(spent.all_ms, 1),
         served={
             rank: cells[('steady', '*', rank)].useful_ms / steady_ms
             for rank in ranks
         },
         false_not_run=len(tally.asked & tally.refused),
         connection_share=_connection_share(replay, deployment),
-        reference_ms={
-            s.name: reference.slowest_of_ms(len(s.versions[0].shards))
-            for s in deployment.specs
-            if isinstance(s, resources.Service)
-        },
+        reference_ms=_references(deployment),
     )
 
 
+def _run_windows(
+    replay: replays.Replay, chosen: case.Case
+) -> spent_time.Spent:
+    """Run a case to its end and return the slot time that it took."""
+    scheduler = replay.scheduler
+    scheduler.after(case.START_MS, lambda: chosen.fault(replay))
+    scheduler.run_until(case.START_MS)
+    before_ms = busy_ms(replay)
+    scheduler.run_until(STEADY_MS)
+    onset_ms = busy_ms(replay)
+    scheduler.run_until(case.END_MS)
+    steady_ms = busy_ms(replay) - onset_ms
+    scheduler.run_until(case.END_MS + case.DRAIN_MS)
+    return spent_time.Spent(steady_ms, busy_ms(replay) - before_ms)
+
+
+def _references(deployment: deployments.Deployment) -> dict[str, float]:
+    return {
+        s.name: reference.slowest_of_ms(len(s.versions[0].shards))
+        for s in deployment.specs
+        if isinstance(s, resources.Service)
+    }
+
+
 def busy_ms(replay: replays.Replay) -> int:
     """Return the slot time that all endpoints have spent."""
     return sum(endpoint.busy_ms for endpoint in replay.endpoints.values())
--- a/tests/decisions/test_front_merge.py
+++ b/tests/decisions/test_front_merge.py
@@ -178,7 +178,3 @@
                 ['s0', 's1', 's2', 's3'], sorted(missing + covered)
             )
         self.assertEqual(len(missing), len(set(missing)))
-
-
-if __name__ == '__main__':
-    unittest.main()
--- a/tests/decisions/test_owner_dispatch.py
+++ b/tests/decisions/test_owner_dispatch.py
@@ -126,7 +126,3 @@
         admission.level = 0.05
         admission.adjust(0, 0.0, 200, 3_000)
         self.assertFalse(admission.shedding())
-
-
-if __name__ == '__main__':
-    unittest.main()
--- a/tests/decisions/test_owner_extra_load.py
+++ b/tests/decisions/test_owner_extra_load.py
@@ -190,7 +190,3 @@
         self.assertEqual(
             arrived - cancelled, (waiting | set(reported)) - cancelled
         )
-
-
-if __name__ == '__main__':
-    unittest.main()
--- /dev/null
+++ b/tests/standins/test_policy_bench.py
@@ -0,0 +1,34 @@
+import unittest
+
+from gypsumbridge_standins.deployment import build
+from gypsumbridge_standins.policy_bench import cases
+from gypsumbridge_standins.policy_bench import load
+from gypsumbridge_standins.policy_bench import metrics
+from gypsumbridge_standins.policy_bench import reference
+from gypsumbridge_standins.policy_bench import run
+
+
+class PolicyBenchTest(unittest.TestCase):
+    def test_capacity_counts_the_shards_of_a_set(self):
+        """Guards against a flood that is measured against a wrong capacity."""
+        made = build.build(build.ADDIS_GROUPS, range(20_000, 21_000), 20.0)
+        found = {
+            s.name: load.capacity_qps(made, s)
+            for s in made.specs
+            if hasattr(s, 'versions')
+        }
+        self.assertEqual(200.0, found['broker-desk'])
+        self.assertEqual(100.0, found['billing-ledger'])
+
+    def test_every_aim_belongs_to_a_case(self):
+        """Guards against an aim that no run ever checks."""
+        names = {case.name for case in cases.make_cases()}
+        for metric in metrics.make_metrics():
+            self.assertIn(metric.case, names)
+        self.assertEqual({'Almaty', 'Addis'}, set(run.DEPLOYMENTS))
+
+    def test_the_reference_grows_with_the_fan_out(self):
+        """Guards against a reference that ignores the number of shards."""
+        self.assertGreater(
+            reference.slowest_of_ms(30), reference.slowest_of_ms(2)
+        )
