Resend the batches of a silent owner once

Cause: since one timer watches an owner, a silent owner is asked again in every interval, and each time its open batches were resent when the standby had refused them before. A flood with a lost owner would have repeated the refused calls every 25 ms until the deadline.

The extended test fails without the change (three batches sent again).

--- a/packages/decisions/src/gypsumbridge_decisions/front/silence.py
+++ b/packages/decisions/src/gypsumbridge_decisions/front/silence.py
@@ -36,6 +36,9 @@
         return ask
     state.silent.add(node_id)
     commands: list[command.Command] = []
+    # Each batch is resent once. A standby that refuses it would otherwise be
+    # asked again in every interval.
+    state.watched[node_id] = {}
     for query_id, attempt in open_batches:
         running = state.running.get(query_id)
         if running is None:
--- a/tests/decisions/test_front_merge.py
+++ b/tests/decisions/test_front_merge.py
@@ -129,12 +129,22 @@
         asked = front.handle(state, timers[0].event, 25)
         self.assertEqual(1, len(fixtures.sent(asked, messages.OwnerCheck)))
         timer = fixtures.of_type(asked, messages.Timer)[0]
-        hedged = batches(front.handle(state, timer.event, 50))
+        asked = front.handle(state, timer.event, 50)
+        hedged = batches(asked)
         self.assertEqual({'q', 'r', 's'}, {b.query_id for _, b in hedged})
         self.assertNotIn(owner_id, {node for node, _ in hedged})
+        timer = fixtures.of_type(asked, messages.Timer)[-1]
+        self.assertEqual(owner_id, timer.event.node_id)
+        for node, batch in hedged:
+            refused = [fixtures.part('s0', 'not_run', 'overload')]
+            found = fixtures.part_batch(
+                node, batch.attempt, refused, batch.query_id
+            )
+            front.handle(state, found, 55)
+        self.assertEqual([], batches(front.handle(state, timer.event, 75)))
         sent, _ = start(state, name='t')
         self.assertNotEqual(owner_id, sent[0][0])
-        front.handle(state, fixtures.part_batch(owner_id, 1, ()), 60)
+        front.handle(state, fixtures.part_batch(owner_id, 1, ()), 80)
         sent, _ = start(state, name='u')
         self.assertEqual(owner_id, sent[0][0])
 
