Extend the tests of ejection, restart, standby and expired retries

Taking single mechanisms out showed six that no test guarded: the last replica of a set, the use of ejected replicas as a last resort, the bound of the level's correction, the outcome of an expired retry, the second restart and the wait for a standby. The test of ejection answers retries as well; before, it left them unanswered, so that the slots filled up and nothing was ejected.

--- a/tests/decisions/test_front_merge.py
+++ b/tests/decisions/test_front_merge.py
@@ -85,6 +85,7 @@
         found = fixtures.part_batch(node, batch.attempt, gone)
         [(node, again)] = batches(front.handle(state, found, 5))
         self.assertEqual('v2', again.version)
+        front.handle(state, fixtures.catalog(current='v1', revision=3), 5)
         gone = [fixtures.part('s0', 'failed', 'version_gone', 'v2')]
         found = fixtures.part_batch(node, again.attempt, gone)
         commands = front.handle(state, found, 6)
@@ -141,6 +142,7 @@
                 node, batch.attempt, refused, batch.query_id
             )
             front.handle(state, found, 55)
+        self.assertEqual({'s0'}, state.running['q'].pending)
         self.assertEqual([], batches(front.handle(state, timer.event, 75)))
         sent, _ = start(state, name='t')
         self.assertNotEqual(owner_id, sent[0][0])
--- a/tests/decisions/test_owner_dispatch.py
+++ b/tests/decisions/test_owner_dispatch.py
@@ -107,7 +107,7 @@
     def test_the_level_stays_near_the_served_rate(self):
         """Guards against a level that falls until the queue is empty."""
         admission = owner.Admission()
-        now_ms, queued, levels = 0, 0.0, []
+        now_ms, queued, levels = 0, 300.0, []
         for step in range(100):
             now_ms += 100
             admission.adjust(int(queued), queued * 10, 200, now_ms)
@@ -117,7 +117,7 @@
                 admission.record_dispatch()
                 queued -= 1
             levels.append(admission.level)
-        self.assertGreater(min(levels[20:]), 0.1)
+        self.assertGreater(min(levels), 0.08)
         self.assertLess(max(levels[20:]), 0.5)
 
     def test_the_level_recovers_after_a_quiet_time(self):
--- a/tests/decisions/test_owner_extra_load.py
+++ b/tests/decisions/test_owner_extra_load.py
@@ -123,16 +123,25 @@
     def test_ejection_never_empties_a_set(self):
         """Guards against a wrong judgement that takes a shard away."""
         state = fixtures.warm_owner()
+        replicas = state.sets[('svc', 's0')].replicas.values()
         for name in range(40):
             commands = owner.handle(state, fixtures.batch(name), name)
-            for request in fixtures.of_type(commands, Requests):
-                lost = fixtures.reply(request, Status.LOST)
-                owner.handle(state, lost, name)
-            found = state.sets[('svc', 's0')]
-            usable = owner.usable_replicas(found, (), name)
-            self.assertTrue(usable)
-            present = found.replicas.values()
-            self.assertTrue(any(r.ejected_until_ms <= name for r in present))
+            running = fixtures.of_type(commands, Requests)
+            while running:
+                lost = fixtures.reply(running.pop(), Status.LOST)
+                commands = owner.handle(state, lost, name)
+                running += fixtures.of_type(commands, Requests)
+            self.assertTrue(any(r.ejected_until_ms <= name for r in replicas))
+        self.assertTrue(any(r.ejected_until_ms > 40 for r in replicas))
+
+    def test_ejected_replicas_are_used_when_no_other_is_left(self):
+        """Guards against a set whose last healthy replica is leaving."""
+        state = fixtures.warm_owner()
+        first, second = state.sets[('svc', 's0')].replicas.values()
+        first.ejected_until_ms = 1_000
+        second.leaving_sources.add('host_list')
+        request = first_request(state, fixtures.batch('q'))
+        self.assertEqual(first.endpoint.name, request.endpoint)
 
     def test_a_call_that_may_have_run_is_not_reported_as_not_run(self):
         """Guards against a false not-run outcome."""
@@ -143,6 +152,17 @@
             messages.PartOutcome.FAILED, fixtures.parts(ended)[0].outcome
         )
 
+    def test_an_expired_retry_is_not_reported_as_not_run(self):
+        """Guards against a false not-run outcome after a first attempt."""
+        state = fixtures.warm_owner()
+        request = first_request(state, fixtures.batch('q', remaining_ms=50))
+        for name in range(3):
+            owner.handle(state, fixtures.batch(name), 0)
+        owner.handle(state, fixtures.reply(request, Status.LOST), 5)
+        ended = owner.handle(state, fixtures.batch('late'), 60)
+        [part] = fixtures.parts(ended)
+        self.assertEqual(messages.PartOutcome.FAILED, part.outcome)
+
 
 class RandomOrderTest(unittest.TestCase):
     @hypothesis.settings(derandomize=True, max_examples=60, deadline=None)
