--- a/tests/decisions/fixtures.py
+++ b/tests/decisions/fixtures.py
@@ -19,10 +19,7 @@
     versions = tuple(
         resources.IndexVersion(name, names) for name in ('v1', 'v2')
     )
-    specs = [
-        resources.Service('svc', versions, current, minimum),
-        *RANKS,
-    ]
+    specs = [resources.Service('svc', versions, current, minimum), *RANKS]
     for name in names:
         for replica in 'abc'[:replicas]:
             specs.append(
