--- a/packages/decisions/src/gypsumbridge_decisions/owner/dispatching.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/dispatching.py
@@ -41,7 +41,7 @@
                 state, call, messages.MissingReason.DEADLINE
             )
             continue
-        set_state.admission(rank).record_wait(now_ms - call.arrived_ms)
+        set_state.admission(rank).record_dispatch()
         commands += start_request(state, set_state, call, replica, now_ms)
         if not call.is_mutation():
             commands += _arm_hedge(state, set_state, call, now_ms)
@@ -92,6 +92,7 @@
     state.calls[call_id] = call
     call.running[call_id] = replica.endpoint.name
     call.tried.append(replica.endpoint.name)
+    call.started_ms = now_ms
     replica.running[call_id] = now_ms
     used = set_state.running_by_rank.get(call.rank, 0)
     set_state.running_by_rank[call.rank] = used + 1
