Propagate the configuration by a pull tree with proofs of freshness

Cause: every node listed and watched the store by itself, took work at any age of its configuration, and answered questions about acceptance from its own revision.

The task runs these decisions. A relay polls with a watch that does not wait, because the store's revision also moves with mutation claims.

Ruled out: counting a failure domain as soon as one relay holds a change. If that relay is lost, the rest of its failure domain votes for the older revision.

--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/configuration/ask_expired.py
@@ -0,0 +1,10 @@
+"""The time limit of a question about acceptance."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class AskExpired:
+    """Names the question by its token."""
+
+    token: str
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/configuration/command.py
@@ -0,0 +1,16 @@
+"""What the configuration task is told to do."""
+
+from gypsumbridge_decisions import messages
+from gypsumbridge_decisions.configuration import publish
+
+Command = (
+    messages.ToPeer
+    | messages.Timer
+    | messages.StoreRequest
+    | messages.ServingCondition
+    | messages.AcceptedReport
+    | messages.ForceReport
+    | messages.Count
+    | messages.Decision
+    | publish.Publish
+)
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/configuration/publish.py
@@ -0,0 +1,14 @@
+"""A command to put a revision into force on this node."""
+
+import dataclasses
+
+from gypsumbridge_decisions import messages
+
+
+@dataclasses.dataclass(frozen=True)
+class Publish:
+    """`items` are the changed ones, or all of them with `replace`."""
+
+    revision: int
+    items: tuple[messages.StoreItem, ...]
+    replace: bool
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/configuration/store_sync.py
@@ -0,0 +1,91 @@
+"""A relay's calls to the store."""
+
+from gypsumbridge_decisions import messages
+from gypsumbridge_decisions.configuration import command
+from gypsumbridge_decisions.configuration import receiving
+from gypsumbridge_decisions.configuration import state as states
+from gypsumbridge_decisions.configuration import steps
+
+LIST_TOKEN = 'list'
+POLL_TOKEN = 'poll'
+WATCH_TOKEN = 'watch'
+WATCH_MS = 10_000
+CONFIG_PREFIX = 'config/'
+
+
+def call_store(
+    state: states.ConfigurationState, now_ms: int
+) -> list[command.Command]:
+    """List at first; then poll on each tick beside one waiting watch.
+
+    The poll is a watch that does not wait. It returns the store's
+    revision together with the changes up to it, where the revision alone
+    would not say whether a higher one is a change of the configuration or
+    a mutation claim.
+    """
+    if not state.is_relay:
+        return []
+    if state.store_seen is None:
+        return _call(state, LIST_TOKEN, now_ms)
+    commands = _call(state, POLL_TOKEN, now_ms)
+    if state.store_works:
+        commands += _call(state, WATCH_TOKEN, now_ms)
+    return commands
+
+
+def receive_store_reply(
+    state: states.ConfigurationState,
+    reply: messages.StoreReply,
+    now_ms: int,
+) -> list[command.Command]:
+    """Apply what the store returned and confirm freshness by it."""
+    sent_ms = state.store_calls.pop(reply.token, None)
+    if sent_ms is None:
+        return []
+    state.store_works = reply.status == messages.StoreStatus.OK
+    if reply.status == messages.StoreStatus.COMPACTED:
+        state.store_seen = None
+        return _call(state, LIST_TOKEN, now_ms)
+    if not state.store_works:
+        return []
+    if reply.token == LIST_TOKEN:
+        commands = receiving.take_snapshot(state, reply.items, reply.revision)
+    else:
+        commands = take_events(state, reply)
+    state.store_seen = max(state.store_seen or 0, reply.revision)
+    # Everything up to the reply's revision is held now. The held revision
+    # is that of the last change of the configuration, and may be lower.
+    state.core = steps.confirm(state.core, state.core.revision, sent_ms)
+    if reply.token == WATCH_TOKEN and state.is_relay:
+        commands += _call(state, WATCH_TOKEN, now_ms)
+    return commands
+
+
+def take_events(
+    state: states.ConfigurationState, reply: messages.StoreReply
+) -> list[command.Command]:
+    """Apply the events of a watch."""
+    if not reply.items:
+        return []
+    revision = max(item.revision for item in reply.items)
+    return receiving.take_changes(state, reply.items, revision)
+
+
+def _call(
+    state: states.ConfigurationState, token: str, now_ms: int
+) -> list[command.Command]:
+    if token in state.store_calls:
+        return []
+    state.store_calls[token] = now_ms
+    operation = messages.StoreOperation.WATCH
+    if token == LIST_TOKEN:
+        operation = messages.StoreOperation.LIST
+    return [
+        messages.StoreRequest(
+            token,
+            operation,
+            CONFIG_PREFIX,
+            after_revision=state.store_seen or 0,
+            wait_ms=WATCH_MS if token == WATCH_TOKEN else 0,
+        )
+    ]
--- a/packages/decisions/src/gypsumbridge_decisions/messages/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/messages/__init__.py
@@ -16,8 +16,17 @@
 from gypsumbridge_decisions.messages.catalog_changed import (
     CatalogChanged as CatalogChanged,
 )
+from gypsumbridge_decisions.messages.config_pull import (
+    ConfigPull as ConfigPull,
+)
+from gypsumbridge_decisions.messages.config_state import (
+    ConfigState as ConfigState,
+)
 from gypsumbridge_decisions.messages.count import Count as Count
 from gypsumbridge_decisions.messages.decision import Decision as Decision
+from gypsumbridge_decisions.messages.domain_summary import (
+    DomainSummary as DomainSummary,
+)
 from gypsumbridge_decisions.messages.endpoint_cancel import (
     EndpointCancel as EndpointCancel,
 )
@@ -98,6 +107,9 @@
 from gypsumbridge_decisions.messages.store_status import (
     StoreStatus as StoreStatus,
 )
+from gypsumbridge_decisions.messages.subtree_report import (
+    SubtreeReport as SubtreeReport,
+)
 from gypsumbridge_decisions.messages.timer import Timer as Timer
 from gypsumbridge_decisions.messages.to_peer import ToPeer as ToPeer
 from gypsumbridge_decisions.messages.warm_up import WarmUp as WarmUp
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/messages/domain_summary.py
@@ -0,0 +1,17 @@
+"""What a failure domain holds."""
+
+import dataclasses
+
+from gypsumbridge_decisions.messages import subtree_report
+
+
+@dataclasses.dataclass(frozen=True)
+class DomainSummary:
+    """A recovered node of the domain held `revision` and no higher one,
+    `vote_age_ms` ago, or never if that is None.
+    """
+
+    failure_domain: str
+    revision: int
+    vote_age_ms: int | None
+    report: subtree_report.SubtreeReport
--- a/packages/node/src/gypsumbridge_node/tasks/peer_link.py
+++ b/packages/node/src/gypsumbridge_node/tasks/peer_link.py
@@ -115,6 +115,8 @@
         messages.EndpointLeaving: boxes.owner,
         messages.PartBatch: boxes.front,
         messages.MutationResult: boxes.mutation,
+        messages.ConfigPull: boxes.configuration,
+        messages.ConfigState: boxes.configuration,
     }
 
     def route(message: Any) -> None:
--- a/packages/wire/src/gypsumbridge_wire/peer.py
+++ b/packages/wire/src/gypsumbridge_wire/peer.py
@@ -20,6 +20,8 @@
     messages.MutationCall,
     messages.MutationResult,
     messages.EndpointLeaving,
+    messages.ConfigPull,
+    messages.ConfigState,
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/tools/write_init.py
+++ b/tools/write_init.py
@@ -9,7 +9,7 @@
 import sys
 
 MAX_LINE = 79
-PUBLIC_CONSTANTS = frozenset({'NO_EXPIRY_MS'})
+PUBLIC_CONSTANTS = frozenset({'NEVER_MS', 'NO_EXPIRY_MS'})
 
 
 def public_names(path: pathlib.Path) -> list[str]:
