Test the configuration with real processes

Four tests: a written change reaches every node, queries go on and a node restarts while the store is out, and a paused node answers nothing by a replaced configuration.

Each was seen to fail on a scratch copy: watch events ignored (first and last test), no majority votes (second and third), no recovery by peers (third), endless freshness (last).

The tests use a deadline of 2 s: a call that is queued at an owner when its rank is deleted stays there until its deadline, since dispatch only looks at declared ranks.

--- /dev/null
+++ b/tests/processes/test_configuration.py
@@ -0,0 +1,121 @@
+import http.client
+import json
+import signal
+import time
+import unittest
+
+from gypsumbridge_decisions import resources
+from gypsumbridge_standins import json_http
+from gypsumbridge_standins.cluster import cluster as clusters
+from gypsumbridge_standins.cluster import ports
+from gypsumbridge_standins.cluster import start
+from gypsumbridge_standins.deployment import build
+
+DOMAINS = ('fd-a', 'fd-b', 'fd-c')
+FRESH_S = 3.0
+
+
+class ConfigurationTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.cluster = clusters.Cluster()
+        cls.addClassCleanup(cls.cluster.stop)
+        chosen = ports.free_ports(build.count_searchers(build.SMALL_GROUPS))
+        deployment = build.build(build.SMALL_GROUPS, chosen, 5.0)
+        start.start_platform(cls.cluster, deployment)
+        start.declare(cls.cluster, deployment.specs)
+        start.start_nodes(cls.cluster, 3, DOMAINS)
+
+    def setUp(self):
+        self.addCleanup(self.set_outage, False)
+
+    def set_outage(self, outage):
+        orders = {'outage': outage}
+        json_http.call_json('POST', self.cluster.store, '/control', orders)
+
+    def delete_rank(self, name):
+        path = f'/v1/keys/config%2Franks%2F{name}'
+        _, found = json_http.call_json('GET', self.cluster.store, path)
+        path += f'?if_revision={found["items"][0]["revision"]}'
+        json_http.call_json('DELETE', self.cluster.store, path)
+
+    def body(self, rank):
+        return {
+            'service': 'verify-portal',
+            'rank': rank,
+            'deadline_ms': 2_000,
+            'query': {},
+        }
+
+    def query(self, node, rank='border'):
+        return json_http.call_json(
+            'POST', node.http, '/v1/query', self.body(rank)
+        )
+
+    def wait_status(self, node, rank, status):
+        clusters.wait_until(
+            lambda: self.query(node, rank)[0] == status,
+            f'{node.node_id} answers {status} to {rank}',
+        )
+
+    def test_a_written_change_reaches_every_node(self):
+        """Guards against a node that keeps its first configuration."""
+        start.declare(self.cluster, (resources.Rank('added', 3, 0.01, 900),))
+        for node in self.cluster.nodes.values():
+            self.wait_status(node, 'added', 200)
+        self.delete_rank('added')
+        for node in self.cluster.nodes.values():
+            self.wait_status(node, 'added', 404)
+
+    def test_queries_go_on_while_the_store_is_out(self):
+        """Guards against a fleet that goes stale with the store."""
+        self.set_outage(True)
+        until_s = time.monotonic() + 2 * FRESH_S
+        while time.monotonic() < until_s:
+            for node in self.cluster.nodes.values():
+                status, answer = self.query(node)
+                self.assertEqual((200, []), (status, answer['missing']))
+
+    def test_a_node_restarts_while_the_store_is_out(self):
+        """Guards against a restart that needs the store."""
+        self.set_outage(True)
+        node = self.cluster.nodes['node-2']
+        self.cluster.signal('node-2', signal.SIGKILL)
+        self.cluster.wait('node-2')
+        start.start_node(self.cluster, node, DOMAINS)
+        start.wait_ready(node)
+        status, answer = self.query(node)
+        self.assertEqual((200, []), (status, answer['missing']))
+
+    def test_a_paused_node_never_answers_by_a_replaced_configuration(self):
+        """Guards against queries that wait in the sockets of a paused
+        node and are run before it learns how old its configuration is.
+        """
+        start.declare(self.cluster, (resources.Rank('old', 3, 0.01, 900),))
+        nodes = list(self.cluster.nodes.values())
+        for node in nodes:
+            self.wait_status(node, 'old', 200)
+        paused = nodes.pop()
+        self.cluster.signal(paused.node_id, signal.SIGSTOP)
+        self.addCleanup(self.cluster.signal, paused.node_id, signal.SIGCONT)
+        self.delete_rank('old')
+        for node in nodes:
+            self.wait_status(node, 'old', 404)
+        replaced_s = time.monotonic()
+        clusters.wait_until(
+            lambda: time.monotonic() - replaced_s > FRESH_S + 0.5,
+            'the freshness bound has passed',
+        )
+        waiting = [self.send(paused, 'old') for _ in range(20)]
+        self.cluster.signal(paused.node_id, signal.SIGCONT)
+        statuses = {c.getresponse().status for c in waiting}
+        self.assertLessEqual(statuses, {404, 503})
+        self.wait_status(paused, 'old', 404)
+
+    def send(self, node, rank):
+        host, port = node.http.rsplit(':', 1)
+        connection = http.client.HTTPConnection(host, int(port), timeout=30)
+        self.addCleanup(connection.close)
+        content = json.dumps(self.body(rank))
+        connection.request('POST', '/v1/query', content)
+        return connection
