Check a model of the configuration protocol

Change: make check-model explores three failure domains, a store that may be out, cuts, pauses, a restart with empty memory and two operators, with the program's own functions as steps. Five mutants must be rejected.

--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/check_model.py
@@ -0,0 +1,62 @@
+"""Checks the models of the core protocols (`make check-model`).
+
+Prints for each model the number of states and the result, and ends with a
+non-zero status when a model fails or a mutant passes.
+"""
+
+import sys
+import time
+
+import minicheck
+
+from gypsumbridge_standins.models import bounds as all_bounds
+from gypsumbridge_standins.models import check
+from gypsumbridge_standins.models import configuration_model
+
+# Each function returns the checks of one model, its mutants among them.
+MODELS = (configuration_model.checks,)
+
+
+def main(bounds: all_bounds.Bounds = all_bounds.Bounds()) -> int:
+    """Run every check and return the exit status."""
+    failed = 0
+    for make_checks in MODELS:
+        for each in make_checks(bounds):
+            failed += not run_check(each)
+    print(f'{failed} checks failed')
+    return 1 if failed else 0
+
+
+def run_check(each: check.Check) -> bool:
+    """Run one check, print its result and return whether it is expected."""
+    started_s = time.monotonic()
+    result = minicheck.check_safety(each.make(), each.max_states)
+    seconds = time.monotonic() - started_s
+    properties = result['properties']
+    print(f'{each.name}: {result["reachable_states"]} states, {seconds:.1f} s')
+    passed = True
+    if not each.violated:
+        for name, found in properties.items():
+            print(f'  {name}: {describe(found["holds"])}')
+            passed = passed and found['holds'] is True
+        return passed
+    trace = properties[each.violated]['counterexample']
+    if not trace:
+        print(f'  the mutant was not rejected by {each.violated}')
+        return False
+    print(f'  rejected by {each.violated}:')
+    for step in trace:
+        if step['label']:
+            print(f'    {step["label"]}')
+    return True
+
+
+def describe(holds: bool | None) -> str:
+    """Return the outcome of an invariant in words."""
+    if holds is None:
+        return 'undetermined'
+    return 'holds' if holds else 'violated'
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/models/configuration_model.py
@@ -0,0 +1,134 @@
+"""Model of the configuration protocol with three failure domains.
+
+A step that does not happen stands for a cut, a pause or a store that is
+out: the search explores every order of steps, and any step may be absent.
+"""
+
+import dataclasses
+
+import minicheck
+
+from gypsumbridge_decisions import configuration
+from gypsumbridge_standins.models import bounds as all_bounds
+from gypsumbridge_standins.models import check
+from gypsumbridge_standins.models import configuration_core
+from gypsumbridge_standins.models import configuration_operator
+from gypsumbridge_standins.models import configuration_rules as all_rules
+from gypsumbridge_standins.models import configuration_state as states
+from gypsumbridge_standins.models import configuration_steps
+
+
+def checks(bounds: all_bounds.Bounds) -> list[check.Check]:
+    """Return the model and its mutants."""
+    found = [make_check('configuration', all_rules.Rules(), bounds, '')]
+    # Two concurrent writes need no third failure domain to meet.
+    two = dataclasses.replace(
+        bounds, failure_domains=('a', 'b'), writes=2, restarting=()
+    )
+    label = 'configuration, two operators'
+    found.append(make_check(label, all_rules.Rules(), two, ''))
+    for name, (rules, violated) in all_rules.mutants().items():
+        label = f'configuration, mutant {name}'
+        found.append(make_check(label, rules, bounds, violated))
+    return found
+
+
+def make_check(
+    name: str,
+    rules: all_rules.Rules,
+    bounds: all_bounds.Bounds,
+    violated: str,
+) -> check.Check:
+    """Return one check; `violated` is empty for a model that holds."""
+    return check.Check(
+        name,
+        lambda: make_protocol(name, rules, bounds, violated),
+        bounds.max_states,
+        violated,
+    )
+
+
+def make_protocol(
+    name: str,
+    rules: all_rules.Rules,
+    bounds: all_bounds.Bounds,
+    violated: str,
+) -> minicheck.Protocol:
+    """Return the protocol for the checker; its state has one field.
+
+    The search of a mutant ends at the first state that breaks the
+    invariant `violated`.
+    """
+    domains = bounds.failure_domains
+    cores = tuple(
+        configuration_core.forget(
+            configuration.Core(d, domains, -9, rules.bounds, recovered=True)
+        )
+        for d in domains
+    )
+    none = (False,) * len(domains)
+    initial = states.ModelState(
+        cores=cores,
+        observer=cores[0],
+        replies=(None,) * len(domains),
+        operators=(configuration_operator.Operator(),) * bounds.writes,
+        restarted=none,
+        served=none,
+    )
+
+    broken: list[states.ModelState] = []
+
+    def transitions(fields: tuple) -> list[tuple[str, tuple]]:
+        if violated and not invariants[violated]({'state': fields[0]}):
+            broken.append(fields[0])
+        if broken:
+            return []
+        found = configuration_steps.next_states(rules, bounds, fields[0])
+        return [(label, (state,)) for label, state in found]
+
+    def no_stale_service(view: dict) -> bool:
+        return not serves_stale(rules, view['state'])
+
+    def no_revert(view: dict) -> bool:
+        return not view['state'].reverted
+
+    def writes_are_distinct(view: dict) -> bool:
+        written = [o.written for o in view['state'].operators if o.written]
+        return len(set(written)) == len(written)
+
+    invariants = {
+        'no_stale_service': no_stale_service,
+        'no_revert': no_revert,
+        'writes_are_distinct': writes_are_distinct,
+    }
+    return minicheck.Protocol(
+        name=name,
+        candidate=False,
+        fields=('state',),
+        initial=(initial,),
+        transitions=transitions,
+        invariants=invariants,
+    )
+
+
+def serves_stale(rules: all_rules.Rules, state: states.ModelState) -> bool:
+    """Say whether a node serves what was replaced `fresh_ms` ago."""
+    for index, core in enumerate(state.cores):
+        if not serves(rules, state, index):
+            continue
+        for operator in state.operators:
+            if operator.accepted_ms is None:
+                continue
+            late = operator.accepted_ms <= -rules.bounds.fresh_ms
+            if late and core.revision < operator.written:
+                return True
+    return False
+
+
+def serves(
+    rules: all_rules.Rules, state: states.ModelState, index: int
+) -> bool:
+    """Say whether a node takes new work now."""
+    if rules.timer_only:
+        return state.served[index]
+    return rules.may_take_work(state.cores[index], 0)
--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/models/configuration_rules.py
@@ -0,0 +1,62 @@
+"""The rules under check, and mutants that the check must reject."""
+
+from collections.abc import Callable
+import dataclasses
+
+from gypsumbridge_decisions import configuration
+
+# One tick each; the order of steps within a tick is free.
+SMALL = configuration.Bounds(fresh_ms=1, evidence_ms=1)
+NO_WAIT = configuration.Bounds(fresh_ms=1, evidence_ms=0)
+
+
+@dataclasses.dataclass(frozen=True)
+class Rules:
+    """The program's own functions, where a mutant replaces one."""
+
+    hold: Callable[..., configuration.Core] = configuration.hold
+    confirm: Callable[..., configuration.Core] = configuration.confirm
+    may_take_work: Callable[..., bool] = configuration.may_take_work
+    is_accepted: Callable[..., bool] = configuration.is_accepted
+    bounds: configuration.Bounds = SMALL
+    restart_bounds: configuration.Bounds = SMALL
+    timer_only: bool = False
+
+
+def accept_when_stored(core: configuration.Core, holding: object) -> bool:
+    """Accept after the store's confirmation alone."""
+    return True
+
+
+def hold_any(core: configuration.Core, revision: int) -> configuration.Core:
+    """Take over every revision, also a lower one."""
+    return dataclasses.replace(core, revision=revision)
+
+
+def confirm_from_before_start(
+    core: configuration.Core, revision: int, at_ms: int
+) -> configuration.Core:
+    """Count a confirmation from before the node's start."""
+    early = dataclasses.replace(core, started_ms=configuration.NEVER_MS)
+    confirmed = configuration.confirm(early, revision, at_ms)
+    return dataclasses.replace(confirmed, started_ms=core.started_ms)
+
+
+def mutants() -> dict[str, tuple[Rules, str]]:
+    """Return each mutant with the invariant that it breaks."""
+    return {
+        'accept_when_stored': (
+            Rules(is_accepted=accept_when_stored),
+            'no_stale_service',
+        ),
+        'freshness_in_timer': (Rules(timer_only=True), 'no_stale_service'),
+        'hold_any': (Rules(hold=hold_any), 'no_revert'),
+        'recover_from_early_votes': (
+            Rules(restart_bounds=NO_WAIT),
+            'no_stale_service',
+        ),
+        'confirm_from_before_start': (
+            Rules(confirm=confirm_from_before_start),
+            'no_stale_service',
+        ),
+    }
--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/models/configuration_steps.py
@@ -0,0 +1,158 @@
+"""Steps of the configuration model: operators, the observer and nodes."""
+
+import dataclasses
+
+from gypsumbridge_decisions import configuration
+from gypsumbridge_standins.models import bounds as all_bounds
+from gypsumbridge_standins.models import configuration_core
+from gypsumbridge_standins.models import configuration_operator
+from gypsumbridge_standins.models import configuration_reply
+from gypsumbridge_standins.models import configuration_rules as all_rules
+from gypsumbridge_standins.models import configuration_state as states
+from gypsumbridge_standins.models import configuration_time
+
+Steps = list[tuple[str, states.ModelState]]
+
+
+def next_states(
+    rules: all_rules.Rules,
+    bounds: all_bounds.Bounds,
+    state: states.ModelState,
+) -> Steps:
+    """Return every step from a state."""
+    fresh_ms = rules.bounds.fresh_ms
+    found = [('tick', configuration_time.pass_tick(state, fresh_ms))]
+    for index in range(len(state.operators)):
+        found += operator_steps(rules, state, index)
+    found += observer_steps(state)
+    for index in range(len(state.cores)):
+        found += node_steps(rules, bounds, state, index)
+    return [(label, after) for label, after in found if after != state]
+
+
+def operator_steps(
+    rules: all_rules.Rules, state: states.ModelState, index: int
+) -> Steps:
+    """Return the steps of an operator: write, and learn of acceptance."""
+    operator = state.operators[index]
+
+    def with_operator(
+        step: str, changed: configuration_operator.Operator, stored: int
+    ) -> Steps:
+        operators = states.replace_at(state.operators, index, changed)
+        after = dataclasses.replace(state, operators=operators, stored=stored)
+        return [(f'operator {index} {step}', after)]
+
+    if not operator.written:
+        if operator.base != state.stored:
+            changed = dataclasses.replace(operator, base=state.stored)
+            return with_operator('has a conflict', changed, state.stored)
+        revision = state.stored + 1
+        changed = dataclasses.replace(operator, written=revision)
+        return with_operator('writes', changed, revision)
+    if operator.accepted_ms is not None:
+        return []
+    observer = state.observer
+    holding = configuration.holding_domains(observer, operator.written, 0)
+    if not rules.is_accepted(observer, holding):
+        return []
+    accepted = dataclasses.replace(operator, accepted_ms=0)
+    found = with_operator('has success', accepted, state.stored)
+    if all(o.accepted_ms is not None for o in found[0][1].operators):
+        # Nothing is left to judge; forgetting saves states.
+        blank = dataclasses.replace(observer, votes=())
+        found = [
+            (found[0][0], dataclasses.replace(found[0][1], observer=blank))
+        ]
+    return found
+
+
+def observer_steps(state: states.ModelState) -> Steps:
+    """Return the steps in which the operators' node hears reports."""
+    found: Steps = []
+    if all(o.accepted_ms is not None for o in state.operators):
+        return found
+    for core in state.cores:
+        observer = configuration_core.hear_report(state.observer, core)
+        after = dataclasses.replace(state, observer=observer)
+        found.append((f'the observer hears of {core.failure_domain}', after))
+    return found
+
+
+def node_steps(
+    rules: all_rules.Rules,
+    bounds: all_bounds.Bounds,
+    state: states.ModelState,
+    index: int,
+) -> Steps:
+    """Return the steps of a node."""
+    found: Steps = []
+    name = state.cores[index].failure_domain
+    replies = {}
+    if index in bounds.readers:
+        replies['the store'] = configuration_reply.Reply(
+            0, state.stored, 0, None
+        )
+    for other, core in enumerate(state.cores):
+        if other != index:
+            replies[core.failure_domain] = configuration_core.make_reply(core)
+    for source, reply in replies.items():
+        now = receive(rules, state, index, reply)
+        found.append((f'{name} asks {source}', now))
+        if index not in bounds.delayed or state.replies[index]:
+            continue
+        waiting = states.replace_at(state.replies, index, reply)
+        after = dataclasses.replace(state, replies=waiting)
+        found.append((f'{name} asks {source}, reply is late', after))
+    late = state.replies[index]
+    if late is not None:
+        emptied = states.replace_at(state.replies, index, None)
+        after = dataclasses.replace(state, replies=emptied)
+        after = receive(rules, after, index, late)
+        found.append((f'{name} gets its late reply', after))
+    if rules.timer_only:
+        judged = rules.may_take_work(state.cores[index], 0)
+        served = states.replace_at(state.served, index, judged)
+        after = dataclasses.replace(state, served=served)
+        found.append((f'timer of {name}', after))
+    if index in bounds.restarting and not state.restarted[index]:
+        found.append((f'{name} restarts', restart(rules, state, index)))
+    return found
+
+
+def receive(
+    rules: all_rules.Rules,
+    state: states.ModelState,
+    index: int,
+    reply: configuration_reply.Reply,
+) -> states.ModelState:
+    """Apply a reply at a node."""
+    before = state.cores[index]
+    core = configuration_core.receive(rules, before, reply)
+    if core is before:
+        return state
+    return dataclasses.replace(
+        state,
+        cores=states.replace_at(state.cores, index, core),
+        reverted=state.reverted or core.revision < before.revision,
+    )
+
+
+def restart(
+    rules: all_rules.Rules, state: states.ModelState, index: int
+) -> states.ModelState:
+    """Start a node again with empty memory."""
+    before = state.cores[index]
+    made = configuration.Core(
+        before.failure_domain,
+        before.failure_domains,
+        0,
+        rules.restart_bounds,
+    )
+    return dataclasses.replace(
+        state,
+        cores=states.replace_at(state.cores, index, made),
+        replies=states.replace_at(state.replies, index, None),
+        served=states.replace_at(state.served, index, False),
+        restarted=states.replace_at(state.restarted, index, True),
+    )
--- /dev/null
+++ b/tests/standins/test_check_model.py
@@ -0,0 +1,38 @@
+import contextlib
+import io
+import unittest
+
+from gypsumbridge_standins import check_model
+from gypsumbridge_standins.models import bounds
+from gypsumbridge_standins.models import configuration_model
+from gypsumbridge_standins.models import configuration_rules
+
+
+class CheckModelTest(unittest.TestCase):
+    def test_the_model_holds_and_every_mutant_is_rejected(self):
+        """Guards against a change of the core that breaks an invariant,
+        and against a model too weak to notice one.
+        """
+        output = io.StringIO()
+        with contextlib.redirect_stdout(output):
+            status = check_model.main()
+        self.assertEqual(0, status, output.getvalue())
+        rejected = output.getvalue().count('rejected by')
+        self.assertEqual(len(configuration_rules.mutants()), rejected)
+
+    def test_a_mutant_that_passes_fails_the_check(self):
+        """Guards against a script that accepts a harmless mutant."""
+        rules = configuration_rules.Rules()
+        with contextlib.redirect_stdout(io.StringIO()):
+            made = configuration_model.make_check(
+                'harmless', rules, bounds.Bounds(1, ()), 'no_revert'
+            )
+            self.assertFalse(check_model.run_check(made))
+
+    def test_a_search_cut_short_is_no_pass(self):
+        """Guards against a result from a part of the states."""
+        rules = configuration_rules.Rules()
+        few = bounds.Bounds(max_states=50)
+        with contextlib.redirect_stdout(io.StringIO()):
+            made = configuration_model.make_check('short', rules, few, '')
+            self.assertFalse(check_model.run_check(made))
