--- a/packages/decisions/src/gypsumbridge_decisions/messages/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/messages/__init__.py
@@ -34,8 +34,17 @@
 from gypsumbridge_decisions.messages.claim_report import (
     ClaimReport as ClaimReport,
 )
+from gypsumbridge_decisions.messages.config_pull import (
+    ConfigPull as ConfigPull,
+)
+from gypsumbridge_decisions.messages.config_state import (
+    ConfigState as ConfigState,
+)
 from gypsumbridge_decisions.messages.count import Count as Count
 from gypsumbridge_decisions.messages.decision import Decision as Decision
+from gypsumbridge_decisions.messages.domain_summary import (
+    DomainSummary as DomainSummary,
+)
 from gypsumbridge_decisions.messages.end_keep_alive import (
     EndKeepAlive as EndKeepAlive,
 )
@@ -158,6 +167,9 @@
 from gypsumbridge_decisions.messages.store_status import (
     StoreStatus as StoreStatus,
 )
+from gypsumbridge_decisions.messages.subtree_report import (
+    SubtreeReport as SubtreeReport,
+)
 from gypsumbridge_decisions.messages.task_status import (
     TaskStatus as TaskStatus,
 )
--- a/packages/node/src/gypsumbridge_node/tasks/peer_link.py
+++ b/packages/node/src/gypsumbridge_node/tasks/peer_link.py
@@ -183,6 +183,8 @@
         messages.Probe: boxes.membership,
         messages.ProbeRequest: boxes.membership,
         messages.ProbeAck: boxes.membership,
+        messages.ConfigPull: boxes.configuration,
+        messages.ConfigState: boxes.configuration,
     }
 
     def route(message: Any) -> None:
--- a/packages/standins/src/gypsumbridge_standins/models/__init__.py
+++ b/packages/standins/src/gypsumbridge_standins/models/__init__.py
@@ -1,1 +1,1 @@
-"""Models of the core protocols, built on the program's own steps."""
+"""Models of the core protocols, stepped by the program's own functions."""
--- a/packages/wire/src/gypsumbridge_wire/peer.py
+++ b/packages/wire/src/gypsumbridge_wire/peer.py
@@ -24,6 +24,8 @@
     messages.Probe,
     messages.ProbeRequest,
     messages.ProbeAck,
+    messages.ConfigPull,
+    messages.ConfigState,
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/tools/write_init.py
+++ b/tools/write_init.py
@@ -17,6 +17,7 @@
         'MAX_RECORDED_PAYLOAD_BYTES',
         'MAX_REMEMBERED_MUTATIONS',
         'MAX_RUNNING',
+        'NEVER_MS',
         'NO_EXPIRY_MS',
         'REMEMBER_MUTATION_MS',
         'RESOURCES_PATH',
