--- a/packages/node/src/gypsumbridge_node/tasks/caller_http.py
+++ b/packages/node/src/gypsumbridge_node/tasks/caller_http.py
@@ -45,6 +45,19 @@
         boxes.front.put(query)
         return server.NOT_DONE_YET
 
+    versions = resource.Resource()
+    versions.putChild(b'query', function_resource.FunctionResource(accept))
+    mutations = mutation_http.make_handler(runtime, waiting, next_id)
+    versions.putChild(
+        b'mutations', function_resource.FunctionResource(mutations)
+    )
+    root.putChild(b'v1', versions)
+    boxes.caller_http.start(make_replier(waiting))
+
+
+def make_replier(waiting: dict[str, Any]) -> Callable[[Any], None]:
+    """Return a function that answers the request a message is for."""
+
     def reply(request_id: str, encoded: tuple[int, bytes]) -> None:
         request = waiting.pop(request_id, None)
         if request is None:
@@ -65,14 +78,7 @@
                 encoded = caller.encode_claim_report(message)
                 reply(message.lookup_id, encoded)
 
-    versions = resource.Resource()
-    versions.putChild(b'query', function_resource.FunctionResource(accept))
-    mutations = mutation_http.make_handler(runtime, waiting, next_id)
-    versions.putChild(
-        b'mutations', function_resource.FunctionResource(mutations)
-    )
-    root.putChild(b'v1', versions)
-    boxes.caller_http.start(handle)
+    return handle
 
 
 def make_id_source(node_id: str) -> Callable[[], str]:
