--- a/packages/node/src/gypsumbridge_node/tasks/caller_http.py
+++ b/packages/node/src/gypsumbridge_node/tasks/caller_http.py
@@ -22,19 +22,51 @@
 RUN_ID_BYTES = 6
 
 
+class CallerState:
+    """Requests that wait for a reply, by this node's id for them.
+
+    While `ending` is set, a reply also ends its connection.
+    """
+
+    def __init__(self) -> None:
+        self.waiting: dict[str, Any] = {}
+        self.ending = False
+
+
 def start_caller_http_task(
     runtime: runtimes.Runtime, root: resource.Resource
 ) -> None:
     """Turn HTTP requests into queries and answers into responses."""
-    waiting: dict[str, Any] = {}
-    ending = False
+    state = CallerState()
     next_id = make_id_source(runtime.settings.node.node_id)
-    boxes = runtime.boxes
+    versions = path_resource.PathResource()
+    for path, accept in (
+        (b'query', make_query_handler(runtime, state, next_id)),
+        (
+            b'mutations',
+            mutation_http.make_handler(runtime, state.waiting, next_id),
+        ),
+    ):
+        versions.putChild(path, function_resource.FunctionResource(accept))
+    root.putChild(b'v1', versions)
+    runtime.boxes.caller_http.start(
+        task_status.with_status(
+            make_message_handler(runtime, state),
+            lambda: {'waiting_requests': len(state.waiting)},
+        )
+    )
+
+
+def make_query_handler(
+    runtime: runtimes.Runtime, state: CallerState, next_id: Callable[[], str]
+) -> Callable[[Any], Any]:
+    """Return the function that takes requests under /v1/query."""
+    front = runtime.boxes.front
     max_deadline_ms = runtime.settings.limits.max_deadline_ms
 
     def forget(query_id: str) -> None:
-        if waiting.pop(query_id, None) is not None:
-            boxes.front.put(messages.QueryGone(query_id))
+        if state.waiting.pop(query_id, None) is not None:
+            front.put(messages.QueryGone(query_id))
 
     def accept(request: Any) -> Any:
         query_id = next_id()
@@ -46,60 +78,62 @@
         except errors.GypsumbridgeError as error:
             runtime.metrics.count('caller.rejected')
             refusal = caller.make_refusal(error, query_id)
-            return finish(request, caller.encode_refusal(refusal))
-        waiting[query_id] = request
+            return respond(state, request, caller.encode_refusal(refusal))
+        state.waiting[query_id] = request
         request.notifyFinish().addErrback(lambda _: forget(query_id))
-        boxes.front.put(query)
+        front.put(query)
         return server.NOT_DONE_YET
 
-    def finish(request: Any, encoded: tuple[int, bytes]) -> bytes:
-        if ending:
-            keep_alive.end_after(request)
-        return json_request.respond(request, encoded)
+    return accept
+
+
+def make_message_handler(
+    runtime: runtimes.Runtime, state: CallerState
+) -> Callable[[Any], None]:
+    """Return the function that handles the task's messages."""
 
     def handle(message: Any) -> None:
-        nonlocal ending
-        if isinstance(message, messages.EndKeepAlive):
-            ending = True
-            return
-        if isinstance(message, messages.InFlightQuery):
-            report = messages.InFlightReport('caller_http', len(waiting))
-            boxes.lifecycle.put(report)
-            return
-        deliver(message)
-
-    def reply(request_id: str, encoded: tuple[int, bytes]) -> None:
-        request = waiting.pop(request_id, None)
-        if request is None:
-            return
-        request.write(finish(request, encoded))
-        request.finish()
-
-    def deliver(message: Any) -> None:
         match message:
             case messages.Answer():
-                reply(message.query_id, caller.encode_answer(message))
+                encoded = caller.encode_answer(message)
+                reply(state, message.query_id, encoded)
             case messages.Refusal():
-                reply(message.query_id, caller.encode_refusal(message))
+                encoded = caller.encode_refusal(message)
+                reply(state, message.query_id, encoded)
             case messages.MutationAnswer():
                 encoded = caller.encode_mutation_answer(message)
-                reply(message.mutation_id, encoded)
+                reply(state, message.mutation_id, encoded)
             case messages.ClaimReport():
                 encoded = caller.encode_claim_report(message)
-                reply(message.lookup_id, encoded)
+                reply(state, message.lookup_id, encoded)
+            case messages.EndKeepAlive():
+                state.ending = True
+            case messages.InFlightQuery():
+                count = len(state.waiting)
+                report = messages.InFlightReport('caller_http', count)
+                runtime.boxes.lifecycle.put(report)
 
-    versions = path_resource.PathResource()
-    versions.putChild(b'query', function_resource.FunctionResource(accept))
-    mutations = mutation_http.make_handler(runtime, waiting, next_id)
-    versions.putChild(
-        b'mutations', function_resource.FunctionResource(mutations)
-    )
-    root.putChild(b'v1', versions)
-    boxes.caller_http.start(
-        task_status.with_status(
-            handle, lambda: {'waiting_requests': len(waiting)}
-        )
-    )
+    return handle
+
+
+def reply(
+    state: CallerState, request_id: str, encoded: tuple[int, bytes]
+) -> None:
+    """Answer a waiting request; one whose caller is gone is dropped."""
+    request = state.waiting.pop(request_id, None)
+    if request is None:
+        return
+    request.write(respond(state, request, encoded))
+    request.finish()
+
+
+def respond(
+    state: CallerState, request: Any, encoded: tuple[int, bytes]
+) -> bytes:
+    """Set status and headers and return the body."""
+    if state.ending:
+        keep_alive.end_after(request)
+    return json_request.respond(request, encoded)
 
 
 def make_id_source(node_id: str) -> Callable[[], str]:
