Test that a stop waits for queries longer than the balancer's lag

Cause: an exit at the end of the lag passed the other stop test, since the front's hedge to the standby hides owner work that is cut.

Change: three clients send queries of about a second to the stopping node; none may be cut.

--- a/tests/processes/test_node_loss.py
+++ b/tests/processes/test_node_loss.py
@@ -85,6 +85,21 @@
             self.assertIn('node stopping, nothing in flight drained', log)
             self.wait_covered(node)
 
+    def test_a_stop_waits_for_queries_longer_than_the_lag(self):
+        """Guards against an exit at the end of the lag that cuts queries
+        which no other node can finish for their callers.
+        """
+        orders = {'set': {'slowdown': 200.0}}
+        json_http.call_json('POST', self.cluster.controls[0], '/', orders)
+        with load.Load(self.nodes[:1] * 3, 0.8 * LAG_MS / 1_000) as sent:
+            time.sleep(1.0)
+            self.cluster.signal('node-1', signal.SIGTERM)
+            status = self.cluster.wait('node-1')
+        self.assertEqual(0, status)
+        cut = [o for o in sent.outcomes if not isinstance(o[1], int)]
+        self.assertEqual([], cut)
+        self.assertIn('node-1', {o[0] for o in sent.outcomes})
+
     def check_last_answer(self, node):
         """A stopping node answers and tells the client to hang up."""
         clusters.wait_until(
