--- a/packages/node/src/gypsumbridge_node/tasks/configuration.py
+++ b/packages/node/src/gypsumbridge_node/tasks/configuration.py
@@ -1,5 +1,6 @@
 """The task that keeps the declared resources up to date."""
 
+from collections.abc import Callable
 from typing import Any
 
 from gypsumbridge_decisions import catalog
@@ -25,7 +26,6 @@
         node.failure_domains,
         runtime.clock.now_ms(),
     )
-    declared: dict[str, resources.Resource] = {}
     # Who waits for the answer to a question, by its token.
     askers: dict[str, mailbox.Mailbox] = {}
 
@@ -37,17 +37,6 @@
     ) -> None:
         askers.pop(report.token).put(report)
 
-    def publish(published: configuration.Publish) -> None:
-        if published.replace:
-            declared.clear()
-        for item in published.items:
-            decode_into(runtime, declared, item)
-        made = catalog.make_catalog(published.revision, declared.values())
-        changed = messages.CatalogChanged(made)
-        boxes.front.put(changed)
-        boxes.owner.put(changed)
-        runtime.metrics.gauge('configuration.revision', published.revision)
-
     execute = executors.make_executor(
         runtime,
         boxes.configuration,
@@ -56,7 +45,7 @@
             messages.ServingCondition: boxes.lifecycle.put,
             messages.AcceptedReport: answer,
             messages.ForceReport: answer,
-            configuration.Publish: publish,
+            configuration.Publish: make_publisher(runtime),
         },
     )
 
@@ -71,6 +60,26 @@
     boxes.configuration.put(configuration.Tick())
 
 
+def make_publisher(
+    runtime: runtimes.Runtime,
+) -> Callable[[configuration.Publish], None]:
+    """Return a function that puts a revision into force."""
+    declared: dict[str, resources.Resource] = {}
+
+    def publish(published: configuration.Publish) -> None:
+        if published.replace:
+            declared.clear()
+        for item in published.items:
+            decode_into(runtime, declared, item)
+        made = catalog.make_catalog(published.revision, declared.values())
+        changed = messages.CatalogChanged(made)
+        runtime.boxes.front.put(changed)
+        runtime.boxes.owner.put(changed)
+        runtime.metrics.gauge('configuration.revision', published.revision)
+
+    return publish
+
+
 def decode_into(
     runtime: runtimes.Runtime,
     declared: dict[str, resources.Resource],
--- a/packages/standins/src/gypsumbridge_standins/models/configuration_model.py
+++ b/packages/standins/src/gypsumbridge_standins/models/configuration_model.py
@@ -4,6 +4,7 @@
 out: the search explores every order of steps, and any step may be absent.
 """
 
+from collections.abc import Callable
 import dataclasses
 
 import minicheck
@@ -76,6 +77,7 @@
         served=none,
     )
 
+    invariants = make_invariants(rules)
     broken: list[states.ModelState] = []
 
     def transitions(fields: tuple) -> list[tuple[str, tuple]]:
@@ -86,6 +88,21 @@
         found = configuration_steps.next_states(rules, bounds, fields[0])
         return [(label, (state,)) for label, state in found]
 
+    return minicheck.Protocol(
+        name=name,
+        candidate=False,
+        fields=('state',),
+        initial=(initial,),
+        transitions=transitions,
+        invariants=invariants,
+    )
+
+
+def make_invariants(
+    rules: all_rules.Rules,
+) -> dict[str, Callable[[dict], bool]]:
+    """Return the invariants by name."""
+
     def no_stale_service(view: dict) -> bool:
         return not serves_stale(rules, view['state'])
 
@@ -96,19 +113,11 @@
         written = [o.written for o in view['state'].operators if o.written]
         return len(set(written)) == len(written)
 
-    invariants = {
+    return {
         'no_stale_service': no_stale_service,
         'no_revert': no_revert,
         'writes_are_distinct': writes_are_distinct,
     }
-    return minicheck.Protocol(
-        name=name,
-        candidate=False,
-        fields=('state',),
-        initial=(initial,),
-        transitions=transitions,
-        invariants=invariants,
-    )
 
 
 def serves_stale(rules: all_rules.Rules, state: states.ModelState) -> bool:
--- a/tests/standins/test_check_model.py
+++ b/tests/standins/test_check_model.py
@@ -25,7 +25,7 @@
         rules = configuration_rules.Rules()
         with contextlib.redirect_stdout(io.StringIO()):
             made = configuration_model.make_check(
-                'harmless', rules, bounds.Bounds(1, ()), 'no_revert'
+                'harmless', rules, bounds.Bounds(restarting=()), 'no_revert'
             )
             self.assertFalse(check_model.run_check(made))
 
