--- a/packages/node/src/gypsumbridge_node/tasks/configuration.py
+++ b/packages/node/src/gypsumbridge_node/tasks/configuration.py
@@ -1,5 +1,6 @@
 """The task that keeps the declared resources up to date."""
 
+from collections.abc import Callable
 from typing import Any
 
 from gypsumbridge_decisions import catalog
@@ -25,7 +26,6 @@
         node.failure_domains,
         runtime.clock.now_ms(),
     )
-    declared: dict[str, resources.Resource] = {}
     # Who waits for the answer to a question, by its token.
     askers: dict[str, mailbox.Mailbox] = {}
 
@@ -37,19 +37,6 @@
     ) -> None:
         askers.pop(report.token).put(report)
 
-    def publish(published: configuration.Publish) -> None:
-        if published.replace:
-            declared.clear()
-        for item in published.items:
-            decode_into(runtime, declared, item)
-        made = catalog.make_catalog(published.revision, declared.values())
-        changed = messages.CatalogChanged(made)
-        boxes.front.put(changed)
-        boxes.owner.put(changed)
-        boxes.operator_http.put(changed)
-        boxes.mutation.put(changed)
-        runtime.metrics.gauge('configuration.revision', published.revision)
-
     execute = executors.make_executor(
         runtime,
         boxes.configuration,
@@ -58,7 +45,7 @@
             messages.ServingCondition: boxes.lifecycle.put,
             messages.AcceptedReport: answer,
             messages.ForceReport: answer,
-            configuration.Publish: publish,
+            configuration.Publish: make_publisher(runtime),
         },
     )
 
@@ -73,16 +60,56 @@
     boxes.configuration.put(configuration.Tick())
 
 
-def decode_into(
+def make_publisher(
+    runtime: runtimes.Runtime,
+) -> Callable[[configuration.Publish], None]:
+    """Return a function that puts a revision into force."""
+    boxes = runtime.boxes
+    declared: dict[str, resources.Spec] = {}
+    current = catalog.empty_catalog()
+
+    def publish(published: configuration.Publish) -> None:
+        nonlocal current
+        if published.replace:
+            declared.clear()
+            current = catalog.empty_catalog()
+        changes = []
+        for item in published.items:
+            changes += decode_change(runtime, declared, item)
+        current = catalog.update_catalog(current, published.revision, changes)
+        changed = messages.CatalogChanged(current)
+        for box in (
+            boxes.front,
+            boxes.owner,
+            boxes.mutation,
+            boxes.operator_http,
+        ):
+            box.put(changed)
+        runtime.metrics.gauge('configuration.revision', published.revision)
+
+    return publish
+
+
+def decode_change(
     runtime: runtimes.Runtime,
-    declared: dict[str, resources.Resource],
+    declared: dict[str, resources.Spec],
     item: messages.StoreItem,
-) -> None:
-    """Take over one item; one that does not decode changes nothing."""
-    if item.value is None:
-        declared.pop(item.key, None)
-        return
-    try:
-        declared[item.key] = store.decode_item(item)
-    except errors.FrameError as error:
-        runtime.logger.error('resource rejected', extra={'error': str(error)})
+) -> list[tuple[resources.Spec | None, resources.Spec | None]]:
+    """Return an item's old and new spec, and keep the new one.
+
+    An item that does not decode changes nothing, so that one bad value
+    does not take a resource out of force.
+    """
+    after = None
+    if item.value is not None:
+        try:
+            after = store.decode_item(item).spec
+        except errors.FrameError as error:
+            runtime.logger.error(
+                'resource rejected', extra={'error': str(error)}
+            )
+            return []
+    before = declared.pop(item.key, None)
+    if after is not None:
+        declared[item.key] = after
+    return [(before, after)]
