Shed only after two windows and recover faster

Cause: the level of the most urgent rank fell whenever one of the replica sets of a query had a burst, and rose slowly. With one failure domain lost, a fifth of the border queries was refused although border asks for 30 % of what is left.

Shedding now starts after two windows above the target, or at once when the wait is twice the target, and the level rises by 1.6 a window below half of the target, up to everything.

--- a/packages/decisions/src/gypsumbridge_decisions/owner/admission.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/admission.py
@@ -8,9 +8,16 @@
 # the effect of the one before it.
 WINDOW_MS = 100
 MIN_LEVEL = 0.01
+# A caller needs this many times the mean rate of its rank for a larger key.
+NEARLY_ALL = 8.0
+# Windows in a row above the target before shedding starts. A query needs all
+# its replica sets, so with one window a burst at any of them shed the rank.
+WINDOWS_TO_SHED = 2
+# A wait this many times the target is no burst, so shedding starts at once.
+SEVERE = 2.0
 MAX_DECREASE = 0.5
 MAX_INCREASE = 1.25
-# Without a queue the level is far too low, so it rises faster.
+# Far below the target wait the level is much too low and rises faster.
 IDLE_INCREASE = 1.6
 # The queue is brought back to its target within this time. A shorter one
 # makes the level follow the noise of single windows.
@@ -33,6 +40,7 @@
     def __init__(self) -> None:
         self.level = ADMIT_ALL
         self.window_started_ms = 0
+        self.windows_above = 0
         self.admitted = 0
         self.dispatched = 0
         self.keys: list[float] = []
@@ -68,12 +76,19 @@
         elapsed_ms = now_ms - self.window_started_ms
         if elapsed_ms < WINDOW_MS:
             return
-        if self.level < ADMIT_ALL or wait_ms > target_wait_ms:
+        self.windows_above += 1
+        if wait_ms <= target_wait_ms:
+            self.windows_above = 0
+        elif wait_ms > SEVERE * target_wait_ms:
+            self.windows_above = WINDOWS_TO_SHED
+        if self.shedding() and wait_ms < target_wait_ms / 2:
+            self._raise(elapsed_ms)
+        elif self.shedding() or self.windows_above >= WINDOWS_TO_SHED:
             target = queued * target_wait_ms / max(wait_ms, 1.0)
             correction = (target - queued) * elapsed_ms / CORRECTION_MS
             bound = MAX_CORRECTION * self.dispatched
             correction = min(max(correction, -bound), bound)
-            self._move(self.dispatched + correction, queued, elapsed_ms)
+            self._move(self.dispatched + correction)
         self.window_started_ms = now_ms
         self.admitted = 0
         self.dispatched = 0
@@ -83,13 +98,14 @@
         """Say whether some arrivals are refused."""
         return self.level < ADMIT_ALL
 
-    def _move(self, wanted: float, queued: int, elapsed_ms: int) -> None:
+    def _raise(self, elapsed_ms: int) -> None:
+        """Raise the level, also for the windows in which nothing arrived."""
+        self.level *= IDLE_INCREASE ** (elapsed_ms // WINDOW_MS)
+        if self.level > NEARLY_ALL:
+            self.level = ADMIT_ALL
+
+    def _move(self, wanted: float) -> None:
         """Set the level at which about `wanted` calls are admitted."""
-        if not queued:
-            # Several windows have passed where nothing arrived.
-            windows = elapsed_ms // WINDOW_MS
-            self.level = min(self.level * IDLE_INCREASE**windows, ADMIT_ALL)
-            return
         if not self.keys:
             return
         if wanted >= self.admitted:
--- a/packages/standins/src/gypsumbridge_standins/policy_bench/case.py
+++ b/packages/standins/src/gypsumbridge_standins/policy_bench/case.py
@@ -30,3 +30,14 @@
 END_MS = 3_500
 # Longer than every deadline, so that each query has ended.
 DRAIN_MS = 4_500
+
+
+def window(at_ms: int) -> str:
+    """Return the window that a time belongs to."""
+    if at_ms < START_MS:
+        return 'before'
+    if at_ms < START_MS + MEMBERSHIP_MS:
+        return 'onset'
+    if at_ms < END_MS:
+        return 'steady'
+    return 'after'
--- a/packages/standins/src/gypsumbridge_standins/policy_bench/load.py
+++ b/packages/standins/src/gypsumbridge_standins/policy_bench/load.py
@@ -91,15 +91,6 @@
     return min(1_000 * rates[name] / calls[name] for name in calls)
 
 
-def window(due_ms: int) -> str:
-    """Return the window that a query counts in."""
-    if due_ms < case.START_MS:
-        return 'before'
-    if due_ms < case.START_MS + case.MEMBERSHIP_MS:
-        return 'onset'
-    return 'steady'
-
-
 def issue(
     stream: streams.Stream, choice: random.Random
 ) -> Iterator[issued_query.IssuedQuery]:
@@ -126,4 +117,6 @@
             b'{}',
         )
         due_ms = int(due)
-        yield issued_query.IssuedQuery(query, due_ms, window(due_ms), flooding)
+        yield issued_query.IssuedQuery(
+            query, due_ms, case.window(due_ms), flooding
+        )
--- a/packages/standins/src/gypsumbridge_standins/policy_bench/run.py
+++ b/packages/standins/src/gypsumbridge_standins/policy_bench/run.py
@@ -58,7 +58,7 @@
         worked=spent.steady_ms / steady_ms,
         useful=useful_ms / max(spent.all_ms, 1),
         served={
-            rank: cells[('steady', '*', rank)].useful_ms / steady_ms
+            rank: tally.served_ms.get(('steady', rank), 0) / steady_ms
             for rank in ranks
         },
         false_not_run=len(tally.asked & tally.refused),
--- a/packages/standins/src/gypsumbridge_standins/policy_bench/tally.py
+++ b/packages/standins/src/gypsumbridge_standins/policy_bench/tally.py
@@ -6,6 +6,7 @@
 
 from gypsumbridge_decisions import messages
 from gypsumbridge_decisions import resources
+from gypsumbridge_standins.policy_bench import case
 from gypsumbridge_standins.policy_bench import cell
 from gypsumbridge_standins.policy_bench import issued_query
 
@@ -17,8 +18,9 @@
 class Tally:
     """Counts by (window, service, rank); service '*' sums all of them.
 
-    `asked` holds the queries that an endpoint received something for, and
-    `refused` those that were reported as not run.
+    `served_ms` is the slot time of answers by the window in which they were
+    given and by rank. `asked` holds the queries that an endpoint received
+    something for, and `refused` those that were reported as not run.
     """
 
     def __init__(self, ranks: dict[str, resources.Rank]) -> None:
@@ -31,6 +33,7 @@
         self.needed: dict[str, int] = {}
         self.calls: set[tuple[str, str]] = set()
         self.window_of: dict[str, str] = {}
+        self.served_ms: dict[tuple[str, str], int] = {}
         self.asked: set[str] = set()
         self.refused: set[str] = set()
 
@@ -62,7 +65,7 @@
             raise AssertionError(f'{result.query_id} ended twice')
         elapsed_ms = now_ms - issued.due_ms
         if isinstance(result, messages.Answer):
-            self._answered(issued, result, elapsed_ms)
+            self._answered(issued, result, now_ms)
             return
         share = elapsed_ms * PER_DEADLINE // issued.query.deadline_ms
         for key in self._keys(issued):
@@ -85,14 +88,17 @@
         self,
         issued: issued_query.IssuedQuery,
         answer: messages.Answer,
-        elapsed_ms: int,
+        now_ms: int,
     ) -> None:
+        elapsed_ms = now_ms - issued.due_ms
         for key in self._keys(issued):
             found = self.latencies.setdefault(key, _make_histogram())
             found.record_value(max(elapsed_ms, 1))
         took_ms = sum(json.loads(p.payload)['took_ms'] for p in answer.parts)
         self._count(issued, 'answered', 1)
         self._count(issued, 'useful_ms', took_ms)
+        served = (case.window(now_ms), issued.query.rank)
+        self.served_ms[served] = self.served_ms.get(served, 0) + took_ms
         if not issued.flooding:
             self._count(issued, 'others_answered', 1)
         if answer.missing:
