Bound the hedges to standby owners and allow for slow hosts

Change: a front that was held up itself arms its timer again; the allowed silence is at least twice what owners lately took to answer; hedges to standbys have a budget for each service.

--- a/packages/decisions/src/gypsumbridge_decisions/front/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/front/__init__.py
@@ -3,6 +3,7 @@
 from gypsumbridge_decisions.front.caller_shares import (
     CallerShares as CallerShares,
 )
+from gypsumbridge_decisions.front.check_times import CheckTimes as CheckTimes
 from gypsumbridge_decisions.front.command import Command as Command
 from gypsumbridge_decisions.front.finishing import check_answer as check_answer
 from gypsumbridge_decisions.front.finishing import drop as drop
@@ -12,6 +13,9 @@
 )
 from gypsumbridge_decisions.front.finishing import time_out as time_out
 from gypsumbridge_decisions.front.handler import handle as handle
+from gypsumbridge_decisions.front.hedge_budget import (
+    HedgeBudget as HedgeBudget,
+)
 from gypsumbridge_decisions.front.levels import Levels as Levels
 from gypsumbridge_decisions.front.membership_change import (
     change_members as change_members,
@@ -31,6 +35,7 @@
 from gypsumbridge_decisions.front.sent_batch import SentBatch as SentBatch
 from gypsumbridge_decisions.front.silence import check_silence as check_silence
 from gypsumbridge_decisions.front.silence import resend as resend
+from gypsumbridge_decisions.front.silence_timer import make_timer as make_timer
 from gypsumbridge_decisions.front.silence_timer import (
     SilenceTimer as SilenceTimer,
 )
--- a/packages/decisions/src/gypsumbridge_decisions/front/membership_change.py
+++ b/packages/decisions/src/gypsumbridge_decisions/front/membership_change.py
@@ -15,6 +15,8 @@
     for node_id in state.last_heard_ms.keys() - present:
         del state.last_heard_ms[node_id]
     state.silent &= present
+    for node_id in state.check_times.asked_ms.keys() - present:
+        state.check_times.forget(node_id)
     commands: list[command.Command] = []
     for running in list(state.running.values()):
         for batch in list(running.batches.values()):
--- a/packages/decisions/src/gypsumbridge_decisions/front/merge.py
+++ b/packages/decisions/src/gypsumbridge_decisions/front/merge.py
@@ -36,6 +36,9 @@
     """Merge the parts of a batch; late and duplicate ones are dropped."""
     state.last_heard_ms[batch.sender] = now_ms
     state.silent.discard(batch.sender)
+    if not batch.query_id:
+        state.check_times.answer(batch.sender, now_ms)
+        return []
     state.levels.update(batch.levels, now_ms)
     running = state.running.get(batch.query_id)
     if running is None:
--- a/packages/decisions/src/gypsumbridge_decisions/front/send.py
+++ b/packages/decisions/src/gypsumbridge_decisions/front/send.py
@@ -48,6 +48,10 @@
     running.batches[attempt] = sent_batch.SentBatch(
         attempt, node_id, frozenset(shards), now_ms, hedged
     )
+    if not hedged:
+        service = running.service
+        budget = state.hedge_budget(service.name)
+        budget.earn(service.extra_load_share, len(shards))
     query = running.query
     batch = messages.ShardBatch(
         sender=state.node_id,
@@ -95,8 +99,10 @@
         watched[(query_id, attempt)] = None
         return []
     state.watched[node_id] = {(query_id, attempt): None}
-    timer = silence_timer.SilenceTimer(node_id, now_ms, False)
-    return [messages.Timer(max(state.owner_silence_ms // 2, 1), timer)]
+    timer = silence_timer.make_timer(
+        node_id, now_ms, False, state.silence_ms(now_ms)
+    )
+    return [messages.Timer(timer.interval_ms, timer)]
 
 
 def cancel_batches(
--- a/packages/decisions/src/gypsumbridge_decisions/front/silence.py
+++ b/packages/decisions/src/gypsumbridge_decisions/front/silence.py
@@ -26,8 +26,11 @@
             return []
         return [_arm(state, node_id, False, now_ms)]
     open_batches = _prune(state, node_id)
+    if _is_late(timer, now_ms):
+        return [_arm(state, node_id, timer.asked, now_ms)]
     if not open_batches and node_id not in state.silent:
         return []
+    state.check_times.ask(node_id, now_ms)
     ask: list[command.Command] = [
         messages.ToPeer(node_id, messages.OwnerCheck(state.node_id, '', 0)),
         _arm(state, node_id, True, now_ms),
@@ -37,8 +40,9 @@
     state.silent.add(node_id)
     commands: list[command.Command] = []
     # Each batch is resent once. A standby that refuses it would otherwise be
-    # asked again in every interval.
-    state.watched[node_id] = {}
+    # asked again in every interval. What the budget does not cover waits for
+    # the next interval.
+    unpaid: dict[tuple[str, int], None] = {}
     for query_id, attempt in open_batches:
         running = state.running.get(query_id)
         if running is None:
@@ -47,15 +51,33 @@
         if batch is None or not batch.unreported:
             continue
         shards = sorted(batch.unreported)
+        budget = state.hedge_budget(running.service.name)
+        if not budget.spend(len(shards)):
+            unpaid[(query_id, attempt)] = None
+            commands.append(messages.Count('front.hedges.no_budget'))
+            continue
         commands += resend(state, running, batch, shards, now_ms)
+    state.watched[node_id] = unpaid
     return commands + ask
 
 
+def _is_late(timer: silence_timer.SilenceTimer, now_ms: int) -> bool:
+    """Say whether this process was held up instead of the owner.
+
+    After a pause, timers run before the sockets are read, so messages of
+    an owner may be waiting that this front has not seen yet.
+    """
+    lateness_ms = now_ms - timer.since_ms - timer.interval_ms
+    return lateness_ms > max(timer.interval_ms // 2, 1)
+
+
 def _arm(
     state: states.FrontState, node_id: str, asked: bool, now_ms: int
 ) -> messages.Timer:
-    timer = silence_timer.SilenceTimer(node_id, now_ms, asked)
-    return messages.Timer(max(state.owner_silence_ms // 2, 1), timer)
+    timer = silence_timer.make_timer(
+        node_id, now_ms, asked, state.silence_ms(now_ms)
+    )
+    return messages.Timer(timer.interval_ms, timer)
 
 
 def _prune(state: states.FrontState, node_id: str) -> list[tuple[str, int]]:
--- a/packages/decisions/src/gypsumbridge_decisions/front/silence_timer.py
+++ b/packages/decisions/src/gypsumbridge_decisions/front/silence_timer.py
@@ -1,16 +1,23 @@
-"""A timer of an owner that has work of this front."""
+"""A timer that watches one owner."""
 
 import dataclasses
 
 
 @dataclasses.dataclass(frozen=True)
 class SilenceTimer:
-    """An owner has had its time to send something.
+    """Set at `since_ms` for `interval_ms`.
 
-    `since_ms` is when the timer was armed. `asked` says that the front
-    asked the owner for a sign of life then.
+    With `asked` the owner was asked for a sign of life when it was set.
     """
 
     node_id: str
     since_ms: int
     asked: bool
+    interval_ms: int
+
+
+def make_timer(
+    node_id: str, now_ms: int, asked: bool, silence_ms: int
+) -> SilenceTimer:
+    """Return a timer for half of the time an owner may be silent."""
+    return SilenceTimer(node_id, now_ms, asked, max(silence_ms // 2, 1))
--- a/packages/decisions/src/gypsumbridge_decisions/front/state.py
+++ b/packages/decisions/src/gypsumbridge_decisions/front/state.py
@@ -4,6 +4,8 @@
 from gypsumbridge_decisions import messages
 from gypsumbridge_decisions import routing
 from gypsumbridge_decisions.front import caller_shares
+from gypsumbridge_decisions.front import check_times
+from gypsumbridge_decisions.front import hedge_budget
 from gypsumbridge_decisions.front import levels
 from gypsumbridge_decisions.front import running_query
 
@@ -29,9 +31,28 @@
         self.last_heard_ms: dict[str, int] = {}
         self.watched: dict[str, dict[tuple[str, int], None]] = {}
         self.silent: set[str] = set()
+        self.check_times = check_times.CheckTimes()
+        self.hedge_budgets: dict[str, hedge_budget.HedgeBudget] = {}
         self.levels = levels.Levels()
         self.caller_shares = caller_shares.CallerShares()
 
+    def hedge_budget(self, service: str) -> hedge_budget.HedgeBudget:
+        """Return the budget of a service, made on first use."""
+        found = self.hedge_budgets.get(service)
+        if found is None:
+            found = hedge_budget.HedgeBudget()
+            self.hedge_budgets[service] = found
+        return found
+
+    def silence_ms(self, now_ms: int) -> int:
+        """Return how long an owner may be silent before it is hedged.
+
+        At least twice what owners lately took to answer, since a fleet
+        that is slow as a whole must not be taken for lost owners.
+        """
+        expected_ms = self.check_times.expected_ms(now_ms)
+        return max(self.owner_silence_ms, int(2 * expected_ms))
+
     def serving_refusal(self, now_ms: int) -> messages.MissingReason:
         """Return why no new work is taken now, or NONE."""
         if self.serving.refusal:
--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/bench/plan_main.py
@@ -0,0 +1,140 @@
+"""Sends a plan of queries as a process; prints its result as JSON."""
+
+import collections
+import json
+import pathlib
+import sys
+from typing import Any
+
+from hdrh import histogram
+from twisted.internet import defer
+
+from gypsumbridge_node import http_client
+from gypsumbridge_node import http_response
+from gypsumbridge_wire import http_request
+
+MAX_LATENCY_US = 120_000_000
+CONNECTIONS = 100
+READY_INTERVAL_S = 0.1
+READY = http_request.HttpRequest('GET', '/readyz', {}, b'')
+
+
+class PlanState:
+    """Counts and latencies of one rank's queries.
+
+    `ready` holds the nodes that the balancer sends to. `failed` counts
+    requests without any reply, by the kind of failure.
+    """
+
+    def __init__(self, nodes: list[str]) -> None:
+        self.nodes = nodes
+        self.ready = list(nodes)
+        self.latencies = histogram.HdrHistogram(1, MAX_LATENCY_US, 3)
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.attempts = 0
+        self.shards = 0
+        self.next_node = 0
+
+
+def run_plan(reactor: Any, plan: dict[str, Any]) -> Any:
+    """Send every request when it is due and wait for all replies."""
+    state = PlanState(plan['nodes'])
+    pool = http_client.make_pool(reactor, CONNECTIONS)
+    call = http_client.make_call(reactor, pool, 5_000)
+    waiting = []
+    started_s = reactor.seconds()
+    if plan['check_ready']:
+        check_ready(reactor, state, call)
+    for item in plan['requests']:
+        due_s = started_s + item['due_s']
+        delayed = defer.Deferred()
+        delayed.addCallback(
+            lambda _, i=item, d=due_s: send(reactor, state, call, i, d)
+        )
+        reactor.callLater(item['due_s'], delayed.callback, None)
+        waiting.append(delayed)
+    done = defer.gatherResults(waiting)
+    return done.addCallback(lambda _: summarise(state, len(waiting)))
+
+
+def check_ready(reactor: Any, state: PlanState, call: Any) -> None:
+    """Learn which nodes are ready, as a balancer does, again and again."""
+
+    def note(node: str, ready: bool) -> None:
+        if ready and node not in state.ready:
+            state.ready.append(node)
+        if not ready and node in state.ready and len(state.ready) > 1:
+            state.ready.remove(node)
+
+    for node in state.nodes:
+        host, port = node.rsplit(':', 1)
+        call(host, int(port), READY).addCallbacks(
+            lambda r, n=node: note(n, r.status == 200),
+            lambda _, n=node: note(n, False),
+        )
+    reactor.callLater(READY_INTERVAL_S, check_ready, reactor, state, call)
+
+
+def send(
+    reactor: Any, state: PlanState, call: Any, item: Any, due_s: float
+) -> Any:
+    """Send one query to the next ready node."""
+    state.next_node += 1
+    node = state.ready[state.next_node % len(state.ready)]
+    host, port = node.rsplit(':', 1)
+    body = json.dumps(item['body']).encode()
+    request = http_request.HttpRequest('POST', '/v1/query', {}, body)
+    running = call(host, int(port), request)
+    return running.addCallbacks(
+        lambda r: record(state, r, reactor.seconds() - due_s),
+        lambda f: state.counts.update([f'failed {f.type.__name__}']),
+    )
+
+
+def record(
+    state: PlanState, response: http_response.HttpResponse, latency_s: float
+) -> None:
+    """Count one reply."""
+    body = json.loads(response.body)
+    if response.status != 200:
+        state.counts[f'refused {body["code"]} {body["run_state"]}'] += 1
+        return
+    state.counts['answered'] += 1
+    state.counts['full_coverage'] += body['coverage'] == 1.0
+    state.latencies.record_value(max(int(latency_s * 1_000_000), 1))
+    state.attempts += body['attempts']
+    state.shards += len(body['covered']) + len(body['missing'])
+
+
+def summarise(state: PlanState, sent: int) -> dict[str, Any]:
+    """Return the result of a run."""
+    extra = state.attempts / state.shards - 1 if state.shards else 0.0
+    return {
+        'sent': sent,
+        'counts': dict(state.counts),
+        'p50_ms': state.latencies.get_value_at_percentile(50) / 1_000,
+        'p99_ms': state.latencies.get_value_at_percentile(99) / 1_000,
+        'extra_attempts': extra,
+    }
+
+
+def main() -> None:
+    """Run the plan named on the command line."""
+    from twisted.internet import reactor
+
+    plan = json.loads(pathlib.Path(sys.argv[1]).read_text())
+
+    def report(result: dict[str, Any]) -> None:
+        print(json.dumps(result), flush=True)
+        reactor.stop()
+
+    def fail(failure: Any) -> None:
+        print(failure.getTraceback(), file=sys.stderr)
+        reactor.stop()
+
+    run_plan(reactor, plan).addCallbacks(report, fail)
+    reactor.run()
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/tests/decisions/test_front_silence.py
@@ -0,0 +1,76 @@
+import unittest
+
+from gypsumbridge_decisions import front
+from gypsumbridge_decisions import messages
+from tests.decisions import fixtures
+
+
+def silence_timer(commands):
+    timers = fixtures.of_type(commands, messages.Timer)
+    found = [t for t in timers if isinstance(t.event, front.SilenceTimer)]
+    return found[-1].event if found else None
+
+
+def hedged(commands):
+    return [
+        c.message
+        for c in fixtures.of_type(commands, messages.ToPeer)
+        if isinstance(c.message, messages.ShardBatch) and c.message.hedged
+    ]
+
+
+class SilenceTest(unittest.TestCase):
+    def setUp(self):
+        self.state = fixtures.serving_front(shards=1)
+        self.commands = front.handle(self.state, fixtures.query(), 0)
+        self.timer = silence_timer(self.commands)
+        self.owner = self.timer.node_id
+
+    def fire(self, now_ms):
+        commands = front.handle(self.state, self.timer, now_ms)
+        self.timer = silence_timer(commands)
+        return commands
+
+    def test_a_front_that_was_held_up_does_not_blame_the_owner(self):
+        """Guards against hedges of every batch after a pause of the front,
+        when the owners' parts wait unread in its sockets.
+        """
+        interval_ms = self.timer.interval_ms
+        self.fire(interval_ms)
+        commands = self.fire(interval_ms * 10)
+        self.assertEqual([], hedged(commands))
+        self.assertTrue(self.timer.asked)
+        commands = self.fire(interval_ms * 11)
+        self.assertEqual(1, len(hedged(commands)))
+
+    def test_slow_answers_raise_the_silence_that_is_allowed(self):
+        """Guards against a slow fleet that hedges itself into overload."""
+        interval_ms = self.timer.interval_ms
+        self.fire(interval_ms)
+        answer = messages.PartBatch(self.owner, '', 0, (), (), 1)
+        front.handle(self.state, answer, interval_ms + 80)
+        self.assertEqual(160, self.state.silence_ms(interval_ms + 80))
+        later_ms = interval_ms + 80 + 10_000
+        self.assertEqual(
+            self.state.owner_silence_ms, self.state.silence_ms(later_ms)
+        )
+
+    def test_a_frozen_owner_does_not_stop_hedges_for_long(self):
+        """Guards against one answer after a pause of minutes."""
+        self.fire(self.timer.interval_ms)
+        answer = messages.PartBatch(self.owner, '', 0, (), (), 1)
+        front.handle(self.state, answer, 600_000)
+        self.assertLessEqual(self.state.silence_ms(600_000), 1_000)
+
+    def test_hedges_stop_without_budget_and_go_on_with_it(self):
+        """Guards against extra load without a bound, and against batches
+        that are forgotten when the budget is used up.
+        """
+        budget = self.state.hedge_budget('svc')
+        budget.tokens = 0.0
+        self.fire(self.timer.interval_ms)
+        commands = self.fire(2 * self.timer.interval_ms)
+        self.assertEqual([], hedged(commands))
+        budget.tokens = 1.0
+        commands = self.fire(3 * self.timer.interval_ms)
+        self.assertEqual(1, len(hedged(commands)))
