--- a/packages/decisions/src/gypsumbridge_decisions/front/hedge_budget.py
+++ b/packages/decisions/src/gypsumbridge_decisions/front/hedge_budget.py
@@ -2,7 +2,7 @@
 
 # Enough for the calls in flight to one of a few owners that is lost, and
 # little beside what a second of flood sends.
-MAX_TOKENS = 200.0
+MAX_TOKENS = 50.0
 
 
 class HedgeBudget:
