--- a/packages/standins/src/gypsumbridge_standins/bench/process_time.py
+++ b/packages/standins/src/gypsumbridge_standins/bench/process_time.py
@@ -17,6 +17,12 @@
     return ticks * 1_000 / _TICKS_PER_SECOND
 
 
+def resident_mebibytes(pid: int) -> float:
+    """Return the resident memory of a process."""
+    pages = int(pathlib.Path(f'/proc/{pid}/statm').read_text().split()[1])
+    return pages * os.sysconf('SC_PAGE_SIZE') / 1024 / 1024
+
+
 def idle_share_since(before: tuple[int, int]) -> float:
     """Return the machine's idle share since a `machine_ticks` reading."""
     idle, total = machine_ticks()
--- a/packages/standins/src/gypsumbridge_standins/capacity/catalog_costs.py
+++ b/packages/standins/src/gypsumbridge_standins/capacity/catalog_costs.py
@@ -3,9 +3,11 @@
 import msgspec
 
 from gypsumbridge_decisions import catalog
+from gypsumbridge_decisions import messages
 from gypsumbridge_decisions import resources
 from gypsumbridge_standins.capacity import slope
 from gypsumbridge_standins.capacity import timing
+from gypsumbridge_wire import store
 
 SIZES = (5_000, 10_000, 20_000, 40_000, 75_000)
 REPLICAS = 2
@@ -38,9 +40,22 @@
     ]
 
 
+def make_items(count: int) -> list[messages.StoreItem]:
+    """Return endpoints as the store's items, which every node keeps."""
+    return [
+        messages.StoreItem(
+            store.encode_key(resource.kind, resource.name),
+            store.encode_value(resource),
+            resource.revision,
+        )
+        for resource in make_declared(count)
+    ]
+
+
 def measure() -> list[slope.Slope]:
     """Return memory, change time and transfer size by endpoints."""
     memory = []
+    items = []
     change = []
     transfer = []
     for size in SIZES:
@@ -52,6 +67,7 @@
                 ),
             )
         )
+        items.append((size, timing.memory_bytes(lambda n=size: make_items(n))))
         built = catalog.make_catalog(1, make_declared(size))
         change.append(
             (
@@ -66,6 +82,7 @@
         transfer.append((size, len(encoded)))
     return [
         slope.fit_slope('catalog memory', 'endpoints', 'bytes', memory),
+        slope.fit_slope('store items memory', 'endpoints', 'bytes', items),
         slope.fit_slope('catalog change', 'endpoints', 'us', change),
         slope.fit_slope('catalog transfer', 'endpoints', 'bytes', transfer),
     ]
--- a/packages/standins/src/gypsumbridge_standins/capacity/target.py
+++ b/packages/standins/src/gypsumbridge_standins/capacity/target.py
@@ -92,10 +92,15 @@
             'MiB',
             mebibytes('catalog memory', SEARCHERS),
         ),
+        (
+            "configuration: the store's items",
+            'MiB',
+            mebibytes('store items memory', SEARCHERS),
+        ),
         (
             'configuration: changes',
-            'share of a core',
-            cores('catalog change', SEARCHERS, CHANGES_PER_SECOND),
+            '% of a core',
+            100 * cores('catalog change', SEARCHERS, CHANGES_PER_SECOND),
         ),
         (
             'configuration: whole transfer to a new node',
