Check dispatch and revision order inside the program

Cause: the soak checked slots from outside, and nothing in the program stopped a dispatch path that skips the leaving signals or a lower revision. Change: start_request and put_in_force raise InvariantError.

--- a/packages/decisions/src/gypsumbridge_decisions/configuration/receiving.py
+++ b/packages/decisions/src/gypsumbridge_decisions/configuration/receiving.py
@@ -1,5 +1,6 @@
 """Applies replies to pulls."""
 
+from gypsumbridge_decisions import errors
 from gypsumbridge_decisions import messages
 from gypsumbridge_decisions.configuration import command
 from gypsumbridge_decisions.configuration import publish
@@ -95,7 +96,16 @@
 def put_in_force(
     state: states.ConfigurationState, published: publish.Publish
 ) -> list[command.Command]:
-    """Hold a revision and put it into force on this node."""
+    """Hold a revision and put it into force on this node.
+
+    Raises InvariantError unless the revision is above the held one.
+    """
+    held = state.core.revision
+    if published.revision <= held:
+        raise errors.InvariantError(
+            f'revision {published.revision} would replace {held}',
+            'report it with the decision log',
+        )
     state.core = steps.hold(state.core, published.revision)
     state.target = max(state.target, published.revision)
     state.staged = None
--- a/packages/decisions/src/gypsumbridge_decisions/owner/dispatching.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/dispatching.py
@@ -2,6 +2,7 @@
 
 from gypsumbridge_decisions import messages
 from gypsumbridge_decisions.owner import command
+from gypsumbridge_decisions.owner import dispatch_check
 from gypsumbridge_decisions.owner import hedge_timer
 from gypsumbridge_decisions.owner import pending_call
 from gypsumbridge_decisions.owner import rank_choice
@@ -87,6 +88,7 @@
     now_ms: int,
 ) -> list[command.Command]:
     """Take a slot of a replica and send the call there."""
+    dispatch_check.check(call, replica)
     call_id = state.next_call_id
     state.next_call_id += 1
     state.calls[call_id] = call
--- /dev/null
+++ b/tests/decisions/test_program_invariants.py
@@ -0,0 +1,60 @@
+import unittest
+
+from gypsumbridge_decisions import configuration
+from gypsumbridge_decisions import errors
+from gypsumbridge_decisions import messages
+from gypsumbridge_decisions import owner
+from gypsumbridge_decisions.configuration import publish
+from gypsumbridge_decisions.configuration import receiving
+from tests.decisions import fixtures
+
+
+class DispatchCheckTest(unittest.TestCase):
+    def setUp(self):
+        self.state = fixtures.warm_owner()
+        owner.handle(self.state, fixtures.batch('q'), 0)
+        self.call = next(iter(self.state.calls.values()))
+        self.set_state = self.state.sets[self.call.replica_set]
+        self.replica = next(
+            replica
+            for replica in self.set_state.replicas.values()
+            if not replica.running
+        )
+
+    def start(self):
+        owner.start_request(
+            self.state, self.set_state, self.call, self.replica, 0
+        )
+
+    def test_a_done_call_is_not_sent(self):
+        """Guards against work for a query that has its answer."""
+        self.call.done = True
+        self.assertRaises(errors.InvariantError, self.start)
+
+    def test_a_leaving_endpoint_gets_nothing(self):
+        """Guards against a dispatch path that skips the leaving signals."""
+        self.replica.leaving_sources.add('operator')
+        self.assertRaises(errors.InvariantError, self.start)
+
+    def test_a_full_replica_gets_nothing(self):
+        """Guards against more requests than the endpoint has slots."""
+        slots = range(100, 100 + self.replica.endpoint.slots)
+        self.replica.running = dict.fromkeys(slots, 0)
+        self.assertRaises(errors.InvariantError, self.start)
+
+    def test_a_running_mutation_is_not_sent_again(self):
+        """Guards against a hedge of a mutation."""
+        self.call.idempotency_key = 'key'
+        self.assertRaises(errors.InvariantError, self.start)
+
+
+class RevisionCheckTest(unittest.TestCase):
+    def test_the_revision_never_goes_back(self):
+        """Guards against a receiving path that skips the revision order."""
+        state = configuration.make_configuration_state('n', 'a', ('a',), 0)
+        items = (messages.StoreItem('config/ranks/x', 'v', 5),)
+        receiving.put_in_force(state, publish.Publish(5, items, False))
+        for revision in (4, 5):
+            older = publish.Publish(revision, (), False)
+            with self.assertRaises(errors.InvariantError):
+                receiving.put_in_force(state, older)
