Run every protocol in the replay by its own decisions

Cause: the replay ran the front and the owner only; members, catalogs and leave to serve were set by hand. Change: a node may hold a Control with the states of membership, configuration, mutation and lifecycle; messages go to the tasks that the node's mailboxes give them to. A store with compare-and-swap, watches and faults and a host list with lag are in memory. The store stand-in reads watch events from the newest back, since a poll scanned the whole history.

--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/replay/control_routes.py
@@ -0,0 +1,102 @@
+"""Which task of a node takes a message, as the node's mailboxes do."""
+
+from typing import Any
+
+from gypsumbridge_decisions import configuration
+from gypsumbridge_decisions import front
+from gypsumbridge_decisions import lifecycle
+from gypsumbridge_decisions import membership
+from gypsumbridge_decisions import messages
+from gypsumbridge_decisions import mutation
+from gypsumbridge_decisions import owner
+from gypsumbridge_standins.replay import control as controls
+from gypsumbridge_standins.replay import replay_node
+
+# Unix time at the start of each replay.
+EPOCH_MS = 1_800_000_000_000
+FRONT, OWNER, MEMBERSHIP = 'front', 'owner', 'membership'
+CONFIGURATION, MUTATION = 'configuration', 'mutation'
+LIFECYCLE = 'lifecycle'
+
+_TABLE: dict[type, tuple[str, ...]] = {
+    messages.Query: (FRONT,),
+    messages.QueryGone: (FRONT,),
+    messages.PartBatch: (FRONT,),
+    front.QueryTimer: (FRONT,),
+    front.SilenceTimer: (FRONT,),
+    messages.MembersChanged: (FRONT, OWNER, MUTATION, CONFIGURATION),
+    messages.CatalogChanged: (FRONT, OWNER, MUTATION),
+    messages.ServingChanged: (FRONT, OWNER, MUTATION),
+    messages.InFlightQuery: (FRONT, OWNER, MUTATION),
+    messages.HostList: (OWNER, MEMBERSHIP),
+    messages.Probe: (MEMBERSHIP,),
+    messages.ProbeAck: (MEMBERSHIP,),
+    messages.ProbeRequest: (MEMBERSHIP,),
+    membership.ProbeTick: (MEMBERSHIP,),
+    membership.IndirectTimer: (MEMBERSHIP,),
+    membership.SpreadTimer: (MEMBERSHIP,),
+    messages.AnnounceLeaving: (MEMBERSHIP,),
+    messages.LeaveFleet: (MEMBERSHIP,),
+    messages.ConfigPull: (CONFIGURATION,),
+    messages.ConfigState: (CONFIGURATION,),
+    messages.StoreReply: (CONFIGURATION,),
+    messages.AwaitAccepted: (CONFIGURATION,),
+    configuration.Tick: (CONFIGURATION,),
+    configuration.AskExpired: (CONFIGURATION,),
+    messages.Mutation: (MUTATION,),
+    messages.MutationResult: (MUTATION,),
+    messages.ClaimReply: (MUTATION,),
+    mutation.MutationTimer: (MUTATION,),
+    mutation.SweepTimer: (MUTATION,),
+    messages.ServingCondition: (LIFECYCLE,),
+    messages.LeavingAnnounced: (LIFECYCLE,),
+    messages.InFlightReport: (LIFECYCLE,),
+    lifecycle.StopRequested: (LIFECYCLE,),
+    lifecycle.LagTimer: (LIFECYCLE,),
+    lifecycle.PollTimer: (LIFECYCLE,),
+    lifecycle.FlushTimer: (LIFECYCLE,),
+    lifecycle.BoundTimer: (LIFECYCLE,),
+}
+
+
+def decide(
+    node: replay_node.ReplayNode,
+    control: controls.Control,
+    message: Any,
+    now_ms: int,
+) -> list[Any]:
+    """Return the commands of every task that takes the message."""
+    commands: list[Any] = []
+    for task in _TABLE.get(type(message), (OWNER,)):
+        match task:
+            case 'front':
+                commands += front.handle(node.front, message, now_ms)
+            case 'owner':
+                commands += owner.handle(node.owner, message, now_ms)
+            case 'membership':
+                state = control.membership
+                commands += membership.handle(state, message, now_ms)
+            case 'configuration':
+                commands += configuration.handle(
+                    control.configuration, message, now_ms
+                )
+            case 'mutation':
+                commands += _mutate(control, message, now_ms)
+            case 'lifecycle':
+                commands += lifecycle.handle(
+                    control.lifecycle, message, now_ms
+                )
+    return commands
+
+
+def wall_ms(control: controls.Control, now_ms: int) -> int:
+    """Return a node's Unix time."""
+    return EPOCH_MS + now_ms + control.wall_offset_ms
+
+
+def _mutate(control: controls.Control, message: Any, now_ms: int) -> list[Any]:
+    if isinstance(message, messages.InFlightQuery):
+        count = len(control.mutation.running)
+        return [messages.InFlightReport(MUTATION, count)]
+    wall = wall_ms(control, now_ms)
+    return list(mutation.handle(control.mutation, message, now_ms, wall))
--- a/packages/standins/src/gypsumbridge_standins/replay/delivery.py
+++ b/packages/standins/src/gypsumbridge_standins/replay/delivery.py
@@ -5,6 +5,8 @@
 from gypsumbridge_decisions import front
 from gypsumbridge_decisions import messages
 from gypsumbridge_decisions import owner
+from gypsumbridge_standins.replay import control_routes
+from gypsumbridge_standins.replay import control_run
 from gypsumbridge_standins.replay import endpoint_run
 from gypsumbridge_standins.replay import replay as replays
 from gypsumbridge_standins.replay import replay_node
@@ -29,6 +31,10 @@
         node.held.append(message)
         return
     now_ms = replay.scheduler.now_ms()
+    if node.control is not None:
+        commands = control_routes.decide(node, node.control, message, now_ms)
+        execute(replay, node, commands)
+        return
     if isinstance(message, FRONT_MESSAGES + BOTH_MESSAGES):
         commands = front.handle(node.front, message, now_ms)
         execute(replay, node, commands)
@@ -44,7 +50,7 @@
     node_id = node.member.node_id
     for command in commands:
         match command:
-            case messages.ToPeer():
+            case messages.ToPeer() | messages.ToAddress():
                 send(replay, node_id, command.node_id, command.message)
             case messages.Timer():
                 deliver_later(replay, node, command.delay_ms, command.event)
@@ -63,6 +69,25 @@
                 replay.counts[command.name] = total + command.value
             case messages.Decision():
                 replay.on_decision(node_id, command)
+            case _ if node.control is not None:
+                control_run.perform(
+                    replay,
+                    node_id,
+                    node.control,
+                    command,
+                    putter(replay, node),
+                )
+
+
+def putter(
+    replay: replays.Replay, node: replay_node.ReplayNode
+) -> control_run.Put:
+    """Return a function that delivers to this run of a node."""
+
+    def put(delay_ms: int, message: Any) -> None:
+        deliver_later(replay, node, delay_ms, message)
+
+    return put
 
 
 def reply_to(
--- a/packages/standins/src/gypsumbridge_standins/replay/endpoint_run.py
+++ b/packages/standins/src/gypsumbridge_standins/replay/endpoint_run.py
@@ -91,6 +91,7 @@
     once = job.request.idempotency_key
     if once:
         endpoint.executed[once] = endpoint.executed.get(once, 0) + 1
+        replay.on_executed(job.node_id, job.request)
     delay_ms = endpoint.search_time_ms()
     endpoint.busy_ms += delay_ms
     endpoint.ends_ms[key] = replay.scheduler.now_ms() + delay_ms
@@ -102,6 +103,12 @@
         del endpoint.ends_ms[key]
         endpoint.completed += 1
         reply = endpoint.replies.pop(job)
+        if once and endpoint.loses_mutations:
+            # The owner hears of it when its own deadline ends the request.
+            lost = make_reply(job.request, messages.EndpointStatus.LOST, True)
+            reply(max(job.request.remaining_ms - delay_ms, 0), lost)
+            fill_slots(replay, endpoint, {})
+            return
         answered_from = dataclasses.replace(
             job.request,
             version=endpoint.answers_version or job.request.version,
--- a/packages/standins/src/gypsumbridge_standins/replay/model_endpoint.py
+++ b/packages/standins/src/gypsumbridge_standins/replay/model_endpoint.py
@@ -41,6 +41,7 @@
         self.answers_version = ''
         self.answers_shard = ''
         self.draining = False
+        self.loses_mutations = False
         self.started = 0
         self.completed = 0
         self.received = 0
--- a/packages/standins/src/gypsumbridge_standins/replay/replay.py
+++ b/packages/standins/src/gypsumbridge_standins/replay/replay.py
@@ -1,4 +1,4 @@
-"""A fleet in memory that runs the front's and the owner's decisions."""
+"""A fleet in memory that runs the program's decisions."""
 
 from collections.abc import Callable
 import random
@@ -6,6 +6,8 @@
 
 from gypsumbridge_standins.replay import link_faults
 from gypsumbridge_standins.replay import model_endpoint
+from gypsumbridge_standins.replay import model_hosts
+from gypsumbridge_standins.replay import model_store
 from gypsumbridge_standins.replay import replay_node
 from gypsumbridge_standins.replay import scheduler
 
@@ -14,10 +16,13 @@
     """Nodes, endpoints, links, and everything that came out of them.
 
     `answered` receives each answer or refusal with the node's id. The
-    same seed gives the same run.
+    same seed gives the same run. The other functions are told of each
+    execution of a mutation, revision in force, accepted change, host list
+    and exit; `count_open` returns how many callers wait at a node.
     """
 
     def __init__(self, seed: int) -> None:
+        self.seed = seed
         self.random = random.Random(f'replay {seed}')
         self.scheduler = scheduler.Scheduler()
         self.nodes: dict[str, replay_node.ReplayNode] = {}
@@ -28,3 +33,14 @@
         self.messages_sent = 0
         self.answered: Callable[[str, Any], None] = lambda node_id, done: None
         self.on_decision: Callable[[str, Any], None] = lambda n, d: None
+        self.store = model_store.ModelStore()
+        self.hosts = model_hosts.ModelHosts()
+        self.domains: tuple[str, ...] = ()
+        self.wall_offsets_ms: dict[str, int] = {}
+        self.starts = 0
+        self.count_open: Callable[[str], int] = lambda node_id: 0
+        self.on_executed: Callable[[str, Any], None] = lambda n, r: None
+        self.on_publish: Callable[[str, int], None] = lambda n, r: None
+        self.on_accepted: Callable[[str, Any], None] = lambda n, r: None
+        self.on_hosts: Callable[[Any], None] = lambda hosts: None
+        self.on_exit: Callable[[str, Any], None] = lambda n, e: None
--- a/packages/standins/src/gypsumbridge_standins/replay/replay_node.py
+++ b/packages/standins/src/gypsumbridge_standins/replay/replay_node.py
@@ -5,13 +5,15 @@
 from gypsumbridge_decisions import front
 from gypsumbridge_decisions import messages
 from gypsumbridge_decisions import owner
+from gypsumbridge_standins.replay import control
 
 
 class ReplayNode:
     """The states of a node's tasks and whether it runs.
 
     A paused node keeps its messages until it goes on; a stopped one loses
-    them.
+    them. `control` is None in a light fleet, whose members and catalog
+    are set from outside.
     """
 
     def __init__(self, member: messages.Member, silence_ms: int) -> None:
@@ -21,3 +23,5 @@
         self.alive = True
         self.paused = False
         self.held: list[Any] = []
+        self.control: control.Control | None = None
+        self.last_hosts: messages.HostList | None = None
--- a/packages/standins/src/gypsumbridge_standins/store/operations.py
+++ b/packages/standins/src/gypsumbridge_standins/store/operations.py
@@ -50,11 +50,14 @@
     """Return the events under a prefix after a revision."""
     if after < state.compacted:
         return 410, {'revision': state.revision, 'items': []}
-    items = [
-        event
-        for event in state.events
-        if event['revision'] > after and event['key'].startswith(prefix)
-    ]
+    items = []
+    # Newest first, since most watches start near the end of the history.
+    for event in reversed(state.events):
+        if event['revision'] <= after:
+            break
+        if event['key'].startswith(prefix):
+            items.append(event)
+    items.reverse()
     return 200, {'revision': state.revision, 'items': items}
 
 
