Tell new owners of endpoints that leave by a reply

Cause: only the owner that got the reply and its standby knew. Change: a node that a reply has told, itself or by news, tells the owner and standby again when a change of members has moved them. Ruled out: the host list and operator signals, which every node reads for itself.

--- a/packages/decisions/src/gypsumbridge_decisions/owner/handler.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/handler.py
@@ -12,6 +12,7 @@
 from gypsumbridge_decisions.owner import hedge_timer
 from gypsumbridge_decisions.owner import hedging
 from gypsumbridge_decisions.owner import host_news_timer
+from gypsumbridge_decisions.owner import leaving_handover
 from gypsumbridge_decisions.owner import leaving_news
 from gypsumbridge_decisions.owner import reply
 from gypsumbridge_decisions.owner import state as states
@@ -54,7 +55,7 @@
         case messages.HostList():
             return leaving_news.take_hosts(state, message, now_ms)
         case messages.MembersChanged():
-            leaving_news.change_members(state, message)
+            return leaving_handover.take_members(state, message)
         case messages.InFlightQuery():
             count = len(state.batches) + len(state.calls)
             return [messages.InFlightReport('owner', count)]
--- a/packages/decisions/src/gypsumbridge_decisions/owner/leaving_news.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/leaving_news.py
@@ -186,23 +186,29 @@
     state: states.OwnerState, endpoint: str, source: str, leaving: bool
 ) -> list[command.Command]:
     """Tell owner and standby of an endpoint's replica set."""
-    found = find_endpoint(state.catalog, endpoint)
-    if found is None:
-        return []
-    service = state.catalog.services.get(found.service)
-    if service is None:
-        return []
-    ownership = state.ownership.find(service, found.replica_set)
     news = messages.EndpointLeaving(
         state.node_id, endpoint, source, leaving, state.catalog.revision
     )
     return [
         messages.ToPeer(node_id, news)
-        for node_id in (ownership.owner, ownership.standby)
-        if node_id is not None and node_id != state.node_id
+        for node_id in find_holders(state, endpoint)
+        if node_id != state.node_id
     ]
 
 
+def find_holders(state: states.OwnerState, endpoint: str) -> tuple[str, ...]:
+    """Return owner and standby of an endpoint's replica set."""
+    found = find_endpoint(state.catalog, endpoint)
+    if found is None:
+        return ()
+    service = state.catalog.services.get(found.service)
+    if service is None:
+        return ()
+    ownership = state.ownership.find(service, found.replica_set)
+    holders = (ownership.owner, ownership.standby)
+    return tuple(node_id for node_id in holders if node_id is not None)
+
+
 def find_endpoint(
     catalog: catalogs.Catalog, name: str
 ) -> resources.Endpoint | None:
--- a/packages/decisions/src/gypsumbridge_decisions/owner/state.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/state.py
@@ -16,7 +16,8 @@
     maps (sender, request id, attempt) to the calls that have no result
     yet. `leaving` maps endpoints to the sources, other than the catalog,
     that say they are leaving; `hosts_leaving` is what this node's own
-    copy of the host list says. `mutations`
+    copy of the host list says. `leaving_told` holds the owner and standby
+    that were last told of an endpoint after a change of members. `mutations`
     holds when each recent (sender, mutation id) arrived, oldest first.
     """
 
@@ -38,6 +39,7 @@
         self.is_relay = False
         self.leaving: dict[str, set[str]] = {}
         self.hosts_leaving: set[str] = set()
+        self.leaving_told: dict[str, tuple[str, ...]] = {}
         self.operator_news: dict[str, operator_news.OperatorNews] = {}
         self.mutations: dict[tuple[str, str], int] = {}
         self.next_call_id = 1
