--- a/packages/decisions/src/gypsumbridge_decisions/owner/leaving_handover.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/leaving_handover.py
@@ -19,10 +19,11 @@
     for endpoint, sources in state.leaving.items():
         if source not in sources:
             continue
-        told = state.leaving_told.get(endpoint)
+        told = state.leaving_told.get(endpoint, ())
         holders = leaving_news.find_holders(state, endpoint)
-        if holders != told:
-            state.leaving_told[endpoint] = holders
+        state.leaving_told[endpoint] = holders
+        # Owner and standby may also have changed places.
+        if not set(holders) <= set(told):
             commands += leaving_news.tell(state, endpoint, source, True)
     for endpoint in state.leaving_told.keys() - state.leaving.keys():
         del state.leaving_told[endpoint]
