Let the soak see three more mutants

Change: an outcome must be that of the caller's own body; the bound of an endpoint that leaves by a reply starts at that reply, not at the program's decision about it; operators change a limit every 2 s, so that changes are accepted while a node is held up.

--- a/packages/standins/src/gypsumbridge_standins/replay/endpoint_run.py
+++ b/packages/standins/src/gypsumbridge_standins/replay/endpoint_run.py
@@ -31,6 +31,7 @@
     endpoint.received += 1
     if endpoint.draining:
         drained = make_reply(sent, statuses.DRAINING, False)
+        replay.on_drained(node_id, endpoint.name)
         reply(2 * NETWORK_MS, drained)
         return
     if sent.version not in endpoint.versions:
--- a/packages/standins/src/gypsumbridge_standins/replay/replay.py
+++ b/packages/standins/src/gypsumbridge_standins/replay/replay.py
@@ -17,8 +17,9 @@
 
     `answered` receives each answer or refusal with the node's id. The
     same seed gives the same run. The other functions are told of each
-    execution of a mutation, revision in force, accepted change, host list
-    and exit, and of each message that a full node has handled;
+    execution of a mutation, reply that says draining, revision in force,
+    accepted change, host list and exit, and of each message that a full
+    node has handled;
     `count_open` returns how many callers wait at a node.
     """
 
@@ -46,3 +47,4 @@
         self.on_hosts: Callable[[Any], None] = lambda hosts: None
         self.on_exit: Callable[[str, Any], None] = lambda n, e: None
         self.on_handled: Callable[[str, Any], None] = lambda n, m: None
+        self.on_drained: Callable[[str, str], None] = lambda n, e: None
--- a/packages/standins/src/gypsumbridge_standins/soak/checks.py
+++ b/packages/standins/src/gypsumbridge_standins/soak/checks.py
@@ -85,7 +85,6 @@
     reporting.note(
         state, f'{node_id} {decision.name} {decision.reason} {fields}'
     )
-    leaving_checks.hear(state, node_id, decision)
     if decision.name != 'send_to_endpoint':
         return
     state.asked.add(str(decision.fields['query']))
--- a/packages/standins/src/gypsumbridge_standins/soak/leaving_checks.py
+++ b/packages/standins/src/gypsumbridge_standins/soak/leaving_checks.py
@@ -8,15 +8,11 @@
 LEAVING_BOUND_MS = 3_000
 
 
-def hear(
-    state: soak_state.SoakState, node_id: str, decision: messages.Decision
+def hear_reply(
+    state: soak_state.SoakState, node_id: str, endpoint: str
 ) -> None:
-    """Note when a reply first told a node that can tell others."""
-    if (decision.name, decision.reason) != ('stop_endpoint', 'reply'):
-        return
-    endpoint = str(decision.fields['endpoint'])
-    if state.replay.endpoints[endpoint].draining:
-        start(state, node_id, endpoint)
+    """Note when an endpoint first told a node that it is leaving."""
+    start(state, node_id, endpoint)
 
 
 def hear_hosts(state: soak_state.SoakState, hosts: messages.HostList) -> None:
--- a/packages/standins/src/gypsumbridge_standins/soak/mutation_checks.py
+++ b/packages/standins/src/gypsumbridge_standins/soak/mutation_checks.py
@@ -14,6 +14,7 @@
     key = sent.idempotency_key
     count = state.executions.get(key, 0) + 1
     state.executions[key] = count
+    state.bodies[key] = sent.body
     reporting.note(state, f'{node_id} executes {key}')
     if count > 1:
         raise reporting.broken(state, f'{key} was executed {count} times')
@@ -36,7 +37,7 @@
     """Check what a caller is told of a mutation."""
     mutation_id = mutation.mutation_id
     if isinstance(result, messages.MutationAnswer):
-        check_outcome(state, result)
+        check_outcome(state, mutation, result)
         return
     reporting.note(state, f'{mutation_id} {result.code} {result.run_state}')
     if result.run_state != messages.RunState.NOT_RUN:
@@ -49,7 +50,9 @@
 
 
 def check_outcome(
-    state: soak_state.SoakState, answer: messages.MutationAnswer
+    state: soak_state.SoakState,
+    mutation: messages.Mutation,
+    answer: messages.MutationAnswer,
 ) -> None:
     """Check an outcome against what the endpoints did."""
     state.mutations_answered += 1
@@ -60,6 +63,8 @@
         raise reporting.broken(state, f'{key} is answered without an outcome')
     if ran != bool(state.executions.get(key)):
         raise reporting.broken(state, f'{key} is told as {claim.outcome}')
+    if state.bodies.get(key, mutation.body) != mutation.body:
+        raise reporting.broken(state, f'{key} ran for another request')
     told = (str(claim.outcome), claim.payload)
     if state.recorded.setdefault(key, told) != told:
         raise reporting.broken(state, f'{key} is told in two ways')
--- a/packages/standins/src/gypsumbridge_standins/soak/operators.py
+++ b/packages/standins/src/gypsumbridge_standins/soak/operators.py
@@ -20,6 +20,7 @@
 # Endpoints keep an old index version for this long after a change.
 PRUNE_MS = (5_000, 15_000)
 THINK_MS = 20
+MEAN_GAP_MS = 2_000
 
 
 def change(
@@ -72,6 +73,26 @@
     store_run.call(state.replay, operation, read, take_read)
 
 
+def change_limits(state: soak_state.SoakState) -> None:
+    """Change an endpoint's limit of connections now, and plan the next.
+
+    A change that is accepted while a node is held up is what shows that
+    the node goes on with an old configuration.
+    """
+    if not state.sending:
+        return
+    random = state.replay.random
+    gap_ms = 1 + round(random.expovariate(1.0) * MEAN_GAP_MS)
+    state.replay.scheduler.after(gap_ms, lambda: change_limits(state))
+
+    def edit(spec: resources.Spec) -> resources.Spec:
+        assert isinstance(spec, resources.Endpoint)
+        return dataclasses.replace(spec, connections=spec.connections + 1)
+
+    name = random.choice(list(state.replay.endpoints))
+    change(state, resources.Kind.ENDPOINT, name, edit, lambda revision: None)
+
+
 def ask_accepted(
     state: soak_state.SoakState, operation: str, revision: int
 ) -> None:
--- a/packages/standins/src/gypsumbridge_standins/soak/run.py
+++ b/packages/standins/src/gypsumbridge_standins/soak/run.py
@@ -11,6 +11,7 @@
 from gypsumbridge_standins.soak import mutation_checks
 from gypsumbridge_standins.soak import mutation_traffic
 from gypsumbridge_standins.soak import node_faults
+from gypsumbridge_standins.soak import operators
 from gypsumbridge_standins.soak import quiet_checks
 from gypsumbridge_standins.soak import soak_state
 from gypsumbridge_standins.soak import traffic
@@ -39,6 +40,7 @@
     """Run a soak that was made before."""
     traffic.send_queries(state)
     mutation_traffic.send_mutations(state)
+    operators.change_limits(state)
     fault_schedule.inject_faults(state)
     for number in range(steps):
         state.replay.scheduler.step()
@@ -70,6 +72,7 @@
         state, n, sent
     )
     replay.on_publish = lambda n, r: checks.check_publish(state, n, r)
+    replay.on_drained = lambda n, e: leaving_checks.hear_reply(state, n, e)
     replay.on_hosts = lambda hosts: leaving_checks.hear_hosts(state, hosts)
     replay.on_exit = lambda n, e: node_faults.finish_stop(state, n, e)
     replay.on_accepted = accept
--- a/packages/standins/src/gypsumbridge_standins/soak/soak_state.py
+++ b/packages/standins/src/gypsumbridge_standins/soak/soak_state.py
@@ -15,7 +15,8 @@
     when each node's last pause, cut or start ended. `troubled` counts the
     faults that hold a node up now. `calls` maps (node id, call id) to the
     request it was sent for. `executed` holds the mutations that ran by
-    their ids, `denied` those that were called not run. `recorded` maps
+    their ids, `bodies` what ran under each key, `denied` those that were
+    called not run. `recorded` maps
     keys to the outcome told first. `accepted` lists (time, revision).
     `swaps` maps (key, expected revision) to the operation that won.
     `declared_leaving` maps endpoints to the revision that says so. `trace`
@@ -51,6 +52,7 @@
         self.calls: dict[tuple[str, int], str] = {}
         self.executed: set[str] = set()
         self.executions: dict[str, int] = {}
+        self.bodies: dict[str, bytes] = {}
         self.denied: set[str] = set()
         self.recorded: dict[str, tuple[str, bytes]] = {}
         self.published: dict[str, tuple[object, int]] = {}
