Refuse values in frames that no node sends

Cause: decoders checked types only. A NaN admission level, a negative remaining_ms, a version with a line break or an address that is none reached the tasks. Decoders of the store, claims, host list and endpoint replies raised RecursionError on deep nesting or UnicodeDecodeError, and an endpoint reply that is not UTF-8 made the whole answer unreadable. A store revision over 64 bits was kept and could not be sent to peers.

Change: peer_rules holds the range of each field; peer.decode raises FrameError outside of it. One tuple names what msgspec raises. Nodes of the host list without a usable address are left out, since peers would refuse every probe that names them.

Ruled out: constraints in the message types, since decisions know no codec; checking each result's JSON in PartBatch, which costs a scan of each payload.

--- a/packages/node/src/gypsumbridge_node/tasks/membership.py
+++ b/packages/node/src/gypsumbridge_node/tasks/membership.py
@@ -14,6 +14,7 @@
 
 POLL = 'poll'
 CONNECTIONS = 1
+MAX_LOGGED = 1_000
 
 
 def start_membership_task(runtime: runtimes.Runtime) -> None:
@@ -91,7 +92,15 @@
         # Taking a list of 8,300 nodes costs 23 ms; most polls change nothing.
         if response.body == last_body:
             return
-        box.put(host_list.decode(response.body))
+        listed = host_list.decode(response.body)
+        hosts, dropped = host_list.drop_unusable(listed)
+        if dropped:
+            runtime.metrics.count('host_list.unusable', len(dropped))
+            runtime.logger.warning(
+                'nodes in the host list have no usable address',
+                extra={'hosts': ' '.join(dropped)[:MAX_LOGGED]},
+            )
+        box.put(hosts)
         last_body = response.body
 
     def failed(reason: Any) -> None:
--- a/packages/wire/src/gypsumbridge_wire/caller/decode.py
+++ b/packages/wire/src/gypsumbridge_wire/caller/decode.py
@@ -6,6 +6,7 @@
 
 from gypsumbridge_decisions import errors
 from gypsumbridge_decisions import messages
+from gypsumbridge_wire import decode_errors
 from gypsumbridge_wire.caller import query_body
 
 MAX_NAME_LENGTH = 256
@@ -38,7 +39,7 @@
         # A part that is passed on undecoded would keep its invalid bytes.
         body.decode()
         return decoder.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+    except decode_errors.DECODE_ERRORS as error:
         raise errors.RequestError(
             f'the body is not valid: {error}',
             'send a JSON object with the documented fields',
--- a/packages/wire/src/gypsumbridge_wire/caller/mutations.py
+++ b/packages/wire/src/gypsumbridge_wire/caller/mutations.py
@@ -6,6 +6,7 @@
 
 from gypsumbridge_decisions import errors
 from gypsumbridge_decisions import messages
+from gypsumbridge_wire import numbers
 from gypsumbridge_wire.caller import decode
 from gypsumbridge_wire.caller import mutation_body
 from gypsumbridge_wire.caller import resolve_body
@@ -24,6 +25,11 @@
         decoded, ('service', 'shard', 'rank', 'request_id', 'caller')
     )
     check_key(decoded.idempotency_key)
+    if not numbers.is_number(decoded.key_expires_at_ms):
+        raise errors.RequestError(
+            'key_expires_at_ms is out of range',
+            'use Unix time in milliseconds',
+        )
     return messages.Mutation(
         mutation_id=mutation_id,
         request_id=decoded.request_id or mutation_id,
--- a/packages/wire/src/gypsumbridge_wire/endpoint/decode.py
+++ b/packages/wire/src/gypsumbridge_wire/endpoint/decode.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from gypsumbridge_decisions import messages
+from gypsumbridge_wire import decode_errors
 from gypsumbridge_wire.endpoint import fields
 
 _STATUS_BY_REASON = {
@@ -78,7 +79,10 @@
 
 def _is_json(body: bytes) -> bool:
     try:
+        # The raw decoder does not check text, and one part that is not
+        # UTF-8 would make the whole answer unreadable.
+        body.decode()
         _raw_decoder.decode(body)
-    except msgspec.MsgspecError:
+    except decode_errors.DECODE_ERRORS:
         return False
     return True
--- a/packages/wire/src/gypsumbridge_wire/operator/decode.py
+++ b/packages/wire/src/gypsumbridge_wire/operator/decode.py
@@ -9,6 +9,7 @@
 from gypsumbridge_decisions import declaration
 from gypsumbridge_decisions import errors
 from gypsumbridge_decisions import resources
+from gypsumbridge_wire import decode_errors
 from gypsumbridge_wire.operator import declaration_body
 
 RESOURCES_PATH = '/v1/resources'
@@ -47,7 +48,7 @@
     """
     try:
         decoded = _decoder.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+    except decode_errors.DECODE_ERRORS as error:
         raise errors.DeclarationError(
             f'the body is not valid: {error}',
             'send a JSON object with spec, and kind and name if you like',
@@ -68,7 +69,7 @@
     """Return the checked spec of a declaration with kind and name."""
     try:
         decoded = _decoder.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+    except decode_errors.DECODE_ERRORS as error:
         raise errors.DeclarationError(
             f'not a declaration: {error}',
             'write an object with kind, name and spec',
@@ -113,7 +114,7 @@
         for version in values.get('versions', ()):
             _check_fields(kind, version, resources.IndexVersion)
         spec = msgspec.convert(values, spec_type)
-    except (msgspec.MsgspecError, RecursionError, TypeError) as error:
+    except (*decode_errors.DECODE_ERRORS, TypeError) as error:
         raise errors.DeclarationError(
             f'{kind} {name}: {error}',
             f'the fields are {_field_names(spec_type)}',
--- a/packages/wire/src/gypsumbridge_wire/peer.py
+++ b/packages/wire/src/gypsumbridge_wire/peer.py
@@ -7,6 +7,8 @@
 
 from gypsumbridge_decisions import errors
 from gypsumbridge_decisions import messages
+from gypsumbridge_wire import decode_errors
+from gypsumbridge_wire import peer_rules
 
 PROTOCOL_VERSION = b'1'
 MAX_BODY_BYTES = 4 * 1024 * 1024
@@ -66,9 +68,11 @@
             'run nodes of the same release',
         )
     try:
-        return decoder.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        message = decoder.decode(body)
+    except decode_errors.DECODE_ERRORS as error:
         raise errors.FrameError(
             f'a peer sent a {name.decode()} that does not decode: {error}',
             'run nodes of the same release',
         ) from error
+    peer_rules.check(message)
+    return message
--- a/packages/wire/src/gypsumbridge_wire/store/claim_value.py
+++ b/packages/wire/src/gypsumbridge_wire/store/claim_value.py
@@ -7,8 +7,11 @@
 from gypsumbridge_decisions import errors
 from gypsumbridge_decisions import messages
 from gypsumbridge_decisions import mutation
+from gypsumbridge_wire import decode_errors
+from gypsumbridge_wire import numbers
 
 CLAIM_PREFIX = 'claims/'
+_REMEDY = 'delete the key after its expiry, when nobody can use it'
 
 _decoder = msgspec.json.Decoder(messages.Claim)
 
@@ -50,9 +53,13 @@
     parts = item.key.removeprefix(CLAIM_PREFIX).split('/', 1)
     try:
         claim = _decoder.decode(item.value or '')
-    except msgspec.MsgspecError as error:
+    except decode_errors.DECODE_ERRORS as error:
         raise errors.FrameError(
-            f'the value of {item.key} does not decode: {error}',
-            'delete the key after its expiry, when nobody can use it',
+            f'the value of {item.key} does not decode: {error}', _REMEDY
         ) from error
+    times = (claim.key_expires_at_ms, claim.send_before_ms)
+    if not all(numbers.is_number(time_ms) for time_ms in times):
+        raise errors.FrameError(
+            f'the value of {item.key} has a time out of range', _REMEDY
+        )
     return messages.ClaimItem(parts[-1], claim, item.revision)
--- a/packages/wire/src/gypsumbridge_wire/store/decode.py
+++ b/packages/wire/src/gypsumbridge_wire/store/decode.py
@@ -4,6 +4,8 @@
 
 from gypsumbridge_decisions import errors
 from gypsumbridge_decisions import messages
+from gypsumbridge_wire import decode_errors
+from gypsumbridge_wire import numbers
 from gypsumbridge_wire.store import reply_body
 
 _decoder = msgspec.json.Decoder(reply_body.ReplyBody)
@@ -32,9 +34,15 @@
         return messages.StoreReply(token, status)
     try:
         decoded = _decoder.decode(body)
-    except msgspec.MsgspecError as error:
+    except decode_errors.DECODE_ERRORS as error:
         raise errors.FrameError(
             f'the store sent a body that does not decode: {error}',
             'check the address of the store',
         ) from error
+    revisions = [decoded.revision, *(i.revision for i in decoded.items)]
+    if not all(numbers.is_number(revision) for revision in revisions):
+        raise errors.FrameError(
+            'the store sent a revision that is out of range',
+            'check the address of the store',
+        )
     return messages.StoreReply(token, status, decoded.revision, decoded.items)
--- a/packages/wire/src/gypsumbridge_wire/store/resource_value.py
+++ b/packages/wire/src/gypsumbridge_wire/store/resource_value.py
@@ -5,6 +5,7 @@
 from gypsumbridge_decisions import errors
 from gypsumbridge_decisions import messages
 from gypsumbridge_decisions import resources
+from gypsumbridge_wire import decode_errors
 from gypsumbridge_wire.store import stored_resource
 
 CONFIG_PREFIX = 'config/'
@@ -35,7 +36,7 @@
     try:
         stored = _decoder.decode(item.value)
         spec = msgspec.json.decode(stored.spec, type=resources.spec_type(kind))
-    except msgspec.MsgspecError as error:
+    except decode_errors.DECODE_ERRORS as error:
         raise errors.FrameError(
             f'the value of {item.key} does not decode: {error}',
             'write the resource again with gypsumctl apply',
