Refuse queued calls when their rank or replica set is deleted

Cause: choose_rank walks declared ranks, so a call queued under a deleted rank waited for its deadline.

Change: on a catalog change the owner refuses such calls as not run, and drops replica sets that are gone and idle. Undeclared sets and ranks leave no state, and the front keeps no admission levels of undeclared sets.

--- a/packages/decisions/src/gypsumbridge_decisions/front/merge.py
+++ b/packages/decisions/src/gypsumbridge_decisions/front/merge.py
@@ -36,7 +36,11 @@
     """Merge the parts of a batch; late and duplicate ones are dropped."""
     state.last_heard_ms[batch.sender] = now_ms
     state.silent.discard(batch.sender)
-    state.levels.update(batch.levels, now_ms)
+    declared = state.catalog.replica_sets
+    levels = [
+        x for x in batch.levels if (x.service, x.replica_set) in declared
+    ]
+    state.levels.update(levels, now_ms)
     running = state.running.get(batch.query_id)
     if running is None:
         return _count_late(batch)
--- a/packages/decisions/src/gypsumbridge_decisions/owner/catalog_update.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/catalog_update.py
@@ -1,10 +1,13 @@
 """Brings the owner's replica sets in line with the catalog."""
 
 from gypsumbridge_decisions import catalog as catalogs
+from gypsumbridge_decisions import messages
 from gypsumbridge_decisions import resources
+from gypsumbridge_decisions.owner import command
 from gypsumbridge_decisions.owner import leaving_marks
 from gypsumbridge_decisions.owner import replica_set_state
 from gypsumbridge_decisions.owner import replica_state
+from gypsumbridge_decisions.owner import result
 from gypsumbridge_decisions.owner import state as states
 
 
@@ -18,19 +21,48 @@
     for name, news in list(state.operator_news.items()):
         if news.revision <= catalog.revision:
             del state.operator_news[name]
-    for key, set_state in state.sets.items():
+    for key, set_state in list(state.sets.items()):
+        if key not in catalog.replica_sets and set_state.is_idle():
+            del state.sets[key]
+            continue
         _refresh(state, set_state, catalog.replica_sets.get(key, ()))
 
 
+def refuse_undeclared(state: states.OwnerState) -> list[command.Command]:
+    """Refuse queued calls whose rank or replica set is gone.
+
+    Dispatch walks declared ranks only, so they would wait for their
+    deadlines.
+    """
+    commands: list[command.Command] = []
+    for key, set_state in state.sets.items():
+        gone = key not in state.catalog.replica_sets
+        for rank, queue in list(set_state.queues.items()):
+            if rank in state.catalog.ranks and not gone:
+                continue
+            reason = messages.MissingReason.CONFIGURATION_STALE
+            if gone:
+                reason = messages.MissingReason.NO_ENDPOINT
+            while (call := queue.pop()) is not None:
+                commands += result.refuse(state, call, reason)
+            del set_state.queues[rank]
+    return commands
+
+
 def find_set(
     state: states.OwnerState, key: tuple[str, str]
 ) -> replica_set_state.ReplicaSetState:
-    """Return the state of a replica set, made on first use."""
+    """Return the state of a replica set, made on first use.
+
+    An undeclared one is not kept, so that names in messages cannot fill
+    the memory; it has no endpoint and takes no work.
+    """
     found = state.sets.get(key)
     if found is not None:
         return found
     made = replica_set_state.ReplicaSetState(key)
-    state.sets[key] = made
+    if key in state.catalog.replica_sets:
+        state.sets[key] = made
     _refresh(state, made, state.catalog.replica_sets.get(key, ()))
     return made
 
--- a/packages/decisions/src/gypsumbridge_decisions/owner/handler.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/handler.py
@@ -61,9 +61,9 @@
         case messages.CatalogChanged():
             before = state.catalog
             catalog_update.apply_catalog(state, message.catalog)
-            return leaving_news.compare_catalogs(
-                state, before, message.catalog
-            )
+            return catalog_update.refuse_undeclared(
+                state
+            ) + leaving_news.compare_catalogs(state, before, message.catalog)
         case messages.ServingChanged():
             state.serving = message
         case _:
--- a/packages/decisions/src/gypsumbridge_decisions/owner/replica_set_state.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/replica_set_state.py
@@ -39,6 +39,12 @@
             self.admissions[rank] = found
         return found
 
+    def is_idle(self) -> bool:
+        """Say whether no call is queued, waits for a retry or runs."""
+        queued = any(queue.length for queue in self.queues.values())
+        running = any(self.running_by_rank.values())
+        return not (queued or running or self.retries)
+
     def slots(self) -> int:
         """Return the slots of all replicas that are not leaving."""
         return sum(
--- a/packages/decisions/src/gypsumbridge_decisions/owner/result.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/result.py
@@ -85,7 +85,8 @@
 ) -> messages.ToPeer:
     level = admission.ADMIT_ALL
     set_state = state.sets.get(call.replica_set)
-    if set_state is not None:
+    # A rank that is not declared gets no admission level of its own.
+    if set_state is not None and call.rank in set_state.admissions:
         level = set_state.admission(call.rank).level
     levels = (admission.make_level(call.replica_set, call.rank, level),)
     batch = messages.PartBatch(
--- a/tests/decisions/test_owner_dispatch.py
+++ b/tests/decisions/test_owner_dispatch.py
@@ -1,3 +1,4 @@
+import dataclasses
 import unittest
 
 from gypsumbridge_decisions import messages
@@ -45,6 +46,39 @@
         commands = fill(state, [f'a{i}' for i in range(9)], rank='archive')
         self.assertEqual(4, len(fixtures.of_type(commands, Requests)))
 
+    def test_calls_of_a_deleted_rank_are_refused_at_once(self):
+        """Guards against calls that wait for their deadline, since dispatch
+        walks declared ranks only.
+        """
+        state = fixtures.warm_owner()
+        fill(state, [f'a{i}' for i in range(9)], rank='archive')
+        ranks = {'border': fixtures.RANKS[0]}
+        found = dataclasses.replace(
+            state.catalog, ranks=ranks, ranks_by_urgency=(ranks['border'],)
+        )
+        commands = owner.handle(state, messages.CatalogChanged(found), 1)
+        parts = fixtures.parts(commands)
+        self.assertEqual(5, len(parts))
+        outcomes = {(part.outcome, part.reason) for part in parts}
+        self.assertEqual({('not_run', 'configuration_stale')}, outcomes)
+        self.assertEqual(4, len(state.batches))
+
+    def test_names_in_messages_leave_no_state(self):
+        """Guards against memory that a peer fills with undeclared names."""
+        state = fixtures.warm_owner()
+        declared = set(state.sets)
+        for number in range(9):
+            batch = fixtures.batch('q', rank=f'r{number}')
+            call = messages.ShardCall('s', f's{number}x')
+            batch = dataclasses.replace(
+                batch, attempt=number, calls=(*batch.calls, call)
+            )
+            commands = owner.handle(state, batch, 0)
+            self.assertEqual(2, len(fixtures.parts(commands)))
+        self.assertEqual(declared, set(state.sets))
+        admissions = state.sets[('svc', 's0')].admissions
+        self.assertLessEqual(admissions.keys(), {'border', 'archive'})
+
     def test_urgent_work_goes_first_otherwise(self):
         """Guards against dispatch in order of arrival."""
         state = fixtures.warm_owner()
