--- /dev/null
+++ b/tests/node/test_peer_sockets.py
@@ -0,0 +1,20 @@
+import unittest
+
+import txzmq
+import zmq
+
+from gypsumbridge_node import peer_sockets
+
+
+class PeerSocketsTest(unittest.TestCase):
+    def test_an_address_without_a_socket_does_not_end_the_sweep(self):
+        """Guards against sockets that are never closed again, since the
+        sweep failed on an address that could not be connected to.
+        """
+        factory = txzmq.ZmqFactory()
+        self.addCleanup(factory.shutdown)
+        sockets = peer_sockets.PeerSockets(factory, [b''])
+        with self.assertRaises(zmq.ZMQError):
+            sockets.connection('no address', 0)
+        self.assertEqual(0, len(factory.connections))
+        sockets.close_idle(peer_sockets.IDLE_MS)
