--- a/packages/node/src/gypsumbridge_node/tasks/mutation.py
+++ b/packages/node/src/gypsumbridge_node/tasks/mutation.py
@@ -10,6 +10,9 @@
 from gypsumbridge_node import store_call
 from gypsumbridge_wire import store
 
+# Of one bucket, which is listed again in little more than an hour.
+MAX_LOGGED = 10
+
 
 def start_mutation_task(runtime: runtimes.Runtime) -> None:
     """Run the claim protocol on the task's mailbox."""
@@ -36,22 +39,13 @@
         },
     )
 
-    def decode(reply: messages.StoreReply) -> messages.ClaimReply:
-        try:
-            return store.decode_claim_reply(reply)
-        except errors.FrameError as error:
-            runtime.logger.error('claim rejected', extra={'error': str(error)})
-            return messages.ClaimReply(
-                reply.token, messages.StoreStatus.REJECTED
-            )
-
     def handle(message: Any) -> None:
         if isinstance(message, messages.InFlightQuery):
             count = len(state.running)
             boxes.lifecycle.put(messages.InFlightReport('mutation', count))
             return
         if isinstance(message, messages.StoreReply):
-            message = decode(message)
+            message = decode(runtime, message)
         clock = runtime.clock
         execute(
             mutation.handle(state, message, clock.now_ms(), clock.wall_ms())
@@ -59,3 +53,25 @@
 
     boxes.mutation.start(handle)
     boxes.mutation.put(mutation.SweepTimer())
+
+
+def decode(
+    runtime: runtimes.Runtime, reply: messages.StoreReply
+) -> messages.ClaimReply:
+    """Return the claims in a reply, and log values that are none.
+
+    In a list they are left out; one of them must not keep the rest of its
+    bucket from being removed.
+    """
+    try:
+        if reply.token != mutation.LIST_TOKEN:
+            return store.decode_claim_reply(reply)
+        decoded, found = store.decode_claim_list(reply)
+    except errors.FrameError as error:
+        decoded = messages.ClaimReply(
+            reply.token, messages.StoreStatus.REJECTED
+        )
+        found = (error,)
+    for error in found[:MAX_LOGGED]:
+        runtime.logger.error('claim rejected', extra={'error': str(error)})
+    return decoded
--- a/packages/wire/src/gypsumbridge_wire/store/__init__.py
+++ b/packages/wire/src/gypsumbridge_wire/store/__init__.py
@@ -1,5 +1,8 @@
 """Calls to the configuration store and the values kept there."""
 
+from gypsumbridge_wire.store.claim_value import (
+    decode_claim_list as decode_claim_list,
+)
 from gypsumbridge_wire.store.claim_value import (
     decode_claim_reply as decode_claim_reply,
 )
--- a/packages/wire/src/gypsumbridge_wire/store/claim_value.py
+++ b/packages/wire/src/gypsumbridge_wire/store/claim_value.py
@@ -49,6 +49,23 @@
     )
 
 
+def decode_claim_list(
+    reply: messages.StoreReply,
+) -> tuple[messages.ClaimReply, tuple[errors.FrameError, ...]]:
+    """Return the claims of a list, and an error for each other value."""
+    items = []
+    found = []
+    for item in reply.items:
+        try:
+            items.append(_decode_item(item))
+        except errors.FrameError as error:
+            found.append(error)
+    claims = messages.ClaimReply(
+        reply.token, reply.status, reply.revision, tuple(items)
+    )
+    return claims, tuple(found)
+
+
 def _decode_item(item: messages.StoreItem) -> messages.ClaimItem:
     parts = item.key.removeprefix(CLAIM_PREFIX).split('/', 1)
     try:
