Count every HTTP request at a stop, and end operators' connections

Cause: the stop counted requests from the moment a task knew them, so a query whose body was still arriving and an operator's request were cut at the exit. The operator task ignored EndKeepAlive, so the exit closed connections on which an operator could just send.

Change: caller_http counts what the HTTP channels hold; operator_http reports its requests in flight, answers long polls when the node drains, and closes connections after EndKeepAlive. Its factory and the lifecycle's are split.

Measured: with the old code the arriving body and the operator's long poll were cut, now both are answered. The third test of test_stop, two of four nodes that stop at once under load, found no fault in the old code either (passed alone): every request was answered with full coverage.

Ruled out: ending long polls at SIGTERM, since new ones arrive until the port closes.

--- a/packages/decisions/src/gypsumbridge_decisions/lifecycle/stopping.py
+++ b/packages/decisions/src/gypsumbridge_decisions/lifecycle/stopping.py
@@ -13,7 +13,9 @@
 from gypsumbridge_decisions.lifecycle import state as states
 
 # The tasks that are asked for work in flight.
-SOURCES = frozenset({'caller_http', 'front', 'owner', 'mutation'})
+SOURCES = frozenset(
+    {'caller_http', 'front', 'owner', 'mutation', 'operator_http'}
+)
 POLL_MS = 50
 # Results and responses that were handed to a socket leave within this.
 FLUSH_MS = 200
--- a/packages/node/src/gypsumbridge_node/daemon.py
+++ b/packages/node/src/gypsumbridge_node/daemon.py
@@ -41,7 +41,8 @@
     runtime = make_runtime(reactor, settings)
     factory = txzmq.ZmqFactory()
     root = path_resource.PathResource()
-    listening = listen(runtime, root)
+    channels: set[http_channel.JsonChannel] = set()
+    listening = listen(runtime, root, channels)
     exit_statuses = [lifecycle.EXIT_CLEAN]
 
     def exit_process(status: int) -> None:
@@ -54,7 +55,9 @@
     endpoint.start_endpoint_task(runtime)
     store.start_store_task(runtime)
     peer_link.start_peer_link_task(runtime, factory)
-    caller_http.start_caller_http_task(runtime, root)
+    caller_http.start_caller_http_task(
+        runtime, root, lambda: http_channel.count_requests(channels)
+    )
     versions = root.getStaticEntity(b'v1')
     operator_http.start_operator_http_task(runtime, versions)
     lifecycle.start_lifecycle_task(
@@ -77,10 +80,14 @@
     return exit_statuses[-1]
 
 
-def listen(runtime: runtimes.Runtime, root: path_resource.PathResource) -> Any:
+def listen(
+    runtime: runtimes.Runtime,
+    root: path_resource.PathResource,
+    channels: set[http_channel.JsonChannel],
+) -> Any:
     """Serve HTTP to callers, operators and health checks.
 
-    Returns the listening port.
+    Keeps the open connections in `channels`. Returns the listening port.
     """
     settings = runtime.settings
     make_request = bounded_request.make_request_factory(
@@ -89,7 +96,8 @@
     # A form would be parsed before its size or type is checked.
     site = server.Site(root, make_request, parsePOSTFormSubmission=False)
     site.protocol = http_channel.make_channel_factory(
-        lambda count: runtime.metrics.gauge('http.connections', count)
+        channels,
+        lambda count: runtime.metrics.gauge('http.connections', count),
     )
     host, port = address.split_address(settings.node.http_address)
     return runtime.reactor.listenTCP(port, site, interface=host)
--- a/packages/node/src/gypsumbridge_node/http_channel.py
+++ b/packages/node/src/gypsumbridge_node/http_channel.py
@@ -17,23 +17,28 @@
 class JsonChannel(http.HTTPChannel):
     """Explains a request whose head cannot be read, then closes.
 
-    `count` is called with 1 when the connection opens and -1 when it
-    closes.
+    `opened` is called with the connection when it opens and `closed` when
+    it closes.
     """
 
-    def __init__(self, count: Callable[[int], None]) -> None:
+    def __init__(
+        self,
+        opened: 'Callable[[JsonChannel], None]',
+        closed: 'Callable[[JsonChannel], None]',
+    ) -> None:
         super().__init__()
-        self.count = count
+        self.opened = opened
+        self.closed = closed
         self.rejected = False
 
     def connectionMade(self) -> None:  # noqa: N802
-        """Count the connection."""
-        self.count(1)
+        """Report the connection."""
+        self.opened(self)
         super().connectionMade()
 
     def connectionLost(self, reason: failure.Failure) -> None:  # noqa: N802
-        """Stop counting the connection."""
-        self.count(-1)
+        """Report the end of the connection."""
+        self.closed(self)
         super().connectionLost(reason)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
@@ -81,16 +86,27 @@
 
 
 def make_channel_factory(
-    report: Callable[[int], None],
+    channels: set[JsonChannel], report: Callable[[int], None]
 ) -> Callable[..., JsonChannel]:
-    """Return what makes connections; `report` gets the number open."""
-    total = [0]
+    """Return what makes connections and keeps the open ones in `channels`.
 
-    def count(change: int) -> None:
-        total[0] += change
-        report(total[0])
+    `report` gets the number open.
+    """
+
+    def opened(channel: JsonChannel) -> None:
+        channels.add(channel)
+        report(len(channels))
+
+    def closed(channel: JsonChannel) -> None:
+        channels.discard(channel)
+        report(len(channels))
 
     def make_channel(*_: Any) -> JsonChannel:
-        return JsonChannel(count)
+        return JsonChannel(opened, closed)
 
     return make_channel
+
+
+def count_requests(channels: set[JsonChannel]) -> int:
+    """Return the requests that have begun to arrive and have no response."""
+    return sum(len(channel.requests) for channel in channels)
--- a/packages/node/src/gypsumbridge_node/operator_api/state.py
+++ b/packages/node/src/gypsumbridge_node/operator_api/state.py
@@ -15,7 +15,7 @@
     `waiting` maps the token of each request to another task to what waits
     for its reply. `watches` maps a token to the revision that a long poll
     waits to pass and what it waits with. `running` counts HTTP requests in
-    progress.
+    progress. While `ending` is set, a reply also ends its connection.
     """
 
     def __init__(self) -> None:
@@ -23,6 +23,7 @@
         self.waiting: dict[str, defer.Deferred[Any]] = {}
         self.watches: dict[str, tuple[int, defer.Deferred[Any]]] = {}
         self.running = 0
+        self.ending = False
         self.catalog = catalog.empty_catalog()
         self.members: tuple[messages.Member, ...] = ()
         self.serving = messages.ServingChanged(
@@ -39,15 +40,22 @@
     match message:
         case messages.CatalogChanged():
             state.catalog = message.catalog
-            for token, (after, waiter) in list(state.watches.items()):
-                if message.catalog.revision > after:
-                    del state.watches[token]
-                    waiter.callback(None)
+            end_watches(state, message.catalog.revision)
         case messages.MembersChanged():
             state.members = message.members
         case messages.ServingChanged():
             state.serving = message
+        case messages.EndKeepAlive():
+            state.ending = True
         case _:
             waiter = state.waiting.pop(message.token, None)
             if waiter is not None:
                 waiter.callback(message)
+
+
+def end_watches(state: OperatorState, revision: int) -> None:
+    """End the long polls that waited for an earlier revision."""
+    for token, (after, waiter) in list(state.watches.items()):
+        if revision > after:
+            del state.watches[token]
+            waiter.callback(None)
--- a/packages/node/src/gypsumbridge_node/tasks/caller_http.py
+++ b/packages/node/src/gypsumbridge_node/tasks/caller_http.py
@@ -34,9 +34,15 @@
 
 
 def start_caller_http_task(
-    runtime: runtimes.Runtime, root: resource.Resource
+    runtime: runtimes.Runtime,
+    root: resource.Resource,
+    count_requests: Callable[[], int],
 ) -> None:
-    """Turn HTTP requests into queries and answers into responses."""
+    """Turn HTTP requests into queries and answers into responses.
+
+    `count_requests` returns the HTTP requests that have no response yet,
+    with those whose body is still arriving.
+    """
     state = CallerState()
     next_id = make_id_source(runtime.settings.node.node_id)
     versions = path_resource.PathResource()
@@ -51,7 +57,7 @@
     root.putChild(b'v1', versions)
     runtime.boxes.caller_http.start(
         task_status.with_status(
-            make_message_handler(runtime, state),
+            make_message_handler(runtime, state, count_requests),
             lambda: {'waiting_requests': len(state.waiting)},
         )
     )
@@ -88,7 +94,9 @@
 
 
 def make_message_handler(
-    runtime: runtimes.Runtime, state: CallerState
+    runtime: runtimes.Runtime,
+    state: CallerState,
+    count_requests: Callable[[], int],
 ) -> Callable[[Any], None]:
     """Return the function that handles the task's messages."""
 
@@ -109,7 +117,7 @@
             case messages.EndKeepAlive():
                 state.ending = True
             case messages.InFlightQuery():
-                count = len(state.waiting)
+                count = max(len(state.waiting), count_requests())
                 report = messages.InFlightReport('caller_http', count)
                 runtime.boxes.lifecycle.put(report)
 
--- a/packages/node/src/gypsumbridge_node/tasks/lifecycle.py
+++ b/packages/node/src/gypsumbridge_node/tasks/lifecycle.py
@@ -1,5 +1,6 @@
 """The task that starts and stops the node."""
 
+from collections.abc import Callable
 import signal
 from typing import Any
 
@@ -72,12 +73,37 @@
             boxes.front,
             boxes.owner,
             boxes.mutation,
+            boxes.operator_http,
         ):
             box.put(query)
 
+    def end_keep_alive(command: messages.EndKeepAlive) -> None:
+        boxes.caller_http.put(command)
+        boxes.operator_http.put(command)
+
     def close_port(command: lifecycle.ClosePort) -> None:
         controls.close_port()
 
+    return executors.make_executor(
+        runtime,
+        boxes.lifecycle,
+        {
+            messages.ServingChanged: publish,
+            messages.EndKeepAlive: end_keep_alive,
+            messages.AnnounceLeaving: boxes.membership.put,
+            messages.LeaveFleet: boxes.membership.put,
+            messages.InFlightQuery: ask,
+            lifecycle.ClosePort: close_port,
+            lifecycle.ExitNode: make_exit(runtime, controls),
+        },
+    )
+
+
+def make_exit(
+    runtime: runtimes.Runtime, controls: process_controls.ProcessControls
+) -> Callable[[lifecycle.ExitNode], None]:
+    """Return a function that logs why the process ends, and ends it."""
+
     def end(command: lifecycle.ExitNode) -> None:
         extra = {'reason': command.reason}
         if command.clean:
@@ -91,16 +117,4 @@
         )
         controls.exit_process(EXIT_CUT_SHORT)
 
-    return executors.make_executor(
-        runtime,
-        boxes.lifecycle,
-        {
-            messages.ServingChanged: publish,
-            messages.EndKeepAlive: boxes.caller_http.put,
-            messages.AnnounceLeaving: boxes.membership.put,
-            messages.LeaveFleet: boxes.membership.put,
-            messages.InFlightQuery: ask,
-            lifecycle.ClosePort: close_port,
-            lifecycle.ExitNode: end,
-        },
-    )
+    return end
--- a/packages/node/src/gypsumbridge_node/tasks/operator_http.py
+++ b/packages/node/src/gypsumbridge_node/tasks/operator_http.py
@@ -1,5 +1,6 @@
 """The task that serves the operators' resource API."""
 
+from collections.abc import Callable
 from collections.abc import Coroutine
 from typing import Any
 
@@ -9,8 +10,10 @@
 from twisted.web import server
 
 from gypsumbridge_decisions import errors
+from gypsumbridge_decisions import messages
 from gypsumbridge_node import function_resource
 from gypsumbridge_node import json_request
+from gypsumbridge_node import keep_alive
 from gypsumbridge_node import runtime as runtimes
 from gypsumbridge_node.operator_api import calls as operator_calls
 from gypsumbridge_node.operator_api import node_status
@@ -24,6 +27,8 @@
 ACCEPT_WAIT_MS = 5_000
 WATCH_WAIT_MS = 10_000
 MAX_WAIT_MS = 30_000
+# Above every revision.
+NEVER = 2**63
 
 Work = Coroutine[Any, Any, read.Reply]
 
@@ -34,6 +39,7 @@
     """Serve `resources` and `nodes` under the API's version."""
     state = states.OperatorState()
     calls = operator_calls.make_calls(runtime, state)
+    run = make_runner(runtime, state)
 
     def serve_resources(request: Any) -> Any:
         return run(request, lambda: route(runtime, state, calls, request))
@@ -45,7 +51,29 @@
 
         return run(request, work)
 
-    def run(request: Any, start: Any) -> Any:
+    def handle(message: Any) -> None:
+        if isinstance(message, messages.InFlightQuery):
+            # A stop does not wait for a long poll to reach its end.
+            states.end_watches(state, NEVER)
+            report = messages.InFlightReport('operator_http', state.running)
+            runtime.boxes.lifecycle.put(report)
+            return
+        states.receive(state, message)
+
+    for path, serve in (
+        (b'resources', serve_resources),
+        (b'nodes', serve_nodes),
+    ):
+        versions.putChild(path, function_resource.FunctionResource(serve))
+    runtime.boxes.operator_http.start(handle)
+
+
+def make_runner(
+    runtime: runtimes.Runtime, state: states.OperatorState
+) -> Callable[[Any, Callable[[], Work]], Any]:
+    """Return a function that runs the work of a request."""
+
+    def run(request: Any, start: Callable[[], Work]) -> Any:
         try:
             if state.running >= MAX_RUNNING:
                 raise errors.BusyError(
@@ -54,8 +82,7 @@
                 )
             work = start()
         except errors.GypsumbridgeError as error:
-            encoded = operator.encode_error(error)
-            return json_request.respond(request, encoded)
+            return respond(request, operator.encode_error(error))
         state.running += 1
         running = defer.Deferred.fromCoroutine(work)
         running.addErrback(lambda reason: explain(runtime, reason))
@@ -67,15 +94,15 @@
     def finish(request: Any, reply: read.Reply | None) -> None:
         state.running -= 1
         if reply is not None and request.channel is not None:
-            request.write(json_request.respond(request, reply))
+            request.write(respond(request, reply))
             request.finish()
 
-    for path, serve in (
-        (b'resources', serve_resources),
-        (b'nodes', serve_nodes),
-    ):
-        versions.putChild(path, function_resource.FunctionResource(serve))
-    runtime.boxes.operator_http.start(lambda m: states.receive(state, m))
+    def respond(request: Any, reply: read.Reply) -> bytes:
+        if state.ending:
+            keep_alive.end_after(request)
+        return json_request.respond(request, reply)
+
+    return run
 
 
 def route(
--- a/tests/decisions/test_lifecycle.py
+++ b/tests/decisions/test_lifecycle.py
@@ -57,14 +57,19 @@
     def test_the_node_leaves_only_when_every_task_is_idle(self):
         """Guards against an exit on the word of the first idle task."""
         self.drain()
-        self.assertEqual(set(), self.report(front=0, owner=0, mutation=0))
+        self.assertEqual(
+            set(), self.report(front=0, owner=0, mutation=0, operator_http=0)
+        )
         busy = self.report(caller_http=1)
         self.assertEqual({messages.Timer}, busy)
         self.assertIn(
             messages.InFlightQuery, self.kinds(lifecycle.PollTimer())
         )
         # Answers to the last question do not count for this one.
-        self.assertEqual(set(), self.report(caller_http=0, front=0, owner=0))
+        self.assertEqual(
+            set(),
+            self.report(caller_http=0, front=0, owner=0, operator_http=0),
+        )
         self.assertIn(messages.LeaveFleet, self.report(mutation=0))
         self.assertEqual(
             [lifecycle.ExitNode('drained', True)],
--- /dev/null
+++ b/tests/processes/test_stop.py
@@ -0,0 +1,144 @@
+import http.client
+import json
+import signal
+import socket
+import threading
+import time
+import unittest
+
+from gypsumbridge_standins.cluster import cluster as clusters
+from gypsumbridge_standins.cluster import ports
+from gypsumbridge_standins.cluster import start
+from gypsumbridge_standins.deployment import build
+from tests.processes import load
+
+DOMAINS = ('fd-a', 'fd-b', 'fd-c')
+LAG_MS = 1_000
+BODY = json.dumps(
+    {
+        'service': 'verify-portal',
+        'rank': 'border',
+        'deadline_ms': 5_000,
+        'query': {},
+    }
+).encode()
+
+
+class StopTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.cluster = clusters.Cluster()
+        cls.addClassCleanup(cls.cluster.stop)
+        cls.cluster.balancer_lag_ms = LAG_MS
+        chosen = ports.free_ports(build.count_searchers(build.SMALL_GROUPS))
+        deployment = build.build(build.SMALL_GROUPS, chosen, 5.0)
+        start.start_platform(cls.cluster, deployment)
+        start.declare(cls.cluster, deployment.specs)
+        start.start_nodes(cls.cluster, 4, DOMAINS)
+        cls.nodes = list(cls.cluster.nodes.values())
+
+    def stop_node(self, node):
+        """Send SIGTERM, and start the node again after the test."""
+        self.stopped = len(self.cluster.decisions(node.node_id))
+        self.cluster.signal(node.node_id, signal.SIGTERM)
+        self.addCleanup(self.restart, node)
+
+    def restart(self, node):
+        start.start_node(self.cluster, node, DOMAINS)
+        start.wait_ready(node)
+
+    def wait_phase(self, node, phase):
+        clusters.wait_until(
+            lambda: (
+                f'stop_phase {phase}'
+                in self.cluster.decisions(node.node_id)[self.stopped :]
+            ),
+            f'{node.node_id} is {phase}',
+            20,
+        )
+
+    def connect(self, node):
+        made = http.client.HTTPConnection(*node.http.split(':'), timeout=60)
+        self.addCleanup(made.close)
+        return made
+
+    def get(self, connection, path):
+        connection.request('GET', path)
+        response = connection.getresponse()
+        json.loads(response.read())
+        return response
+
+    def test_a_body_that_is_still_arriving(self):
+        """Guards against a query that is cut since no task knows it yet."""
+        node = self.nodes[0]
+        host, port = node.http.split(':')
+        with socket.create_connection((host, int(port)), 60) as made:
+            head = b'POST /v1/query HTTP/1.1\r\nHost: x\r\n'
+            head += b'Content-Length: %d\r\n\r\n' % len(BODY)
+            made.sendall(head + BODY[:10])
+            self.stop_node(node)
+            self.wait_phase(node, 'draining')
+            # Longer than an exit takes with nothing in flight.
+            time.sleep(1.0)
+            made.sendall(BODY[10:])
+            received = made.makefile('rb').read()
+        self.assertIn(b'"run_state":"not_run"', received)
+        self.assertEqual(0, self.cluster.wait(node.node_id))
+
+    def test_an_operators_request_and_its_connection(self):
+        """Guards against a long poll that is cut, one that holds up the
+        stop, and requests on a connection that the exit closes.
+        """
+        node = self.nodes[1]
+        idle = self.connect(node)
+        self.assertIsNone(self.get(idle, '/v1/nodes').getheader('Connection'))
+        waiting = self.connect(node)
+        path = '/v1/resources?watch_from=999999999&wait_ms=30000'
+        found = []
+        thread = threading.Thread(
+            target=lambda: found.append(self.get(waiting, path))
+        )
+        thread.start()
+        clusters.wait_until(
+            lambda: self.watches(idle), 'the long poll waits', 20
+        )
+        self.stop_node(node)
+        self.wait_phase(node, 'lagging')
+        last = self.get(idle, '/v1/nodes')
+        self.assertEqual('close', last.getheader('Connection'))
+        self.assertEqual(0, self.cluster.wait(node.node_id, 20))
+        thread.join()
+        self.assertEqual([200], [response.status for response in found])
+
+    def watches(self, connection):
+        connection.request('GET', '/v1/nodes')
+        answer = json.loads(connection.getresponse().read())
+        return answer['tasks']['operator_http']['watches']
+
+    def test_two_nodes_stop_at_the_same_moment(self):
+        """Guards against shards that each stopping node hands to the other,
+        and against requests that are cut or lost between them.
+        """
+        # The second pair is the two nodes of one failure domain.
+        for pair in ((1, 2), (0, 3)):
+            with load.Load(self.nodes, 0.6 * LAG_MS / 1_000) as sent:
+                time.sleep(0.5)
+                for number in pair:
+                    node_id = self.nodes[number].node_id
+                    self.cluster.signal(node_id, signal.SIGTERM)
+                ended = [
+                    self.cluster.wait(self.nodes[number].node_id)
+                    for number in pair
+                ]
+                time.sleep(0.5)
+            for number in pair:
+                self.restart(self.nodes[number])
+            self.assertEqual([0, 0], ended)
+            bad = [o for o in sent.outcomes if o[1] != 200]
+            self.assertEqual([], bad[:3], f'{len(bad)} {len(sent.outcomes)}')
+            for _, _, answer in sent.outcomes:
+                self.assertEqual(
+                    (1, []), (answer['coverage'], answer['missing'])
+                )
+            stopped = {self.nodes[number].node_id for number in pair}
+            self.assertLessEqual(stopped, {o[0] for o in sent.outcomes})
