--- a/packages/decisions/src/gypsumbridge_decisions/front/merge.py
+++ b/packages/decisions/src/gypsumbridge_decisions/front/merge.py
@@ -39,7 +39,11 @@
     if not batch.query_id:
         state.check_times.answer(batch.sender, now_ms)
         return []
-    state.levels.update(batch.levels, now_ms)
+    declared = state.catalog.replica_sets
+    levels = [
+        x for x in batch.levels if (x.service, x.replica_set) in declared
+    ]
+    state.levels.update(levels, now_ms)
     running = state.running.get(batch.query_id)
     if running is None:
         return _count_late(batch)
--- a/packages/wire/src/gypsumbridge_wire/store/claim_value.py
+++ b/packages/wire/src/gypsumbridge_wire/store/claim_value.py
@@ -7,8 +7,11 @@
 from gypsumbridge_decisions import errors
 from gypsumbridge_decisions import messages
 from gypsumbridge_decisions import mutation
+from gypsumbridge_wire import decode_errors
+from gypsumbridge_wire import numbers
 
 CLAIM_PREFIX = 'claims/'
+_REMEDY = 'delete the key after its expiry, when nobody can use it'
 
 _decoder = msgspec.json.Decoder(messages.Claim)
 
@@ -46,13 +49,34 @@
     )
 
 
+def decode_claim_list(
+    reply: messages.StoreReply,
+) -> tuple[messages.ClaimReply, tuple[errors.FrameError, ...]]:
+    """Return the claims of a list, and an error for each other value."""
+    items = []
+    found = []
+    for item in reply.items:
+        try:
+            items.append(_decode_item(item))
+        except errors.FrameError as error:
+            found.append(error)
+    claims = messages.ClaimReply(
+        reply.token, reply.status, reply.revision, tuple(items)
+    )
+    return claims, tuple(found)
+
+
 def _decode_item(item: messages.StoreItem) -> messages.ClaimItem:
     parts = item.key.removeprefix(CLAIM_PREFIX).split('/', 1)
     try:
         claim = _decoder.decode(item.value or '')
-    except msgspec.MsgspecError as error:
+    except decode_errors.DECODE_ERRORS as error:
         raise errors.FrameError(
-            f'the value of {item.key} does not decode: {error}',
-            'delete the key after its expiry, when nobody can use it',
+            f'the value of {item.key} does not decode: {error}', _REMEDY
         ) from error
+    times = (claim.key_expires_at_ms, claim.send_before_ms)
+    if not all(numbers.is_number(time_ms) for time_ms in times):
+        raise errors.FrameError(
+            f'the value of {item.key} has a time out of range', _REMEDY
+        )
     return messages.ClaimItem(parts[-1], claim, item.revision)
