Give an owner's sign of life a message of its own

No test failed for it: the replay passed messages between nodes without the codec. Change: OwnerCheck and OwnerAlive carry the sender only; the full fleet in the replay encodes and decodes each message between nodes; the replay reports the operators' task at a stop.

--- a/packages/decisions/src/gypsumbridge_decisions/front/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/front/__init__.py
@@ -34,6 +34,7 @@
 from gypsumbridge_decisions.front.send import send_pending as send_pending
 from gypsumbridge_decisions.front.sent_batch import SentBatch as SentBatch
 from gypsumbridge_decisions.front.silence import check_silence as check_silence
+from gypsumbridge_decisions.front.silence import receive_sign as receive_sign
 from gypsumbridge_decisions.front.silence import resend as resend
 from gypsumbridge_decisions.front.silence_timer import make_timer as make_timer
 from gypsumbridge_decisions.front.silence_timer import (
--- a/packages/decisions/src/gypsumbridge_decisions/front/handler.py
+++ b/packages/decisions/src/gypsumbridge_decisions/front/handler.py
@@ -28,6 +28,8 @@
             return plan.arrive(state, message, now_ms)
         case query_timer.QueryTimer():
             return finishing.time_out(state, message, now_ms)
+        case messages.OwnerAlive():
+            return silence.receive_sign(state, message, now_ms)
         case silence_timer.SilenceTimer():
             return silence.check_silence(state, message, now_ms)
         case messages.QueryGone():
--- a/packages/decisions/src/gypsumbridge_decisions/front/merge.py
+++ b/packages/decisions/src/gypsumbridge_decisions/front/merge.py
@@ -36,9 +36,6 @@
     """Merge the parts of a batch; late and duplicate ones are dropped."""
     state.last_heard_ms[batch.sender] = now_ms
     state.silent.discard(batch.sender)
-    if not batch.query_id:
-        state.check_times.answer(batch.sender, now_ms)
-        return []
     declared = state.catalog.replica_sets
     levels = [
         x for x in batch.levels if (x.service, x.replica_set) in declared
--- a/packages/decisions/src/gypsumbridge_decisions/front/silence.py
+++ b/packages/decisions/src/gypsumbridge_decisions/front/silence.py
@@ -32,7 +32,7 @@
         return []
     state.check_times.ask(node_id, now_ms)
     ask: list[command.Command] = [
-        messages.ToPeer(node_id, messages.OwnerCheck(state.node_id, '', 0)),
+        messages.ToPeer(node_id, messages.OwnerCheck(state.node_id)),
         _arm(state, node_id, True, now_ms),
     ]
     if not timer.asked:
@@ -61,6 +61,16 @@
     return commands + ask
 
 
+def receive_sign(
+    state: states.FrontState, alive: messages.OwnerAlive, now_ms: int
+) -> list[command.Command]:
+    """Take an owner as alive and learn how long its answer took."""
+    state.last_heard_ms[alive.sender] = now_ms
+    state.silent.discard(alive.sender)
+    state.check_times.answer(alive.sender, now_ms)
+    return []
+
+
 def _is_late(timer: silence_timer.SilenceTimer, now_ms: int) -> bool:
     """Say whether this process was held up instead of the owner.
 
--- a/packages/decisions/src/gypsumbridge_decisions/messages/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/messages/__init__.py
@@ -121,6 +121,9 @@
 from gypsumbridge_decisions.messages.mutation_result import (
     MutationResult as MutationResult,
 )
+from gypsumbridge_decisions.messages.owner_alive import (
+    OwnerAlive as OwnerAlive,
+)
 from gypsumbridge_decisions.messages.owner_check import (
     OwnerCheck as OwnerCheck,
 )
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/messages/owner_alive.py
@@ -0,0 +1,10 @@
+"""An owner's sign of life."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class OwnerAlive:
+    """Answers `OwnerCheck`."""
+
+    sender: str
--- a/packages/decisions/src/gypsumbridge_decisions/messages/owner_check.py
+++ b/packages/decisions/src/gypsumbridge_decisions/messages/owner_check.py
@@ -5,8 +5,6 @@
 
 @dataclasses.dataclass(frozen=True)
 class OwnerCheck:
-    """Answered at once with a `PartBatch` that has no parts."""
+    """Answered at once with `OwnerAlive`."""
 
     sender: str
-    query_id: str
-    attempt: int
--- a/packages/decisions/src/gypsumbridge_decisions/owner/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/__init__.py
@@ -26,8 +26,12 @@
     apply_catalog as apply_catalog,
 )
 from gypsumbridge_decisions.owner.catalog_update import find_set as find_set
+from gypsumbridge_decisions.owner.catalog_update import (
+    refuse_undeclared as refuse_undeclared,
+)
 from gypsumbridge_decisions.owner.coalescing import coalesce as coalesce
 from gypsumbridge_decisions.owner.command import Command as Command
+from gypsumbridge_decisions.owner.dispatch_check import check as check
 from gypsumbridge_decisions.owner.dispatching import dispatch as dispatch
 from gypsumbridge_decisions.owner.dispatching import (
     start_request as start_request,
@@ -36,6 +40,9 @@
     ExtraLoadBudget as ExtraLoadBudget,
 )
 from gypsumbridge_decisions.owner.handler import handle as handle
+from gypsumbridge_decisions.owner.health import (
+    record_cancelled as record_cancelled,
+)
 from gypsumbridge_decisions.owner.health import (
     record_failure as record_failure,
 )
@@ -52,6 +59,12 @@
     HostNewsTimer as HostNewsTimer,
 )
 from gypsumbridge_decisions.owner.latency import Latency as Latency
+from gypsumbridge_decisions.owner.leaving_handover import (
+    hand_over as hand_over,
+)
+from gypsumbridge_decisions.owner.leaving_handover import (
+    take_members as take_members,
+)
 from gypsumbridge_decisions.owner.leaving_marks import mark as mark
 from gypsumbridge_decisions.owner.leaving_marks import refresh as refresh
 from gypsumbridge_decisions.owner.leaving_news import (
@@ -69,6 +82,9 @@
 from gypsumbridge_decisions.owner.leaving_news import (
     find_endpoint as find_endpoint,
 )
+from gypsumbridge_decisions.owner.leaving_news import (
+    find_holders as find_holders,
+)
 from gypsumbridge_decisions.owner.leaving_news import (
     take_health as take_health,
 )
--- a/packages/decisions/src/gypsumbridge_decisions/owner/cancel.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/cancel.py
@@ -32,12 +32,5 @@
     state: states.OwnerState, check: messages.OwnerCheck
 ) -> list[command.Command]:
     """Show a front that this owner is alive."""
-    batch = messages.PartBatch(
-        sender=state.node_id,
-        query_id=check.query_id,
-        attempt=check.attempt,
-        parts=(),
-        levels=(),
-        configuration_revision=state.catalog.revision,
-    )
-    return [messages.ToPeer(check.sender, batch)]
+    alive = messages.OwnerAlive(state.node_id)
+    return [messages.ToPeer(check.sender, alive)]
--- a/packages/node/src/gypsumbridge_node/tasks/peer_link.py
+++ b/packages/node/src/gypsumbridge_node/tasks/peer_link.py
@@ -138,6 +138,7 @@
         messages.MutationCall: boxes.owner,
         messages.EndpointLeaving: boxes.owner,
         messages.PartBatch: boxes.front,
+        messages.OwnerAlive: boxes.front,
         messages.MutationResult: boxes.mutation,
         messages.Introduction: boxes.peer_link,
         messages.Probe: boxes.membership,
--- a/packages/standins/src/gypsumbridge_standins/replay/control_routes.py
+++ b/packages/standins/src/gypsumbridge_standins/replay/control_routes.py
@@ -22,6 +22,7 @@
     messages.Query: (FRONT,),
     messages.QueryGone: (FRONT,),
     messages.PartBatch: (FRONT,),
+    messages.OwnerAlive: (FRONT,),
     front.QueryTimer: (FRONT,),
     front.SilenceTimer: (FRONT,),
     messages.MembersChanged: (FRONT, OWNER, MUTATION, CONFIGURATION),
--- a/packages/standins/src/gypsumbridge_standins/replay/control_run.py
+++ b/packages/standins/src/gypsumbridge_standins/replay/control_run.py
@@ -56,6 +56,7 @@
         case messages.InFlightQuery():
             waiting = replay.count_open(node_id)
             put(0, messages.InFlightReport('caller_http', waiting))
+            put(0, messages.InFlightReport('operator_http', 0))
             put(0, command)
         case messages.EndpointCheck():
             endpoint = replay.endpoints[command.endpoint]
--- a/packages/standins/src/gypsumbridge_standins/replay/delivery.py
+++ b/packages/standins/src/gypsumbridge_standins/replay/delivery.py
@@ -10,11 +10,13 @@
 from gypsumbridge_standins.replay import endpoint_run
 from gypsumbridge_standins.replay import replay as replays
 from gypsumbridge_standins.replay import replay_node
+from gypsumbridge_wire import peer
 
 FRONT_MESSAGES = (
     messages.Query,
     messages.QueryGone,
     messages.PartBatch,
+    messages.OwnerAlive,
     front.QueryTimer,
     front.SilenceTimer,
     messages.MembersChanged,
@@ -138,6 +140,8 @@
             delay_ms += replay.random.randrange(faults.jitter_ms + 1)
         if replay.random.random() < faults.duplication:
             copies = 2
+    if sender != receiver and replay.through_codec:
+        message = peer.decode(peer.encode(message))
     for _ in range(copies):
         node = replay.nodes[receiver]
         deliver_later(replay, node, delay_ms, message)
--- a/packages/standins/src/gypsumbridge_standins/replay/full_fleet.py
+++ b/packages/standins/src/gypsumbridge_standins/replay/full_fleet.py
@@ -27,6 +27,7 @@
     """Return a replay whose nodes start with empty memory."""
     replay = replays.Replay(seed)
     replay.domains = domains
+    replay.through_codec = True
     for spec in deployment.searchers:
         replay.endpoints[spec.name] = model_endpoint.ModelEndpoint(
             spec.name, spec.slots, spec.service_ms, spec.queue, seed
@@ -36,7 +37,9 @@
     for number in range(nodes):
         node_id = f'node-{number + 1}'
         domain = domains[number % len(domains)]
-        member = messages.Member(node_id, domain, node_id, node_id)
+        peer = f'10.0.0.{number + 1}:7000'
+        http = f'10.0.0.{number + 1}:8000'
+        member = messages.Member(node_id, domain, peer, http)
         replay.nodes[node_id] = replay_node.ReplayNode(
             member, fleet.SILENCE_MS
         )
--- a/packages/standins/src/gypsumbridge_standins/replay/replay.py
+++ b/packages/standins/src/gypsumbridge_standins/replay/replay.py
@@ -19,8 +19,8 @@
     same seed gives the same run. The other functions are told of each
     execution of a mutation, reply that says draining, revision in force,
     accepted change, host list and exit, and of each message that a full
-    node has handled;
-    `count_open` returns how many callers wait at a node.
+    node has handled; `count_open` returns how many callers wait at a node.
+    With `through_codec`, messages between nodes are encoded and decoded.
     """
 
     def __init__(self, seed: int) -> None:
@@ -33,6 +33,7 @@
         self.cut: set[frozenset[str]] = set()
         self.counts: dict[str, int] = {}
         self.messages_sent = 0
+        self.through_codec = False
         self.answered: Callable[[str, Any], None] = lambda node_id, done: None
         self.on_decision: Callable[[str, Any], None] = lambda n, d: None
         self.store = model_store.ModelStore()
--- a/packages/wire/src/gypsumbridge_wire/peer.py
+++ b/packages/wire/src/gypsumbridge_wire/peer.py
@@ -19,6 +19,7 @@
     messages.PartBatch,
     messages.CancelBatch,
     messages.OwnerCheck,
+    messages.OwnerAlive,
     messages.MutationCall,
     messages.MutationResult,
     messages.EndpointLeaving,
--- a/packages/wire/src/gypsumbridge_wire/peer_rules.py
+++ b/packages/wire/src/gypsumbridge_wire/peer_rules.py
@@ -133,10 +133,8 @@
         *_fields(_is_id, 'sender', 'query_id'),
         *_fields(_number, 'attempt'),
     ),
-    messages.OwnerCheck: (
-        *_fields(_is_id, 'sender', 'query_id'),
-        *_fields(_number, 'attempt'),
-    ),
+    messages.OwnerCheck: _fields(_is_id, 'sender'),
+    messages.OwnerAlive: _fields(_is_id, 'sender'),
     messages.MutationCall: (
         *_fields(_is_id, 'sender', 'mutation_id', 'service', 'shard'),
         *_fields(_is_id, 'replica_set'),
--- a/tests/decisions/test_front_silence.py
+++ b/tests/decisions/test_front_silence.py
@@ -47,7 +47,7 @@
         """Guards against a slow fleet that hedges itself into overload."""
         interval_ms = self.timer.interval_ms
         self.fire(interval_ms)
-        answer = messages.PartBatch(self.owner, '', 0, (), (), 1)
+        answer = messages.OwnerAlive(self.owner)
         front.handle(self.state, answer, interval_ms + 80)
         self.assertEqual(160, self.state.silence_ms(interval_ms + 80))
         later_ms = interval_ms + 80 + 10_000
@@ -58,7 +58,7 @@
     def test_a_frozen_owner_does_not_stop_hedges_for_long(self):
         """Guards against one answer after a pause of minutes."""
         self.fire(self.timer.interval_ms)
-        answer = messages.PartBatch(self.owner, '', 0, (), (), 1)
+        answer = messages.OwnerAlive(self.owner)
         front.handle(self.state, answer, 600_000)
         self.assertLessEqual(self.state.silence_ms(600_000), 1_000)
 
--- a/tests/processes/test_hostile_peers.py
+++ b/tests/processes/test_hostile_peers.py
@@ -24,7 +24,7 @@
     [b'2', b'Probe', b''],
     [b'1', b'None', b''],
     [b'1', b'Probe', b'\xc1' * 1_000],
-    [b'1', b'CancelBatch', peer.encode(messages.OwnerCheck('', '', -1))[2]],
+    [b'1', b'CancelBatch', peer.encode(messages.OwnerCheck(''))[2]],
     [b''] * 7,
 )
 # Sixteen of the largest frames.
@@ -157,7 +157,7 @@
                     calls,
                 ),
                 messages.CancelBatch(name, name, 1),
-                messages.OwnerCheck(name, name, 1),
+                messages.OwnerCheck(name),
                 messages.MutationCall(
                     name, name, 'k', name, 'v', name, name, name, name, 1, b''
                 ),
