Count an owner's answer within the same millisecond

Cause: on a quiet machine (idle 75%) nine nodes still sent 998 calls of 16,000 to standbys. An owner on the same node, or a fast one, answers in the millisecond in which it was asked, and the comparison with the timer was strict, so it counted as silent; one ninth of all batches go to the node itself. Change: an answer at the time of the timer counts. The new test fails without the change.

--- a/packages/decisions/src/gypsumbridge_decisions/front/silence.py
+++ b/packages/decisions/src/gypsumbridge_decisions/front/silence.py
@@ -21,7 +21,8 @@
     would only add to its load.
     """
     node_id = timer.node_id
-    if state.last_heard_ms.get(node_id, -1) > timer.since_ms:
+    # An owner on this node, or a fast one, answers in the same millisecond.
+    if state.last_heard_ms.get(node_id, -1) >= timer.since_ms:
         if not _prune(state, node_id):
             return []
         return [_arm(state, node_id, False, now_ms)]
--- a/tests/decisions/test_front_silence.py
+++ b/tests/decisions/test_front_silence.py
@@ -43,6 +43,15 @@
         commands = self.fire(interval_ms * 11)
         self.assertEqual(1, len(hedged(commands)))
 
+    def test_an_answer_in_the_same_millisecond_counts(self):
+        """Guards against hedges of every batch whose owner is this node."""
+        interval_ms = self.timer.interval_ms
+        self.fire(interval_ms)
+        alive = messages.OwnerAlive(self.owner)
+        front.handle(self.state, alive, interval_ms)
+        commands = self.fire(2 * interval_ms)
+        self.assertEqual([], hedged(commands))
+
     def test_slow_answers_raise_the_silence_that_is_allowed(self):
         """Guards against a slow fleet that hedges itself into overload."""
         interval_ms = self.timer.interval_ms
