--- a/packages/standins/src/gypsumbridge_standins/demo.py
+++ b/packages/standins/src/gypsumbridge_standins/demo.py
@@ -1,5 +1,6 @@
 """Starts a small deployment, sends queries and stops it again."""
 
+import signal
 import sys
 
 import defopt
@@ -22,6 +23,9 @@
 
     :param keep: Leave everything running until Ctrl-C.
     """
+    # Ends the processes it started also when it is not ended from a terminal.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    signal.signal(signal.SIGINT, signal.default_int_handler)
     cluster = clusters.Cluster()
     failures = 0
     try:
--- a/tests/processes/test_configuration.py
+++ b/tests/processes/test_configuration.py
@@ -7,9 +7,8 @@
 from gypsumbridge_decisions import resources
 from gypsumbridge_standins import json_http
 from gypsumbridge_standins.cluster import cluster as clusters
-from gypsumbridge_standins.cluster import ports
+from gypsumbridge_standins.cluster import small
 from gypsumbridge_standins.cluster import start
-from gypsumbridge_standins.deployment import build
 
 DOMAINS = ('fd-a', 'fd-b', 'fd-c')
 FRESH_S = 3.0
@@ -20,11 +19,7 @@
     def setUpClass(cls):
         cls.cluster = clusters.Cluster()
         cls.addClassCleanup(cls.cluster.stop)
-        chosen = ports.free_ports(build.count_searchers(build.SMALL_GROUPS))
-        deployment = build.build(build.SMALL_GROUPS, chosen, 5.0)
-        start.start_platform(cls.cluster, deployment)
-        start.declare(cls.cluster, deployment.specs)
-        start.start_nodes(cls.cluster, 3, DOMAINS)
+        small.start_small(cls.cluster, 3)
 
     def setUp(self):
         self.addCleanup(self.set_outage, False)
--- a/tests/processes/test_hostile_peers.py
+++ b/tests/processes/test_hostile_peers.py
@@ -9,9 +9,7 @@
 from gypsumbridge_decisions import messages
 from gypsumbridge_standins import json_http
 from gypsumbridge_standins.cluster import cluster as clusters
-from gypsumbridge_standins.cluster import ports
-from gypsumbridge_standins.cluster import start
-from gypsumbridge_standins.deployment import build
+from gypsumbridge_standins.cluster import small
 from gypsumbridge_wire import peer
 
 QUERY = {
@@ -36,11 +34,7 @@
     def setUpClass(cls):
         cls.cluster = clusters.Cluster()
         cls.addClassCleanup(cls.cluster.stop)
-        chosen = ports.free_ports(build.count_searchers(build.SMALL_GROUPS))
-        deployment = build.build(build.SMALL_GROUPS, chosen, 5.0)
-        start.start_platform(cls.cluster, deployment)
-        start.declare(cls.cluster, deployment.specs)
-        start.start_nodes(cls.cluster, 1, ('fd-a', 'fd-b', 'fd-c'))
+        small.start_small(cls.cluster, 1)
         cls.node = cls.cluster.nodes['node-1']
 
     def setUp(self):
--- a/tests/processes/test_leaving_endpoints.py
+++ b/tests/processes/test_leaving_endpoints.py
@@ -5,13 +5,10 @@
 from gypsumbridge_decisions import resources
 from gypsumbridge_standins import json_http
 from gypsumbridge_standins.cluster import cluster as clusters
-from gypsumbridge_standins.cluster import ports
-from gypsumbridge_standins.cluster import start
-from gypsumbridge_standins.deployment import build
+from gypsumbridge_standins.cluster import small
 from gypsumbridge_wire import store
 from tests.processes import load
 
-DOMAINS = ('fd-a', 'fd-b', 'fd-c')
 # About 25 queries a second, which one replica of a set carries alone.
 PAUSE_S = 0.2
 
@@ -21,11 +18,7 @@
     def setUpClass(cls):
         cls.cluster = clusters.Cluster()
         cls.addClassCleanup(cls.cluster.stop)
-        chosen = ports.free_ports(build.count_searchers(build.SMALL_GROUPS))
-        deployment = build.build(build.SMALL_GROUPS, chosen, 5.0)
-        start.start_platform(cls.cluster, deployment)
-        start.declare(cls.cluster, deployment.specs)
-        start.start_nodes(cls.cluster, 3, DOMAINS)
+        deployment = small.start_small(cls.cluster, 3)
         cls.endpoint = next(
             spec
             for spec in deployment.specs
--- a/tests/processes/test_mutations.py
+++ b/tests/processes/test_mutations.py
@@ -11,9 +11,8 @@
 
 from gypsumbridge_standins import json_http
 from gypsumbridge_standins.cluster import cluster as clusters
-from gypsumbridge_standins.cluster import ports
+from gypsumbridge_standins.cluster import small
 from gypsumbridge_standins.cluster import start
-from gypsumbridge_standins.deployment import build
 
 DOMAINS = ('fd-a', 'fd-b', 'fd-c')
 NO_REPLY = (OSError, http.client.HTTPException)
@@ -27,11 +26,7 @@
     def setUpClass(cls):
         cls.cluster = clusters.Cluster()
         cls.addClassCleanup(cls.cluster.stop)
-        chosen = ports.free_ports(build.count_searchers(build.SMALL_GROUPS))
-        deployment = build.build(build.SMALL_GROUPS, chosen, 5.0)
-        start.start_platform(cls.cluster, deployment)
-        start.declare(cls.cluster, deployment.specs)
-        start.start_nodes(cls.cluster, 3, DOMAINS)
+        small.start_small(cls.cluster, 3)
         cls.nodes = list(cls.cluster.nodes.values())
 
     def mutate(self, node, key, **changes):
--- a/tests/processes/test_query_path.py
+++ b/tests/processes/test_query_path.py
@@ -3,11 +3,7 @@
 
 from gypsumbridge_standins import json_http
 from gypsumbridge_standins.cluster import cluster as clusters
-from gypsumbridge_standins.cluster import ports
-from gypsumbridge_standins.cluster import start
-from gypsumbridge_standins.deployment import build
-
-DOMAINS = ('fd-a', 'fd-b', 'fd-c')
+from gypsumbridge_standins.cluster import small
 
 
 class QueryPathTest(unittest.TestCase):
@@ -15,11 +11,7 @@
     def setUpClass(cls):
         cls.cluster = clusters.Cluster()
         cls.addClassCleanup(cls.cluster.stop)
-        chosen = ports.free_ports(build.count_searchers(build.SMALL_GROUPS))
-        deployment = build.build(build.SMALL_GROUPS, chosen, 5.0)
-        start.start_platform(cls.cluster, deployment)
-        start.declare(cls.cluster, deployment.specs)
-        start.start_nodes(cls.cluster, 3, DOMAINS)
+        small.start_small(cls.cluster, 3)
 
     def query(self, node, **changes):
         body = {
--- a/tests/processes/test_stop.py
+++ b/tests/processes/test_stop.py
@@ -7,9 +7,8 @@
 import unittest
 
 from gypsumbridge_standins.cluster import cluster as clusters
-from gypsumbridge_standins.cluster import ports
+from gypsumbridge_standins.cluster import small
 from gypsumbridge_standins.cluster import start
-from gypsumbridge_standins.deployment import build
 from tests.processes import load
 
 DOMAINS = ('fd-a', 'fd-b', 'fd-c')
@@ -30,11 +29,7 @@
         cls.cluster = clusters.Cluster()
         cls.addClassCleanup(cls.cluster.stop)
         cls.cluster.balancer_lag_ms = LAG_MS
-        chosen = ports.free_ports(build.count_searchers(build.SMALL_GROUPS))
-        deployment = build.build(build.SMALL_GROUPS, chosen, 5.0)
-        start.start_platform(cls.cluster, deployment)
-        start.declare(cls.cluster, deployment.specs)
-        start.start_nodes(cls.cluster, 4, DOMAINS)
+        small.start_small(cls.cluster, 4)
         cls.nodes = list(cls.cluster.nodes.values())
 
     def stop_node(self, node):
