Judge whether a node may serve in one place, and drop an unused message

Behaviour is unchanged. Result: lint and the tests of front, owner, mutation, soak and query path pass (80 tests); the whole suite was not run again.

--- a/packages/decisions/src/gypsumbridge_decisions/front/plan.py
+++ b/packages/decisions/src/gypsumbridge_decisions/front/plan.py
@@ -18,7 +18,7 @@
     state: states.FrontState, query: messages.Query, now_ms: int
 ) -> list[command.Command]:
     """Plan a query, or refuse it before any shard spends a slot."""
-    refusal = state.serving_refusal(now_ms)
+    refusal = state.serving.refusal_at(now_ms)
     if refusal:
         return [_refuse_not_serving(state, query, refusal)]
     service = state.catalog.services.get(query.service)
--- a/packages/decisions/src/gypsumbridge_decisions/front/state.py
+++ b/packages/decisions/src/gypsumbridge_decisions/front/state.py
@@ -53,14 +53,6 @@
         expected_ms = self.check_times.expected_ms(now_ms)
         return max(self.owner_silence_ms, int(2 * expected_ms))
 
-    def serving_refusal(self, now_ms: int) -> messages.MissingReason:
-        """Return why no new work is taken now, or NONE."""
-        if self.serving.refusal:
-            return self.serving.refusal
-        if now_ms >= self.serving.valid_until_ms:
-            return messages.MissingReason.CONFIGURATION_STALE
-        return messages.MissingReason.NONE
-
 
 def make_front_state(node_id: str, owner_silence_ms: int) -> FrontState:
     """Return the state of a front that has no query yet."""
--- a/packages/decisions/src/gypsumbridge_decisions/messages/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/messages/__init__.py
@@ -179,4 +179,3 @@
 from gypsumbridge_decisions.messages.timer import Timer as Timer
 from gypsumbridge_decisions.messages.to_address import ToAddress as ToAddress
 from gypsumbridge_decisions.messages.to_peer import ToPeer as ToPeer
-from gypsumbridge_decisions.messages.warm_up import WarmUp as WarmUp
--- a/packages/decisions/src/gypsumbridge_decisions/messages/serving_changed.py
+++ b/packages/decisions/src/gypsumbridge_decisions/messages/serving_changed.py
@@ -19,3 +19,11 @@
 
     refusal: missing_reason.MissingReason
     valid_until_ms: int = NO_EXPIRY_MS
+
+    def refusal_at(self, now_ms: int) -> missing_reason.MissingReason:
+        """Return why no new work is taken at a time, or NONE."""
+        if self.refusal:
+            return self.refusal
+        if now_ms >= self.valid_until_ms:
+            return missing_reason.MissingReason.CONFIGURATION_STALE
+        return missing_reason.MissingReason.NONE
--- a/packages/decisions/src/gypsumbridge_decisions/mutation/arrival.py
+++ b/packages/decisions/src/gypsumbridge_decisions/mutation/arrival.py
@@ -85,7 +85,7 @@
     now_ms: int,
     wall_ms: int,
 ) -> str:
-    refusal = state.serving_refusal(now_ms)
+    refusal = state.serving.refusal_at(now_ms)
     if refusal:
         return str(refusal)
     if wall_ms >= mutation.key_expires_at_ms:
--- a/packages/decisions/src/gypsumbridge_decisions/mutation/state.py
+++ b/packages/decisions/src/gypsumbridge_decisions/mutation/state.py
@@ -26,14 +26,6 @@
         self.running: dict[str, running_mutation.RunningMutation] = {}
         self.inquiries: dict[str, inquiry.Inquiry] = {}
 
-    def serving_refusal(self, now_ms: int) -> messages.MissingReason:
-        """Return why no new work is taken now, or NONE."""
-        if self.serving.refusal:
-            return self.serving.refusal
-        if now_ms >= self.serving.valid_until_ms:
-            return messages.MissingReason.CONFIGURATION_STALE
-        return messages.MissingReason.NONE
-
 
 def make_mutation_state(
     node_id: str, limits: all_limits.Limits
--- a/packages/decisions/src/gypsumbridge_decisions/owner/accept.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/accept.py
@@ -119,7 +119,7 @@
     now_ms: int,
 ) -> messages.MissingReason:
     """Return why a call must not be queued, or NONE."""
-    refusal = state.serving_refusal(now_ms)
+    refusal = state.serving.refusal_at(now_ms)
     if refusal:
         return refusal
     rank = state.catalog.ranks.get(call.rank)
--- a/packages/decisions/src/gypsumbridge_decisions/owner/state.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/state.py
@@ -44,14 +44,6 @@
         self.mutations: dict[tuple[str, str], int] = {}
         self.next_call_id = 1
 
-    def serving_refusal(self, now_ms: int) -> messages.MissingReason:
-        """Return why no new work is taken now, or NONE."""
-        if self.serving.refusal:
-            return self.serving.refusal
-        if now_ms >= self.serving.valid_until_ms:
-            return messages.MissingReason.CONFIGURATION_STALE
-        return messages.MissingReason.NONE
-
     def budget(self, service: str) -> extra_load_budget.ExtraLoadBudget:
         """Return the budget of a service, made on first use."""
         found = self.budgets.get(service)
