--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 STAMP := $(VENV)/.installed-$(firstword $(shell cat constraints.txt packages/*/pyproject.toml | cksum))
 empty :=
 space := $(empty) $(empty)
-export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src))
+export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src) $(CURDIR)/platform)
 export PATH := $(abspath $(VENV))/bin:$(PATH)
 export PYTHONDONTWRITEBYTECODE := 1
 
@@ -24,7 +24,7 @@
 lint: setup
 	ruff format --check .
 	ruff check .
-	flake8 packages tests tools
+	flake8 packages platform tests tools
 	lint-imports
 	mypy
 
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/applying.py
@@ -0,0 +1,127 @@
+"""Application of the store's records."""
+
+from gypsumbridge_decisions import errors
+from gypsumbridge_decisions import forwarding
+from gypsumbridge_decisions import messages
+from gypsumbridge_decisions.discovery import command
+from gypsumbridge_decisions.discovery import removal_timer
+from gypsumbridge_decisions.discovery import state as states
+from gypsumbridge_decisions.discovery import store_record
+
+
+def apply_records(
+    state: states.DiscoveryState,
+    records: tuple[store_record.StoreRecord, ...],
+    now_ms: int,
+) -> list[command.Command]:
+    """Apply records in order and publish what changed."""
+    commands: list[command.Command] = []
+    searchers_changed = False
+    nodes_before = len(state.nodes)
+    for record in records:
+        if record.key == state.schema.routes_key:
+            commands += apply_routes(state, record)
+            continue
+        if record.key.startswith(state.schema.node_prefix):
+            state.nodes.add(record.key)
+            continue
+        if record.key.startswith(state.schema.searcher_prefix):
+            changed, more = apply_searcher(state, record, now_ms)
+            searchers_changed = searchers_changed or changed
+            commands += more
+    if searchers_changed:
+        commands.append(publish_searchers(state))
+    if len(state.nodes) != nodes_before:
+        commands.append(forwarding.FleetSizeChanged(len(state.nodes)))
+    return commands
+
+
+def publish_searchers(
+    state: states.DiscoveryState,
+) -> forwarding.SearchersChanged:
+    """Return the searchers that may be used now."""
+    return forwarding.SearchersChanged(
+        state.revision, tuple(state.searchers.values())
+    )
+
+
+def apply_routes(
+    state: states.DiscoveryState, record: store_record.StoreRecord
+) -> list[command.Command]:
+    """Publish newer routes; routes that are removed or bad stay in force."""
+    if record.value is None:
+        return [skip(record, 'routes were deleted')]
+    try:
+        table = state.schema.decode_routes(record.value)
+    except errors.FrameError as error:
+        return [skip(record, str(error))]
+    if state.routes_version is not None:
+        if table.version <= state.routes_version:
+            return []
+    state.routes_version = table.version
+    return [forwarding.RoutesChanged(table)]
+
+
+def apply_searcher(
+    state: states.DiscoveryState,
+    record: store_record.StoreRecord,
+    now_ms: int,
+) -> tuple[bool, list[command.Command]]:
+    """Add, change or schedule the removal of a searcher.
+
+    An entry may lapse while the store is away although its searcher lives,
+    and is back soon after. A searcher without an entry is therefore kept
+    for the hold time, which is less than a drained searcher may be used.
+    """
+    searcher_id = record.key.removeprefix(state.schema.searcher_prefix)
+    if record.value is None:
+        return False, hold_removed(state, searcher_id, now_ms)
+    try:
+        found = state.schema.decode_searcher(searcher_id, record.value)
+    except errors.FrameError as error:
+        commands: list[command.Command] = [skip(record, str(error))]
+        return False, commands + hold_removed(state, searcher_id, now_ms)
+    state.removals.pop(searcher_id, None)
+    if state.searchers.get(searcher_id) == found:
+        return False, []
+    state.searchers[searcher_id] = found
+    return True, []
+
+
+def hold_removed(
+    state: states.DiscoveryState, searcher_id: str, now_ms: int
+) -> list[command.Command]:
+    """Schedule the removal of a searcher."""
+    if searcher_id not in state.searchers or searcher_id in state.removals:
+        return []
+    state.removals[searcher_id] = now_ms + state.hold_ms
+    return [messages.Timer(state.hold_ms, removal_timer.RemovalTimer())]
+
+
+def remove_held(
+    state: states.DiscoveryState, now_ms: int
+) -> list[command.Command]:
+    """Drop the searchers whose hold time has passed."""
+    due = [name for name, at in state.removals.items() if at <= now_ms]
+    if not due:
+        return []
+    for searcher_id in due:
+        del state.removals[searcher_id]
+        del state.searchers[searcher_id]
+    fields: dict[str, str | int | float] = {
+        'searchers': ','.join(due),
+        'revision': state.revision,
+    }
+    return [
+        messages.Decision('searchers_removed', 'entry_missing', fields),
+        publish_searchers(state),
+    ]
+
+
+def skip(record: store_record.StoreRecord, error: str) -> command.Command:
+    """Return the log line of a record that is left out."""
+    return messages.Decision(
+        'store_record_skipped',
+        error,
+        {'key': record.key, 'revision': record.revision},
+    )
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/command.py
@@ -0,0 +1,21 @@
+"""What the discovery task is told to do."""
+
+from gypsumbridge_decisions import forwarding
+from gypsumbridge_decisions import messages
+from gypsumbridge_decisions.discovery import discovery_ready
+from gypsumbridge_decisions.discovery import list_store
+from gypsumbridge_decisions.discovery import watch_store
+from gypsumbridge_decisions.discovery import write_node
+
+Command = (
+    list_store.ListStore
+    | watch_store.WatchStore
+    | write_node.WriteNode
+    | forwarding.RoutesChanged
+    | forwarding.SearchersChanged
+    | forwarding.FleetSizeChanged
+    | discovery_ready.DiscoveryReady
+    | messages.Timer
+    | messages.Decision
+    | messages.Count
+)
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/schema.py
@@ -0,0 +1,21 @@
+"""Where the store keeps what, and how its values are decoded."""
+
+from collections.abc import Callable
+import dataclasses
+
+from gypsumbridge_decisions import forwarding
+
+
+@dataclasses.dataclass(frozen=True)
+class StoreSchema:
+    """Key names and decoders of a deployment's store.
+
+    The decoders raise FrameError for a value that they cannot use.
+    `decode_searcher` gets the id, which is the key without its prefix.
+    """
+
+    routes_key: str
+    searcher_prefix: str
+    node_prefix: str
+    decode_routes: Callable[[bytes], forwarding.RouteTable]
+    decode_searcher: Callable[[str, bytes], forwarding.Searcher]
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/store_listed.py
@@ -0,0 +1,13 @@
+"""The whole content of the store."""
+
+import dataclasses
+
+from gypsumbridge_decisions.discovery import store_record
+
+
+@dataclasses.dataclass(frozen=True)
+class StoreListed:
+    """All keys; changes after `revision` are not included for certain."""
+
+    revision: int
+    records: tuple[store_record.StoreRecord, ...]
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
@@ -0,0 +1,160 @@
+"""Decisions of the ingress that forwards and gathers HTTP requests."""
+
+from gypsumbridge_decisions.forwarding.arrival import (
+    answer_after_ms as answer_after_ms,
+)
+from gypsumbridge_decisions.forwarding.arrival import (
+    choose_services as choose_services,
+)
+from gypsumbridge_decisions.forwarding.arrival import receive as receive
+from gypsumbridge_decisions.forwarding.arrival import set_timers as set_timers
+from gypsumbridge_decisions.forwarding.attempt import Attempt as Attempt
+from gypsumbridge_decisions.forwarding.attempt_ended import (
+    AttemptEnded as AttemptEnded,
+)
+from gypsumbridge_decisions.forwarding.attempt_outcome import (
+    AttemptOutcome as AttemptOutcome,
+)
+from gypsumbridge_decisions.forwarding.caller_gone import (
+    CallerGone as CallerGone,
+)
+from gypsumbridge_decisions.forwarding.caller_request import (
+    CallerRequest as CallerRequest,
+)
+from gypsumbridge_decisions.forwarding.caller_response import (
+    CallerResponse as CallerResponse,
+)
+from gypsumbridge_decisions.forwarding.cancel_attempt import (
+    CancelAttempt as CancelAttempt,
+)
+from gypsumbridge_decisions.forwarding.choosing import (
+    choose_searcher as choose_searcher,
+)
+from gypsumbridge_decisions.forwarding.choosing import (
+    expected_cost as expected_cost,
+)
+from gypsumbridge_decisions.forwarding.command import Command as Command
+from gypsumbridge_decisions.forwarding.ending import (
+    cancel_running as cancel_running,
+)
+from gypsumbridge_decisions.forwarding.ending import end_attempt as end_attempt
+from gypsumbridge_decisions.forwarding.ending import fail as fail
+from gypsumbridge_decisions.forwarding.ending import (
+    finish_if_complete as finish_if_complete,
+)
+from gypsumbridge_decisions.forwarding.ending import is_answer as is_answer
+from gypsumbridge_decisions.forwarding.ending import measure as measure
+from gypsumbridge_decisions.forwarding.exchange import Exchange as Exchange
+from gypsumbridge_decisions.forwarding.expiry_timer import (
+    ExpiryTimer as ExpiryTimer,
+)
+from gypsumbridge_decisions.forwarding.extra_budget import (
+    ExtraBudget as ExtraBudget,
+)
+from gypsumbridge_decisions.forwarding.extra_budget import (
+    fixed_share as fixed_share,
+)
+from gypsumbridge_decisions.forwarding.finishing import (
+    cancel_all as cancel_all,
+)
+from gypsumbridge_decisions.forwarding.finishing import coverage as coverage
+from gypsumbridge_decisions.forwarding.finishing import (
+    covers_enough as covers_enough,
+)
+from gypsumbridge_decisions.forwarding.finishing import drop as drop
+from gypsumbridge_decisions.forwarding.finishing import expire as expire
+from gypsumbridge_decisions.forwarding.finishing import failure as failure
+from gypsumbridge_decisions.forwarding.finishing import finish as finish
+from gypsumbridge_decisions.forwarding.finishing import (
+    may_have_run as may_have_run,
+)
+from gypsumbridge_decisions.forwarding.finishing import (
+    pass_objective as pass_objective,
+)
+from gypsumbridge_decisions.forwarding.finishing import refuse as refuse
+from gypsumbridge_decisions.forwarding.finishing import reject as reject
+from gypsumbridge_decisions.forwarding.finishing import relay as relay
+from gypsumbridge_decisions.forwarding.finishing import success as success
+from gypsumbridge_decisions.forwarding.fleet_size_changed import (
+    FleetSizeChanged as FleetSizeChanged,
+)
+from gypsumbridge_decisions.forwarding.gather_rule import (
+    GatherRule as GatherRule,
+)
+from gypsumbridge_decisions.forwarding.handler import handle as handle
+from gypsumbridge_decisions.forwarding.hedge_timer import (
+    HedgeTimer as HedgeTimer,
+)
+from gypsumbridge_decisions.forwarding.hedging import hedge as hedge
+from gypsumbridge_decisions.forwarding.hedging import (
+    hedge_delay_ms as hedge_delay_ms,
+)
+from gypsumbridge_decisions.forwarding.hedging import (
+    latencies_of as latencies_of,
+)
+from gypsumbridge_decisions.forwarding.ingress_limits import (
+    IngressLimits as IngressLimits,
+)
+from gypsumbridge_decisions.forwarding.latency_window import (
+    LatencyWindow as LatencyWindow,
+)
+from gypsumbridge_decisions.forwarding.merge import (
+    greatest_records as greatest_records,
+)
+from gypsumbridge_decisions.forwarding.news import (
+    change_fleet_size as change_fleet_size,
+)
+from gypsumbridge_decisions.forwarding.news import (
+    change_routes as change_routes,
+)
+from gypsumbridge_decisions.forwarding.news import (
+    change_searchers as change_searchers,
+)
+from gypsumbridge_decisions.forwarding.objective_timer import (
+    ObjectiveTimer as ObjectiveTimer,
+)
+from gypsumbridge_decisions.forwarding.part_state import PartState as PartState
+from gypsumbridge_decisions.forwarding.policy import (
+    ForwardingPolicy as ForwardingPolicy,
+)
+from gypsumbridge_decisions.forwarding.route import Route as Route
+from gypsumbridge_decisions.forwarding.route_table import (
+    find_route as find_route,
+)
+from gypsumbridge_decisions.forwarding.route_table import (
+    RouteTable as RouteTable,
+)
+from gypsumbridge_decisions.forwarding.routes_changed import (
+    RoutesChanged as RoutesChanged,
+)
+from gypsumbridge_decisions.forwarding.searcher import Searcher as Searcher
+from gypsumbridge_decisions.forwarding.searcher_health import (
+    SearcherHealth as SearcherHealth,
+)
+from gypsumbridge_decisions.forwarding.searchers_changed import (
+    SearchersChanged as SearchersChanged,
+)
+from gypsumbridge_decisions.forwarding.send_attempt import (
+    SendAttempt as SendAttempt,
+)
+from gypsumbridge_decisions.forwarding.sending import budget_for as budget_for
+from gypsumbridge_decisions.forwarding.sending import choose as choose
+from gypsumbridge_decisions.forwarding.sending import send as send
+from gypsumbridge_decisions.forwarding.sending import send_extra as send_extra
+from gypsumbridge_decisions.forwarding.sending import send_first as send_first
+from gypsumbridge_decisions.forwarding.split import Split as Split
+from gypsumbridge_decisions.forwarding.state import (
+    ASSUMED_NODES as ASSUMED_NODES,
+)
+from gypsumbridge_decisions.forwarding.state import (
+    ForwardingState as ForwardingState,
+)
+from gypsumbridge_decisions.forwarding.state import (
+    make_forwarding_state as make_forwarding_state,
+)
+from gypsumbridge_decisions.forwarding.stop_taking import (
+    StopTaking as StopTaking,
+)
+from gypsumbridge_decisions.forwarding.weighted_service import (
+    WeightedService as WeightedService,
+)
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/arrival.py
@@ -0,0 +1,105 @@
+"""Plan of a request that has just arrived."""
+
+from gypsumbridge_decisions import messages
+from gypsumbridge_decisions.forwarding import caller_request
+from gypsumbridge_decisions.forwarding import command
+from gypsumbridge_decisions.forwarding import exchange as exchanges
+from gypsumbridge_decisions.forwarding import expiry_timer
+from gypsumbridge_decisions.forwarding import finishing
+from gypsumbridge_decisions.forwarding import hedge_timer
+from gypsumbridge_decisions.forwarding import hedging
+from gypsumbridge_decisions.forwarding import objective_timer
+from gypsumbridge_decisions.forwarding import route as routes
+from gypsumbridge_decisions.forwarding import route_table
+from gypsumbridge_decisions.forwarding import sending
+from gypsumbridge_decisions.forwarding import split
+from gypsumbridge_decisions.forwarding import state as states
+
+STATUS_NO_ROUTE = 404
+# The response must reach the caller within the objective: this much of it is
+# kept for the network between caller and node.
+OBJECTIVE_RESERVE_SHARE = 0.13
+MIN_OBJECTIVE_RESERVE_MS = 8
+
+
+def receive(
+    state: states.ForwardingState,
+    request: caller_request.CallerRequest,
+    now_ms: int,
+) -> list[command.Command]:
+    """Refuse the request, or send it to its searchers."""
+    if state.draining:
+        return finishing.refuse(request, 'draining')
+    if state.table is None:
+        return finishing.refuse(request, 'no_routes_yet')
+    path = request.target.partition('?')[0]
+    route = route_table.find_route(state.table, request.host, path)
+    if route is None:
+        return finishing.reject(request, STATUS_NO_ROUTE, 'no_route')
+    expires_ms = request.arrived_ms + min(
+        request.deadline_ms, route.timeout_ms
+    )
+    if expires_ms <= now_ms:
+        return finishing.refuse(request, 'deadline_passed')
+    exchange = exchanges.Exchange(
+        request,
+        route,
+        state.table.version,
+        choose_services(state, route),
+        expires_ms,
+    )
+    state.exchanges[request.call_id] = exchange
+    commands: list[command.Command] = []
+    for part in exchange.parts:
+        sending.budget_for(state, part.service).earn()
+        commands += sending.send_first(state, exchange, part, now_ms)
+    if not any(part.is_open() for part in exchange.parts):
+        return commands + finishing.finish(state, exchange, now_ms)
+    return commands + set_timers(state, exchange, now_ms)
+
+
+def choose_services(
+    state: states.ForwardingState, route: routes.Route
+) -> tuple[str, ...]:
+    """Return all targets of a gather route, or the one that is due."""
+    if route.gather is not None:
+        return tuple(target.service for target in route.targets)
+    if len(route.targets) == 1:
+        return (route.targets[0].service,)
+    if route.name not in state.splits:
+        state.splits[route.name] = split.Split(route.targets)
+    return (state.splits[route.name].next_service(),)
+
+
+def set_timers(
+    state: states.ForwardingState, exchange: exchanges.Exchange, now_ms: int
+) -> list[command.Command]:
+    """Return the timers of a request that was sent."""
+    call_id = exchange.request.call_id
+    commands: list[command.Command] = [
+        messages.Timer(
+            exchange.expires_ms - now_ms, expiry_timer.ExpiryTimer(call_id)
+        )
+    ]
+    if exchange.route.idempotent:
+        delay_ms = hedging.hedge_delay_ms(state, exchange.route)
+        commands.append(
+            messages.Timer(delay_ms, hedge_timer.HedgeTimer(call_id))
+        )
+    if exchange.route.gather is not None:
+        commands.append(
+            messages.Timer(
+                answer_after_ms(exchange.route),
+                objective_timer.ObjectiveTimer(call_id),
+            )
+        )
+    return commands
+
+
+def answer_after_ms(route: routes.Route) -> int:
+    """Return when a partial response is better than a late one."""
+    objective_ms = route.objective_ms
+    reserve_ms = max(
+        MIN_OBJECTIVE_RESERVE_MS, int(objective_ms * OBJECTIVE_RESERVE_SHARE)
+    )
+    return max(1, objective_ms - reserve_ms)
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/attempt_outcome.py
@@ -0,0 +1,17 @@
+"""How an attempt at a searcher ended."""
+
+import enum
+
+
+class AttemptOutcome(enum.StrEnum):
+    """What is known of the request at the searcher.
+
+    `ANSWERED` has a complete response. `NOT_RUN` is the searcher's own
+    statement that it did not run the request. `NOT_SENT` means that no
+    byte of it left this node. `LOST` may have run.
+    """
+
+    ANSWERED = 'answered'
+    NOT_RUN = 'not_run'
+    NOT_SENT = 'not_sent'
+    LOST = 'lost'
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/choosing.py
@@ -0,0 +1,58 @@
+"""Choice of the searcher for an attempt."""
+
+from collections.abc import Collection
+from collections.abc import Iterable
+
+from gypsumbridge_decisions.forwarding import searcher as searchers
+from gypsumbridge_decisions.forwarding import searcher_health
+
+# A searcher in another failure domain is chosen when the one in this domain
+# is expected to take this much longer. Traffic between domains is billed.
+OTHER_DOMAIN_PENALTY = 0.6
+# An attempt that is overdue suggests a pause that outlasts a usual request.
+OVERDUE_PENALTY = 3.0
+FAILURE_PENALTY = 4.0
+
+
+def choose_searcher(
+    candidates: Iterable[searchers.Searcher],
+    health: dict[str, searcher_health.SearcherHealth],
+    own_domain: str,
+    excluded: Collection[str],
+    now_ms: int,
+) -> searchers.Searcher | None:
+    """Return the searcher with the lowest expected latency, or None.
+
+    Draining and excluded searchers are never chosen; ejected ones only
+    when there is no other.
+    """
+    best = None
+    best_cost = (True, 0.0)
+    for candidate in candidates:
+        if candidate.draining or candidate.searcher_id in excluded:
+            continue
+        measured = health[candidate.searcher_id]
+        measured.fade(now_ms)
+        cost = (
+            measured.ejected_until_ms > now_ms,
+            expected_cost(candidate, measured, own_domain),
+        )
+        if best is None or cost < best_cost:
+            best = candidate
+            best_cost = cost
+    return best
+
+
+def expected_cost(
+    searcher: searchers.Searcher,
+    measured: searcher_health.SearcherHealth,
+    own_domain: str,
+) -> float:
+    """Return the expected latency in units of the route's usual latency."""
+    load = max(0, measured.in_flight + 1 - searcher.slots) / searcher.slots
+    cost = measured.slowness * (1.0 + load)
+    cost += OVERDUE_PENALTY * measured.overdue
+    cost += FAILURE_PENALTY * measured.failure_rate
+    if searcher.failure_domain != own_domain:
+        cost += OTHER_DOMAIN_PENALTY
+    return cost
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/handler.py
@@ -0,0 +1,51 @@
+"""Runs the forwarding decision for a message."""
+
+from typing import Any
+
+from gypsumbridge_decisions.forwarding import arrival
+from gypsumbridge_decisions.forwarding import attempt_ended
+from gypsumbridge_decisions.forwarding import caller_gone
+from gypsumbridge_decisions.forwarding import caller_request
+from gypsumbridge_decisions.forwarding import command
+from gypsumbridge_decisions.forwarding import ending
+from gypsumbridge_decisions.forwarding import expiry_timer
+from gypsumbridge_decisions.forwarding import finishing
+from gypsumbridge_decisions.forwarding import fleet_size_changed
+from gypsumbridge_decisions.forwarding import hedge_timer
+from gypsumbridge_decisions.forwarding import hedging
+from gypsumbridge_decisions.forwarding import news
+from gypsumbridge_decisions.forwarding import objective_timer
+from gypsumbridge_decisions.forwarding import routes_changed
+from gypsumbridge_decisions.forwarding import searchers_changed
+from gypsumbridge_decisions.forwarding import state as states
+from gypsumbridge_decisions.forwarding import stop_taking
+
+
+def handle(
+    state: states.ForwardingState, message: Any, now_ms: int
+) -> list[command.Command]:
+    """Return the commands that follow from a message."""
+    match message:
+        case caller_request.CallerRequest():
+            return arrival.receive(state, message, now_ms)
+        case attempt_ended.AttemptEnded():
+            return ending.end_attempt(state, message, now_ms)
+        case hedge_timer.HedgeTimer():
+            return hedging.hedge(state, message.call_id, now_ms)
+        case objective_timer.ObjectiveTimer():
+            return finishing.pass_objective(state, message.call_id, now_ms)
+        case expiry_timer.ExpiryTimer():
+            return finishing.expire(state, message.call_id, now_ms)
+        case caller_gone.CallerGone():
+            return finishing.drop(state, message.call_id, now_ms)
+        case searchers_changed.SearchersChanged():
+            return news.change_searchers(state, message)
+        case routes_changed.RoutesChanged():
+            return news.change_routes(state, message)
+        case fleet_size_changed.FleetSizeChanged():
+            return news.change_fleet_size(state, message)
+        case stop_taking.StopTaking():
+            state.draining = True
+            return []
+        case _:
+            raise TypeError(f'forwarding takes no {type(message).__name__}')
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/hedging.py
@@ -0,0 +1,61 @@
+"""Hedges of requests that take longer than usual."""
+
+from gypsumbridge_decisions import messages
+from gypsumbridge_decisions.forwarding import command
+from gypsumbridge_decisions.forwarding import latency_window
+from gypsumbridge_decisions.forwarding import route as routes
+from gypsumbridge_decisions.forwarding import sending
+from gypsumbridge_decisions.forwarding import state as states
+
+# A hedge later than this share of the objective rarely arrives within it.
+MAX_DELAY_SHARE = 0.4
+MIN_DELAY_MS = 6
+# The latency that is assumed before any is measured, as a share of the
+# objective.
+ASSUMED_LATENCY_SHARE = 0.25
+
+
+def latencies_of(
+    state: states.ForwardingState, route: routes.Route
+) -> latency_window.LatencyWindow:
+    """Return the latencies of a route's attempts, made on first use."""
+    found = state.latencies.get(route.name)
+    if found is None:
+        estimate_ms = route.objective_ms * ASSUMED_LATENCY_SHARE
+        found = latency_window.LatencyWindow(max(1.0, estimate_ms))
+        state.latencies[route.name] = found
+    return found
+
+
+def hedge_delay_ms(state: states.ForwardingState, route: routes.Route) -> int:
+    """Return when parts that are still out are sent once more."""
+    usual_ms = latencies_of(state, route).hedge_ms
+    latest_ms = route.objective_ms * MAX_DELAY_SHARE
+    return max(MIN_DELAY_MS, int(min(usual_ms, latest_ms)))
+
+
+def hedge(
+    state: states.ForwardingState, call_id: int, now_ms: int
+) -> list[command.Command]:
+    """Send every part that is still out to another searcher."""
+    exchange = state.exchanges.get(call_id)
+    if exchange is None:
+        return []
+    commands: list[command.Command] = []
+    for part in exchange.parts:
+        if not part.is_open():
+            continue
+        for attempt_id in part.running:
+            running = state.attempts[attempt_id]
+            if running.overdue:
+                continue
+            running.overdue = True
+            state.health[running.searcher.searcher_id].overdue += 1
+        sent = sending.send_extra(state, exchange, part, now_ms)
+        if not sent:
+            commands.append(messages.Count('forwarding.hedges_withheld'))
+            continue
+        exchange.hedges += 1
+        commands += sent
+        commands.append(messages.Count('forwarding.hedges'))
+    return commands
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/ingress_limits.py
@@ -0,0 +1,13 @@
+"""Bounds on what a caller may send."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class IngressLimits:
+    """Sizes in bytes and times in milliseconds, for each connection."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 1_048_576
+    header_timeout_ms: int = 5_000
+    idle_timeout_ms: int = 60_000
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/route.py
@@ -0,0 +1,31 @@
+"""A declared route from callers to services."""
+
+import dataclasses
+
+from gypsumbridge_decisions.forwarding import gather_rule
+from gypsumbridge_decisions.forwarding import weighted_service
+
+
+@dataclasses.dataclass(frozen=True)
+class Route:
+    """Requests of `host` whose path begins with `prefix`.
+
+    With `gather`, a request goes to every target and the parts are merged;
+    otherwise it goes to one target, drawn in proportion to the weights.
+    Requests of an `idempotent` route may run more than once.
+    `objective_ms` is the latency that earns full value, `timeout_ms` the
+    longest time until the final response, `rank` the urgency (0 is most
+    urgent) and `max_attempts` the most searchers of one service that one
+    request may run on.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    idempotent: bool
+    targets: tuple[weighted_service.WeightedService, ...]
+    timeout_ms: int
+    objective_ms: int
+    rank: int
+    max_attempts: int
+    gather: gather_rule.GatherRule | None = None
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/route_table.py
@@ -0,0 +1,47 @@
+"""One version of all declared routes."""
+
+from collections.abc import Mapping
+import dataclasses
+
+from gypsumbridge_decisions.forwarding import ingress_limits
+from gypsumbridge_decisions.forwarding import route
+
+
+@dataclasses.dataclass(frozen=True)
+class RouteTable:
+    """Routes by host and prefix, and the connection limit of each service.
+
+    `connection_limits` bounds the connections to one searcher, over all
+    nodes together.
+    """
+
+    version: int
+    routes: Mapping[str, Mapping[str, route.Route]]
+    connection_limits: Mapping[str, int]
+    limits: ingress_limits.IngressLimits
+
+    def services(self) -> frozenset[str]:
+        """Return the services that some route sends requests to."""
+        return frozenset(
+            target.service
+            for by_prefix in self.routes.values()
+            for found in by_prefix.values()
+            for target in found.targets
+        )
+
+
+def find_route(table: RouteTable, host: str, path: str) -> route.Route | None:
+    """Return the route with the longest prefix of a path, or None.
+
+    Prefixes end with a slash, so only the path's own slashes are tried.
+    """
+    by_prefix = table.routes.get(host)
+    if by_prefix is None:
+        return None
+    end = path.rfind('/')
+    while end >= 0:
+        found = by_prefix.get(path[: end + 1])
+        if found is not None:
+            return found
+        end = path.rfind('/', 0, end)
+    return None
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/searchers_changed.py
@@ -0,0 +1,13 @@
+"""News of the searchers that may be used."""
+
+import dataclasses
+
+from gypsumbridge_decisions.forwarding import searcher
+
+
+@dataclasses.dataclass(frozen=True)
+class SearchersChanged:
+    """All known searchers, at a revision of the store."""
+
+    revision: int
+    searchers: tuple[searcher.Searcher, ...]
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/sending.py
@@ -0,0 +1,113 @@
+"""Sending of attempts to searchers."""
+
+from gypsumbridge_decisions.forwarding import attempt
+from gypsumbridge_decisions.forwarding import choosing
+from gypsumbridge_decisions.forwarding import command
+from gypsumbridge_decisions.forwarding import exchange as exchanges
+from gypsumbridge_decisions.forwarding import extra_budget
+from gypsumbridge_decisions.forwarding import part_state
+from gypsumbridge_decisions.forwarding import searcher as searchers
+from gypsumbridge_decisions.forwarding import send_attempt
+from gypsumbridge_decisions.forwarding import state as states
+
+NO_SEARCHER = 'no_searcher'
+# Attempts that a searcher refused unrun, or that never left this node, do
+# not count as runs; this bounds them for each part.
+MAX_UNRUN_SENDS = 2
+
+
+def budget_for(
+    state: states.ForwardingState, service: str
+) -> extra_budget.ExtraBudget:
+    """Return the retry budget of a service, made on first use."""
+    found = state.budgets.get(service)
+    if found is None:
+        policy = state.policy
+        fixed = extra_budget.fixed_share(policy.extra_allowance, state.nodes)
+        found = extra_budget.ExtraBudget(policy.extra_ratio, fixed)
+        state.budgets[service] = found
+    return found
+
+
+def send_first(
+    state: states.ForwardingState,
+    exchange: exchanges.Exchange,
+    part: part_state.PartState,
+    now_ms: int,
+) -> list[command.Command]:
+    """Send the first attempt of a part, if the service has a searcher."""
+    chosen = choose(state, part, now_ms)
+    if chosen is None:
+        part.reason = NO_SEARCHER
+        return []
+    return [send(state, exchange, part, chosen, now_ms)]
+
+
+def send_extra(
+    state: states.ForwardingState,
+    exchange: exchanges.Exchange,
+    part: part_state.PartState,
+    now_ms: int,
+    charged: bool = True,
+) -> list[command.Command]:
+    """Send one attempt more if limits, candidates and budget allow it.
+
+    An attempt that follows one that was never sent is not `charged`, since
+    the service has seen no request yet.
+    """
+    route = exchange.route
+    if part.runs >= route.max_attempts:
+        return []
+    if part.sends >= route.max_attempts + MAX_UNRUN_SENDS:
+        return []
+    chosen = choose(state, part, now_ms)
+    if chosen is None:
+        return []
+    if charged and not budget_for(state, part.service).spend():
+        return []
+    return [send(state, exchange, part, chosen, now_ms)]
+
+
+def choose(
+    state: states.ForwardingState, part: part_state.PartState, now_ms: int
+) -> searchers.Searcher | None:
+    """Return the best searcher that this part has not tried."""
+    return choosing.choose_searcher(
+        state.searchers.get(part.service, ()),
+        state.health,
+        state.policy.failure_domain,
+        part.tried,
+        now_ms,
+    )
+
+
+def send(
+    state: states.ForwardingState,
+    exchange: exchanges.Exchange,
+    part: part_state.PartState,
+    chosen: searchers.Searcher,
+    now_ms: int,
+) -> send_attempt.SendAttempt:
+    """Record an attempt and return the order to send it."""
+    state.last_attempt_id += 1
+    attempt_id = state.last_attempt_id
+    state.attempts[attempt_id] = attempt.Attempt(
+        exchange.request.call_id,
+        exchange.route.name,
+        part.service,
+        chosen,
+        now_ms,
+    )
+    state.health[chosen.searcher_id].in_flight += 1
+    part.running.add(attempt_id)
+    part.tried.add(chosen.searcher_id)
+    part.sends += 1
+    part.runs += 1
+    return send_attempt.SendAttempt(
+        attempt_id,
+        exchange.request,
+        chosen,
+        max(1, exchange.expires_ms - now_ms),
+        exchange.route.idempotent,
+        exchange.route.gather is not None,
+    )
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/state.py
@@ -0,0 +1,43 @@
+"""State of the forwarding task."""
+
+from gypsumbridge_decisions.forwarding import attempt
+from gypsumbridge_decisions.forwarding import exchange
+from gypsumbridge_decisions.forwarding import extra_budget
+from gypsumbridge_decisions.forwarding import latency_window
+from gypsumbridge_decisions.forwarding import policy as policies
+from gypsumbridge_decisions.forwarding import route_table
+from gypsumbridge_decisions.forwarding import searcher
+from gypsumbridge_decisions.forwarding import searcher_health
+from gypsumbridge_decisions.forwarding import split
+
+# Until the store has named the nodes, limits are divided by this many.
+ASSUMED_NODES = 12
+
+
+class ForwardingState:
+    """Everything that the forwarding task owns.
+
+    `searchers` holds the searchers of each service; `latencies` and
+    `splits` are kept by the name of the route.
+    """
+
+    def __init__(self, policy: policies.ForwardingPolicy) -> None:
+        self.policy = policy
+        self.nodes = ASSUMED_NODES
+        self.table: route_table.RouteTable | None = None
+        self.searchers: dict[str, list[searcher.Searcher]] = {}
+        self.health: dict[str, searcher_health.SearcherHealth] = {}
+        self.exchanges: dict[int, exchange.Exchange] = {}
+        self.attempts: dict[int, attempt.Attempt] = {}
+        self.last_attempt_id = 0
+        self.budgets: dict[str, extra_budget.ExtraBudget] = {}
+        self.latencies: dict[str, latency_window.LatencyWindow] = {}
+        self.splits: dict[str, split.Split] = {}
+        self.draining = False
+
+
+def make_forwarding_state(
+    policy: policies.ForwardingPolicy,
+) -> ForwardingState:
+    """Return the state of a node that has just started."""
+    return ForwardingState(policy)
--- a/packages/decisions/src/gypsumbridge_decisions/lifecycle/state.py
+++ b/packages/decisions/src/gypsumbridge_decisions/lifecycle/state.py
@@ -3,15 +3,26 @@
 from gypsumbridge_decisions import messages
 from gypsumbridge_decisions.lifecycle import phase
 
+SOURCES = frozenset(
+    {'caller_http', 'front', 'owner', 'mutation', 'operator_http'}
+)
+
 
 class LifecycleState:
     """Everything that the lifecycle task owns.
 
+    `sources` are the tasks that are asked for work in flight.
     `conditions` holds the last report of each source, and `in_flight`
     the answers to the present question. `ready` is what `/readyz` says.
     """
 
-    def __init__(self, balancer_lag_ms: int, stop_bound_ms: int) -> None:
+    def __init__(
+        self,
+        balancer_lag_ms: int,
+        stop_bound_ms: int,
+        sources: frozenset[str],
+    ) -> None:
+        self.sources = sources
         self.balancer_lag_ms = balancer_lag_ms
         self.stop_bound_ms = stop_bound_ms
         self.phase = phase.Phase.SERVING
@@ -21,7 +32,9 @@
 
 
 def make_lifecycle_state(
-    balancer_lag_ms: int, stop_bound_ms: int
+    balancer_lag_ms: int,
+    stop_bound_ms: int,
+    sources: frozenset[str] = SOURCES,
 ) -> LifecycleState:
     """Return the state of a node that has just started."""
-    return LifecycleState(balancer_lag_ms, stop_bound_ms)
+    return LifecycleState(balancer_lag_ms, stop_bound_ms, sources)
--- a/packages/decisions/src/gypsumbridge_decisions/lifecycle/stopping.py
+++ b/packages/decisions/src/gypsumbridge_decisions/lifecycle/stopping.py
@@ -12,10 +12,6 @@
 from gypsumbridge_decisions.lifecycle import serving
 from gypsumbridge_decisions.lifecycle import state as states
 
-# The tasks that are asked for work in flight.
-SOURCES = frozenset(
-    {'caller_http', 'front', 'owner', 'mutation', 'operator_http'}
-)
 POLL_MS = 50
 # Results and responses that were handed to a socket leave within this.
 FLUSH_MS = 200
@@ -70,7 +66,7 @@
     if state.phase != phase.Phase.DRAINING:
         return []
     state.in_flight[report.source] = report.count
-    if state.in_flight.keys() < SOURCES:
+    if state.in_flight.keys() < state.sources:
         return []
     if any(state.in_flight.values()):
         return [messages.Timer(POLL_MS, poll_timer.PollTimer())]
--- a/packages/node/src/gypsumbridge_node/execute.py
+++ b/packages/node/src/gypsumbridge_node/execute.py
@@ -8,17 +8,18 @@
 from gypsumbridge_decisions import messages
 from gypsumbridge_node import mailbox
 from gypsumbridge_node import runtime as runtimes
+from gypsumbridge_node.gateway import runtime as gateway_runtime
 
 
 def make_executor(
-    runtime: runtimes.Runtime,
+    runtime: runtimes.Runtime | gateway_runtime.GatewayRuntime,
     own: mailbox.Mailbox,
     actions: Mapping[type, Callable[[Any], None]],
 ) -> Callable[[Iterable[Any]], None]:
     """Return a function that carries out commands.
 
-    Timers, decisions, counts and messages to peers mean the same for
-    every task; `actions` adds the task's own commands.
+    Timers, decisions and counts mean the same for every task; `actions`
+    adds the task's own commands.
     """
 
     def set_timer(timer: messages.Timer) -> None:
@@ -31,7 +32,6 @@
         messages.Timer: set_timer,
         messages.Decision: runtime.decisions.write,
         messages.Count: count,
-        messages.ToPeer: runtime.boxes.peer_link.put,
         **actions,
     }
 
--- /dev/null
+++ b/packages/node/src/gypsumbridge_node/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The ingress that forwards and gathers plain HTTP requests."""
--- /dev/null
+++ b/packages/node/src/gypsumbridge_node/gateway/client_connection.py
@@ -0,0 +1,180 @@
+"""A connection to a server that carries one request at a time."""
+
+from collections.abc import Callable
+from typing import Any
+
+import httptools
+import logbook
+from twisted.internet import error as net_errors
+from twisted.internet import protocol
+from twisted.python import failure
+
+from gypsumbridge_node.gateway import http_reply
+from gypsumbridge_node.gateway import socket_options
+
+# Response bodies above this are not read.
+MAX_BODY_BYTES = 8 * 1_048_576
+# A server may close an idle connection a little before the time it states.
+IDLE_MARGIN_MS = 300
+
+
+class ClientConnection(protocol.Protocol):
+    """Parses responses and reports each to the owner of the connection.
+
+    `on_reply` gets a complete response; one that `accept` does not take
+    belongs to an earlier request and is discarded. `on_closed` gets the
+    reason of the end. After bytes that belong to no request the connection
+    is not used again.
+    """
+
+    def __init__(
+        self,
+        on_reply: Callable[['ClientConnection', http_reply.HttpReply], None],
+        on_closed: Callable[['ClientConnection', str], None],
+        logger: logbook.Logger,
+    ) -> None:
+        self.on_reply = on_reply
+        self.on_closed = on_closed
+        self.logger = logger
+        self.parser = httptools.HttpResponseParser(self)
+        self.accept: Callable[[http_reply.HttpReply], bool] | None = None
+        self.headers: list[tuple[str, str]] = []
+        self.body: list[bytes] = []
+        self.body_bytes = 0
+        self.receiving = False
+        self.has_headers = False
+        self.reusable = True
+        self.keep_alive_ms: int | None = None
+        self.idle_since_ms = 0
+
+    def connectionMade(self) -> None:
+        """Prepare the socket."""
+        socket_options.detect_lost_peer(
+            self.transport.getHandle(), self.logger
+        )
+
+    def send(
+        self, data: bytes, accept: Callable[[http_reply.HttpReply], bool]
+    ) -> None:
+        """Send a request whose response `accept` recognises."""
+        self.accept = accept
+        self.transport.write(data)
+
+    def is_usable(self, now_ms: int) -> bool:
+        """Return whether the server still keeps this idle connection."""
+        if not self.reusable or self.accept is not None:
+            return False
+        if self.keep_alive_ms is None:
+            return True
+        idle_ms = now_ms - self.idle_since_ms
+        return idle_ms < self.keep_alive_ms - IDLE_MARGIN_MS
+
+    def close(self) -> None:
+        """End the connection at once, with what is in progress."""
+        self.reusable = False
+        self.transport.abortConnection()
+
+    def dataReceived(self, data: bytes) -> None:
+        """Parse what has arrived."""
+        if self.accept is None:
+            # Nothing is waited for: late or additional bytes.
+            self.close()
+            return
+        try:
+            self.parser.feed_data(data)
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ):
+            self.close()
+            return
+        if self.accept is None and self.receiving:
+            # Bytes after the response.
+            self.close()
+
+    def connectionLost(self, reason: failure.Failure) -> None:
+        """Report the end; a clean end completes an unframed response."""
+        self.reusable = False
+        clean = reason.check(net_errors.ConnectionDone) is not None
+        if clean and self.has_headers and not self._is_framed():
+            self._complete(framed=False)
+        name = 'closed' if clean else 'reset'
+        self.on_closed(self, name)
+
+    def on_message_begin(self) -> None:
+        """Start a response."""
+        self.receiving = True
+        self.has_headers = False
+        self.headers = []
+        self.body = []
+        self.body_bytes = 0
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take one header."""
+        self.headers.append((name.decode('latin-1'), value.decode('latin-1')))
+
+    def on_headers_complete(self) -> None:
+        """Note that the body follows."""
+        self.has_headers = True
+
+    def on_body(self, body: bytes) -> None:
+        """Take a piece of the body."""
+        self.body.append(body)
+        self.body_bytes += len(body)
+        if self.body_bytes > MAX_BODY_BYTES:
+            self.close()
+
+    def on_message_complete(self) -> None:
+        """Report the response, unless it is an interim one."""
+        if self.parser.get_status_code() < 200:
+            return
+        self._complete(framed=self._is_framed())
+
+    def _is_framed(self) -> bool:
+        status = self.parser.get_status_code()
+        if status in (204, 304):
+            return True
+        return any(
+            key.lower() in ('content-length', 'transfer-encoding')
+            for key, _ in self.headers
+        )
+
+    def _complete(self, framed: bool) -> None:
+        self.receiving = False
+        self.has_headers = False
+        reply = http_reply.HttpReply(
+            self.parser.get_status_code(),
+            tuple(self.headers),
+            b''.join(self.body),
+            framed,
+        )
+        if not framed or not self.parser.should_keep_alive():
+            self.reusable = False
+        self.keep_alive_ms = _keep_alive_ms(reply)
+        if self.accept is None or not self.accept(reply):
+            # The server may still be about to send the real response.
+            self.reusable = False
+            return
+        self.accept = None
+        self.on_reply(self, reply)
+
+
+def _keep_alive_ms(reply: http_reply.HttpReply) -> int | None:
+    """Return how long the server keeps the connection idle, if stated."""
+    value = reply.header('keep-alive') or ''
+    for part in value.split(','):
+        name, _, number = part.strip().partition('=')
+        if name.lower() == 'timeout' and number.isdigit():
+            return int(number) * 1_000
+    return None
+
+
+def make_factory(
+    on_reply: Callable[[ClientConnection, http_reply.HttpReply], None],
+    on_closed: Callable[[ClientConnection, str], None],
+    logger: logbook.Logger,
+) -> Any:
+    """Return a factory of connections that report to the callbacks."""
+    return protocol.Factory.forProtocol(
+        lambda: ClientConnection(on_reply, on_closed, logger)
+    )
--- /dev/null
+++ b/packages/node/src/gypsumbridge_node/gateway/daemon.py
@@ -0,0 +1,106 @@
+"""Wires the gateway's tasks together and runs the reactor."""
+
+import pathlib
+import sys
+import time
+from typing import Any
+
+import logbook
+
+from gypsumbridge_decisions import clock as clocks
+from gypsumbridge_decisions import errors
+from gypsumbridge_node import decision_log
+from gypsumbridge_node import json_lines
+from gypsumbridge_node import metrics
+from gypsumbridge_node import process_controls
+from gypsumbridge_node.gateway import adapter as adapters
+from gypsumbridge_node.gateway import boxes
+from gypsumbridge_node.gateway import runtime as runtimes
+from gypsumbridge_node.gateway.settings import gateway_checks
+from gypsumbridge_node.gateway.settings import gateway_settings
+from gypsumbridge_node.gateway.tasks import discovery_task
+from gypsumbridge_node.gateway.tasks import forwarding_task
+from gypsumbridge_node.gateway.tasks import ingress
+from gypsumbridge_node.gateway.tasks import lifecycle_task
+from gypsumbridge_node.gateway.tasks import searchers
+from gypsumbridge_node.gateway.tasks import status_http
+from gypsumbridge_node.gateway.tasks import store
+from gypsumbridge_node.settings import load
+
+EXIT_SETTINGS = 2
+
+
+def load_settings(path: pathlib.Path) -> gateway_settings.GatewaySettings:
+    """Return the gateway's settings; raises SettingsError."""
+    return load.load_sections(
+        path,
+        gateway_settings.GatewaySettings,
+        gateway_checks.VALUE_CHECKS,
+        gateway_checks.check_together,
+    )
+
+
+def run_gateway(config: pathlib.Path, adapter: adapters.Adapter) -> int:
+    """Run a gateway until a signal stops it; return its exit status."""
+    try:
+        settings = load_settings(config)
+    except errors.SettingsError as error:
+        print(error.message, file=sys.stderr)
+        return EXIT_SETTINGS
+    from twisted.internet import reactor
+
+    json_lines.install_handler(settings.log.level)
+    runtime = make_runtime(reactor, settings, adapter)
+    exit_statuses = [0]
+
+    def exit_process(status: int) -> None:
+        exit_statuses.append(status)
+        reactor.stop()
+
+    forwarding_task.start_forwarding_task(runtime)
+    searchers.start_searchers_task(runtime)
+    listening = ingress.start_ingress_task(runtime)
+    is_ready = lifecycle_task.start_lifecycle_task(
+        runtime,
+        process_controls.ProcessControls(
+            listening.stopListening, exit_process
+        ),
+    )
+    status_http.start_status_http_task(runtime, is_ready)
+    store.start_store_task(runtime)
+    discovery_task.start_discovery_task(runtime)
+    runtime.logger.info(
+        'gateway started', extra={'callers': settings.listen.callers}
+    )
+    reactor.run(installSignalHandlers=False)
+    runtime.logger.info('gateway stopped')
+    return exit_statuses[-1]
+
+
+def make_runtime(
+    reactor: Any,
+    settings: gateway_settings.GatewaySettings,
+    adapter: adapters.Adapter,
+) -> runtimes.GatewayRuntime:
+    """Return what the tasks of a gateway share."""
+    logger = logbook.Logger(settings.node.node_id)
+    clock = clocks.make_clock(time.monotonic_ns, time.time_ns)
+
+    def on_error(error: Exception, message: Any) -> None:
+        logger.exception(
+            'message handler failed',
+            extra={'message_type': type(message).__name__},
+        )
+
+    return runtimes.GatewayRuntime(
+        reactor=reactor,
+        clock=clock,
+        settings=settings,
+        logger=logger,
+        decisions=decision_log.DecisionLog(
+            logger, clock, settings.log.decision_lines_per_second
+        ),
+        metrics=metrics.make_metrics('', 'gypsumbridge'),
+        boxes=boxes.make_boxes(reactor, on_error),
+        adapter=adapter,
+    )
--- /dev/null
+++ b/packages/node/src/gypsumbridge_node/gateway/http_head.py
@@ -0,0 +1,33 @@
+"""Bytes of HTTP/1.1 requests and responses."""
+
+from collections.abc import Iterable
+import http
+
+from gypsumbridge_node.gateway import http_request
+
+_REASONS = {status.value: status.phrase for status in http.HTTPStatus}
+
+
+def encode_request(request: http_request.HttpRequest, host: str) -> bytes:
+    """Return a whole request; `host` is used when no Host is given."""
+    lines = [f'{request.method} {request.target} HTTP/1.1']
+    if not any(key.lower() == 'host' for key, _ in request.headers):
+        lines.append(f'Host: {host}')
+    lines += [f'{key}: {value}' for key, value in request.headers]
+    if request.body or request.method not in ('GET', 'HEAD', 'DELETE'):
+        lines.append(f'Content-Length: {len(request.body)}')
+    head = '\r\n'.join(lines) + '\r\n\r\n'
+    return head.encode('latin-1') + request.body
+
+
+def encode_response(
+    status: int, headers: Iterable[tuple[str, str]], body: bytes, close: bool
+) -> bytes:
+    """Return a whole response with its length."""
+    lines = [f'HTTP/1.1 {status} {_REASONS.get(status, "Unknown")}']
+    lines += [f'{key}: {value}' for key, value in headers]
+    lines.append(f'Content-Length: {len(body)}')
+    if close:
+        lines.append('Connection: close')
+    head = '\r\n'.join(lines) + '\r\n\r\n'
+    return head.encode('latin-1') + body
--- /dev/null
+++ b/packages/node/src/gypsumbridge_node/gateway/http_request.py
@@ -0,0 +1,13 @@
+"""An HTTP request to a server."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class HttpRequest:
+    """Method, target (path and query), headers and body."""
+
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b''
--- /dev/null
+++ b/packages/node/src/gypsumbridge_node/gateway/ingress_state.py
@@ -0,0 +1,18 @@
+"""State of the task that owns callers' connections."""
+
+from gypsumbridge_decisions import forwarding
+from gypsumbridge_node.gateway import server_connection
+
+
+class IngressState:
+    """The connection of each call, and the limits in force.
+
+    With `closing`, each response ends its connection.
+    """
+
+    def __init__(self) -> None:
+        self.connections: dict[int, server_connection.ServerConnection] = {}
+        self.call_ids: dict[server_connection.ServerConnection, int] = {}
+        self.last_call_id = 0
+        self.limits = forwarding.IngressLimits()
+        self.closing = False
--- /dev/null
+++ b/packages/node/src/gypsumbridge_node/gateway/runtime.py
@@ -0,0 +1,27 @@
+"""What every task of the gateway is given."""
+
+import dataclasses
+from typing import Any
+
+import logbook
+
+from gypsumbridge_decisions import clock
+from gypsumbridge_node import decision_log
+from gypsumbridge_node import metrics
+from gypsumbridge_node.gateway import adapter
+from gypsumbridge_node.gateway import boxes
+from gypsumbridge_node.gateway.settings import gateway_settings
+
+
+@dataclasses.dataclass(frozen=True)
+class GatewayRuntime:
+    """The reactor, clock, settings, logs, metrics, mailboxes and adapter."""
+
+    reactor: Any
+    clock: clock.Clock
+    settings: gateway_settings.GatewaySettings
+    logger: logbook.Logger
+    decisions: decision_log.DecisionLog
+    metrics: metrics.Metrics
+    boxes: boxes.GatewayBoxes
+    adapter: adapter.Adapter
--- /dev/null
+++ b/packages/node/src/gypsumbridge_node/gateway/searchers_state.py
@@ -0,0 +1,38 @@
+"""State of the task that holds the connections to searchers."""
+
+from gypsumbridge_decisions import forwarding
+from gypsumbridge_node.gateway import attempt_job
+from gypsumbridge_node.gateway import searcher_pool
+
+# Identifies one incarnation of a searcher at its address.
+PoolKey = tuple[str, int, str, int]
+# Part of the declared limit that stays free for nodes that are not counted
+# yet.
+LIMIT_SHARE = 0.9
+
+
+class SearchersState:
+    """Pools by searcher, attempts by id, and the limits to divide."""
+
+    def __init__(self) -> None:
+        self.pools: dict[PoolKey, searcher_pool.SearcherPool] = {}
+        self.jobs: dict[int, attempt_job.AttemptJob] = {}
+        self.table: forwarding.RouteTable | None = None
+        self.nodes = forwarding.ASSUMED_NODES
+
+    def limit_for(self, service: str) -> int:
+        """Return this node's connections to each searcher of a service."""
+        declared = 0
+        if self.table is not None:
+            declared = self.table.connection_limits.get(service, 0)
+        return max(1, int(declared * LIMIT_SHARE / self.nodes))
+
+
+def pool_key(searcher: forwarding.Searcher) -> PoolKey:
+    """Return the key of a searcher's pool."""
+    return (
+        searcher.searcher_id,
+        searcher.incarnation,
+        searcher.address,
+        searcher.port,
+    )
--- /dev/null
+++ b/packages/node/src/gypsumbridge_node/gateway/server_connection.py
@@ -0,0 +1,217 @@
+"""A caller's connection."""
+
+import collections
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import Any
+
+import httptools
+from twisted.internet import protocol
+from twisted.protocols import policies
+from twisted.python import failure
+
+from gypsumbridge_decisions import forwarding
+from gypsumbridge_node.gateway import http_head
+from gypsumbridge_node.gateway import parsed_request
+
+STATUS_BAD_REQUEST = 400
+STATUS_TIMEOUT = 408
+STATUS_BODY_TOO_LARGE = 413
+STATUS_HEADER_TOO_LARGE = 431
+# Requests that were sent ahead; reading stops while so many wait.
+MAX_PIPELINED = 8
+
+
+class ServerConnection(protocol.Protocol, policies.TimeoutMixin):
+    """Parses requests and hands them over one at a time, in order.
+
+    `on_request` gets the next request when the one before has its
+    response. `on_gone` is called when the connection ends while a request
+    waits for its response. `limits` returns the limits in force, and
+    `closing` whether responses should end their connections.
+    """
+
+    def __init__(
+        self,
+        on_request: Callable[
+            ['ServerConnection', parsed_request.ParsedRequest], None
+        ],
+        on_gone: Callable[['ServerConnection'], None],
+        limits: Callable[[], forwarding.IngressLimits],
+        closing: Callable[[], bool],
+    ) -> None:
+        self.on_request = on_request
+        self.on_gone = on_gone
+        self.limits = limits
+        self.closing = closing
+        self.parser = httptools.HttpRequestParser(self)
+        self.waiting: collections.deque[
+            tuple[parsed_request.ParsedRequest, bool]
+        ] = collections.deque()
+        self.in_progress = False
+        self.keep_alive = True
+        self.ended = False
+        self.reading = False
+        self._reset_message()
+
+    def connectionMade(self) -> None:
+        """Start the idle time."""
+        self.transport.setTcpNoDelay(True)
+        self.factory.connections.add(self)
+        self._arm(self.limits().idle_timeout_ms)
+
+    def dataReceived(self, data: bytes) -> None:
+        """Parse what has arrived."""
+        if self.ended:
+            return
+        if not self.reading and not self.in_progress:
+            self._arm(self.limits().header_timeout_ms)
+        try:
+            self.parser.feed_data(data)
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ):
+            self._reject(STATUS_BAD_REQUEST)
+            return
+        if len(self.waiting) >= MAX_PIPELINED:
+            self.transport.pauseProducing()
+
+    def timeoutConnection(self) -> None:
+        """End a connection that is idle or too slow."""
+        if self.in_progress:
+            return
+        if self.reading:
+            self._reject(STATUS_TIMEOUT)
+            return
+        self.close()
+
+    def connectionLost(self, reason: failure.Failure) -> None:
+        """Report a caller that left."""
+        self.setTimeout(None)
+        self.ended = True
+        self.factory.connections.discard(self)
+        if self.in_progress:
+            self.in_progress = False
+            self.on_gone(self)
+
+    def respond(
+        self, status: int, headers: Iterable[tuple[str, str]], body: bytes
+    ) -> None:
+        """Send the response to the request in progress."""
+        if self.ended:
+            return
+        close = not self.keep_alive or self.closing()
+        self.in_progress = False
+        self.transport.write(
+            http_head.encode_response(status, headers, body, close)
+        )
+        if close:
+            self.close()
+            return
+        self._arm(self.limits().idle_timeout_ms)
+        self._next()
+
+    def close(self) -> None:
+        """End the connection after what has been written."""
+        self.ended = True
+        self.transport.loseConnection()
+
+    def close_if_idle(self) -> None:
+        """End the connection unless a request is being read or served."""
+        if not self.in_progress and not self.reading and not self.waiting:
+            self.close()
+
+    def on_message_begin(self) -> None:
+        """Start a request."""
+        self._reset_message()
+        self.reading = True
+
+    def on_url(self, url: bytes) -> None:
+        """Take a piece of the target."""
+        self.target += url
+        self._add_header_bytes(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take one header."""
+        self.headers.append((name.decode('latin-1'), value.decode('latin-1')))
+        self._add_header_bytes(len(name) + len(value) + 4)
+        if name.lower() == b'expect' and value.lower() == b'100-continue':
+            self.transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+
+    def on_headers_complete(self) -> None:
+        """Give the body as long as an idle connection."""
+        if not self.in_progress and not self.ended:
+            self._arm(self.limits().idle_timeout_ms)
+
+    def on_body(self, body: bytes) -> None:
+        """Take a piece of the body."""
+        self.body.append(body)
+        self.body_bytes += len(body)
+        if self.body_bytes > self.limits().max_body_bytes:
+            self._reject(STATUS_BODY_TOO_LARGE)
+
+    def on_message_complete(self) -> None:
+        """Hand the request over, or let it wait for the one before."""
+        self.reading = False
+        if self.ended:
+            return
+        request = parsed_request.ParsedRequest(
+            self.parser.get_method().decode('latin-1'),
+            self.target.decode('latin-1'),
+            tuple(self.headers),
+            b''.join(self.body),
+        )
+        self.waiting.append((request, self.parser.should_keep_alive()))
+        self._next()
+
+    def _next(self) -> None:
+        if self.in_progress or self.ended or not self.waiting:
+            return
+        request, self.keep_alive = self.waiting.popleft()
+        self.in_progress = True
+        self.setTimeout(None)
+        self.transport.resumeProducing()
+        self.on_request(self, request)
+
+    def _arm(self, timeout_ms: int) -> None:
+        self.setTimeout(timeout_ms / 1000)
+
+    def _add_header_bytes(self, count: int) -> None:
+        self.header_bytes += count
+        if self.header_bytes > self.limits().max_header_bytes:
+            self._reject(STATUS_HEADER_TOO_LARGE)
+
+    def _reject(self, status: int) -> None:
+        """Answer a request that was not read in full, and close."""
+        if self.ended:
+            return
+        if not self.in_progress:
+            self.transport.write(
+                http_head.encode_response(status, (), b'', True)
+            )
+        self.close()
+
+    def _reset_message(self) -> None:
+        self.target = b''
+        self.headers: list[tuple[str, str]] = []
+        self.header_bytes = 0
+        self.body: list[bytes] = []
+        self.body_bytes = 0
+
+
+def make_factory(
+    on_request: Callable[
+        [ServerConnection, parsed_request.ParsedRequest], None
+    ],
+    on_gone: Callable[[ServerConnection], None],
+    limits: Callable[[], forwarding.IngressLimits],
+    closing: Callable[[], bool],
+) -> Any:
+    """Return a factory that keeps its open connections in `connections`."""
+    factory = protocol.Factory.forProtocol(
+        lambda: ServerConnection(on_request, on_gone, limits, closing)
+    )
+    factory.connections = set()
+    factory.noisy = False
+    return factory
--- /dev/null
+++ b/packages/node/src/gypsumbridge_node/gateway/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of the gateway, one class for each section."""
--- /dev/null
+++ b/packages/node/src/gypsumbridge_node/gateway/settings/gateway_checks.py
@@ -0,0 +1,34 @@
+"""Checks of the gateway's settings."""
+
+from gypsumbridge_node.gateway.settings import gateway_settings
+from gypsumbridge_node.settings import checks
+
+VALUE_CHECKS: dict[tuple[str, str], checks.Check] = {
+    ('node', 'node_id'): checks.check_name,
+    ('node', 'failure_domain'): checks.check_name,
+    ('listen', 'callers'): checks.check_address,
+    ('listen', 'ready'): checks.check_address,
+    ('listen', 'metrics'): checks.check_optional_address,
+    ('discovery', 'store_address'): checks.check_address,
+    ('discovery', 'timeout_ms'): checks.in_range(10, 60_000),
+    ('discovery', 'drain_ms'): checks.in_range(100, 600_000),
+    ('retry', 'ratio'): checks.in_range(0, 10),
+    ('retry', 'allowance'): checks.in_range(0, 1_000_000),
+    ('stop', 'grace_s'): checks.in_range(1, 3_600),
+    ('stop', 'balancer_lag_ms'): checks.in_range(0, 600_000),
+    ('log', 'level'): checks.one_of(checks.LEVELS),
+    ('log', 'decision_lines_per_second'): checks.in_range(0, 1_000_000),
+}
+
+
+def check_together(
+    settings: gateway_settings.GatewaySettings,
+) -> list[checks.Clash]:
+    """Return the values that are fine alone but clash with others."""
+    lag_ms = settings.stop.balancer_lag_ms
+    grace_s = settings.stop.grace_s
+    if lag_ms is None or grace_s is None or lag_ms < grace_s * 1_000:
+        return []
+    problem = f'not below grace_s = {grace_s}'
+    remedy = 'lower it or raise grace_s'
+    return [('stop', 'balancer_lag_ms', lag_ms, problem, remedy)]
--- /dev/null
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway's tasks, each with its own state and sockets."""
--- /dev/null
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/discovery_task.py
@@ -0,0 +1,60 @@
+"""The task that keeps routes and searchers in step with the store."""
+
+from typing import Any
+
+from gypsumbridge_decisions import discovery
+from gypsumbridge_decisions import forwarding
+from gypsumbridge_decisions import messages
+from gypsumbridge_node import execute as executors
+from gypsumbridge_node.gateway import runtime as runtimes
+
+# A removed searcher is dropped this much before it may no longer be used,
+# which covers the delay of the news and of the last requests.
+REMOVAL_MARGIN_MS = 1_000
+MIN_HOLD_MS = 100
+
+
+def start_discovery_task(runtime: runtimes.GatewayRuntime) -> None:
+    """Run the discovery decisions on their mailbox."""
+    boxes = runtime.boxes
+    settings = runtime.settings
+    hold_ms = settings.discovery.drain_ms - REMOVAL_MARGIN_MS
+    state = discovery.make_discovery_state(
+        settings.node.node_id,
+        runtime.adapter.schema,
+        max(MIN_HOLD_MS, hold_ms),
+    )
+
+    def publish(news: Any) -> None:
+        boxes.forwarding.put(news)
+        boxes.searchers.put(news)
+
+    def publish_routes(news: forwarding.RoutesChanged) -> None:
+        publish(news)
+        boxes.ingress.put(news)
+        runtime.metrics.gauge('discovery.routes_version', news.table.version)
+
+    def report_ready(command: discovery.DiscoveryReady) -> None:
+        boxes.lifecycle.put(
+            messages.ServingCondition('discovery', messages.MissingReason.NONE)
+        )
+
+    execute = executors.make_executor(
+        runtime,
+        boxes.discovery,
+        {
+            discovery.ListStore: boxes.store.put,
+            discovery.WatchStore: boxes.store.put,
+            discovery.WriteNode: boxes.store.put,
+            discovery.DiscoveryReady: report_ready,
+            forwarding.RoutesChanged: publish_routes,
+            forwarding.SearchersChanged: publish,
+            forwarding.FleetSizeChanged: publish,
+        },
+    )
+
+    def handle(message: Any) -> None:
+        execute(discovery.handle(state, message, runtime.clock.now_ms()))
+
+    boxes.discovery.start(handle)
+    boxes.discovery.put(discovery.ResumeTimer())
--- /dev/null
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/forwarding_task.py
@@ -0,0 +1,39 @@
+"""The task that runs the forwarding decisions."""
+
+from typing import Any
+
+from gypsumbridge_decisions import forwarding
+from gypsumbridge_decisions import messages
+from gypsumbridge_node import execute as executors
+from gypsumbridge_node.gateway import runtime as runtimes
+
+
+def start_forwarding_task(runtime: runtimes.GatewayRuntime) -> None:
+    """Plan requests, hedge and retry them, and merge their parts."""
+    settings = runtime.settings
+    state = forwarding.make_forwarding_state(
+        forwarding.ForwardingPolicy(
+            settings.node.failure_domain,
+            settings.retry.ratio,
+            settings.retry.allowance,
+        )
+    )
+    boxes = runtime.boxes
+    execute = executors.make_executor(
+        runtime,
+        boxes.forwarding,
+        {
+            forwarding.SendAttempt: boxes.searchers.put,
+            forwarding.CancelAttempt: boxes.searchers.put,
+            forwarding.CallerResponse: boxes.ingress.put,
+        },
+    )
+
+    def handle(message: Any) -> None:
+        if isinstance(message, messages.ServingChanged):
+            if not message.refusal:
+                return
+            message = forwarding.StopTaking()
+        execute(forwarding.handle(state, message, runtime.clock.now_ms()))
+
+    boxes.forwarding.start(handle)
--- /dev/null
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/ingress.py
@@ -0,0 +1,135 @@
+"""The task that owns callers' connections."""
+
+from collections.abc import Callable
+from typing import Any
+
+from gypsumbridge_decisions import forwarding
+from gypsumbridge_decisions import messages
+from gypsumbridge_node import address
+from gypsumbridge_node.gateway import end_to_end
+from gypsumbridge_node.gateway import ingress_state
+from gypsumbridge_node.gateway import parsed_request
+from gypsumbridge_node.gateway import runtime as runtimes
+from gypsumbridge_node.gateway import server_connection
+
+SOURCE = 'ingress'
+# The deadline of a caller that states none.
+DEFAULT_DEADLINE_MS = 30_000
+STATUS_BAD_REQUEST = 400
+
+
+def start_ingress_task(runtime: runtimes.GatewayRuntime) -> Any:
+    """Serve callers; return the listening port."""
+    state = ingress_state.IngressState()
+
+    def on_request(
+        connection: server_connection.ServerConnection,
+        request: parsed_request.ParsedRequest,
+    ) -> None:
+        accept(runtime, state, connection, request)
+
+    def on_gone(connection: server_connection.ServerConnection) -> None:
+        call_id = state.call_ids.pop(connection, None)
+        if call_id is None:
+            return
+        del state.connections[call_id]
+        runtime.boxes.forwarding.put(forwarding.CallerGone(call_id))
+
+    factory = server_connection.make_factory(
+        on_request, on_gone, lambda: state.limits, lambda: state.closing
+    )
+
+    def change_routes(news: forwarding.RoutesChanged) -> None:
+        state.limits = news.table.limits
+
+    def end_keep_alive(command: messages.EndKeepAlive) -> None:
+        state.closing = True
+
+    def count_in_flight(query: messages.InFlightQuery) -> None:
+        # Callers that keep a connection open learn that it ends.
+        for connection in list(factory.connections):
+            connection.close_if_idle()
+        open_count = len(factory.connections)
+        runtime.boxes.lifecycle.put(
+            messages.InFlightReport(SOURCE, open_count)
+        )
+
+    table: dict[type, Callable[[Any], None]] = {
+        forwarding.CallerResponse: make_responder(runtime, state),
+        forwarding.RoutesChanged: change_routes,
+        messages.EndKeepAlive: end_keep_alive,
+        messages.InFlightQuery: count_in_flight,
+    }
+
+    def handle(message: Any) -> None:
+        table[type(message)](message)
+
+    runtime.boxes.ingress.start(handle)
+    host, port = address.split_address(runtime.settings.listen.callers)
+    return runtime.reactor.listenTCP(
+        port, factory, backlog=512, interface=host
+    )
+
+
+def accept(
+    runtime: runtimes.GatewayRuntime,
+    state: ingress_state.IngressState,
+    connection: server_connection.ServerConnection,
+    parsed: parsed_request.ParsedRequest,
+) -> None:
+    """Decode a request and hand it to the forwarding task."""
+    names = runtime.adapter.headers
+    request_id = parsed.header(names.request_id)
+    host = parsed.header('host')
+    if not request_id or not host:
+        runtime.metrics.count('ingress.bad_requests')
+        connection.respond(STATUS_BAD_REQUEST, (), b'')
+        return
+    state.last_call_id += 1
+    call_id = state.last_call_id
+    state.connections[call_id] = connection
+    state.call_ids[connection] = call_id
+    deadline = parsed.header(names.deadline_ms) or ''
+    own_headers = (
+        names.request_id,
+        names.deadline_ms,
+        names.expected_searcher,
+    )
+    runtime.boxes.forwarding.put(
+        forwarding.CallerRequest(
+            call_id,
+            request_id,
+            parsed.method,
+            host.rpartition(':')[0].lower() if ':' in host else host.lower(),
+            parsed.target,
+            end_to_end.end_to_end_headers(parsed.headers, own_headers),
+            parsed.body,
+            int(deadline) if deadline.isdecimal() else DEFAULT_DEADLINE_MS,
+            runtime.clock.now_ms(),
+        )
+    )
+
+
+def make_responder(
+    runtime: runtimes.GatewayRuntime, state: ingress_state.IngressState
+) -> Callable[[forwarding.CallerResponse], None]:
+    """Return a function that sends a response to its caller."""
+    names = runtime.adapter.headers
+
+    def respond(response: forwarding.CallerResponse) -> None:
+        connection = state.connections.pop(response.call_id, None)
+        if connection is None:
+            return
+        del state.call_ids[connection]
+        headers = list(response.headers)
+        if response.retry_after_ms:
+            seconds = f'{response.retry_after_ms / 1000:.3f}'
+            headers.append(('Retry-After', seconds))
+        if response.missing_parts >= 0:
+            signatures = ', '.join(response.part_signatures)
+            headers.append((names.part_signatures, signatures))
+            headers.append((names.missing_parts, str(response.missing_parts)))
+            headers.append(('Content-Type', 'application/octet-stream'))
+        connection.respond(response.status, headers, response.body)
+
+    return respond
--- /dev/null
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/lifecycle_task.py
@@ -0,0 +1,73 @@
+"""The task that reports readiness and stops the gateway."""
+
+from collections.abc import Callable
+import signal
+from typing import Any
+
+from gypsumbridge_decisions import lifecycle
+from gypsumbridge_decisions import messages
+from gypsumbridge_node import execute as executors
+from gypsumbridge_node import process_controls
+from gypsumbridge_node.gateway import runtime as runtimes
+from gypsumbridge_node.gateway.tasks import ingress
+from gypsumbridge_node.tasks import lifecycle as node_lifecycle
+
+# The process ends this long before it would be killed.
+STOP_MARGIN_MS = 400
+
+
+def start_lifecycle_task(
+    runtime: runtimes.GatewayRuntime,
+    controls: process_controls.ProcessControls,
+) -> Callable[[], bool]:
+    """Stop gracefully on SIGTERM; return whether the node is ready."""
+    stop = runtime.settings.stop
+    state = lifecycle.make_lifecycle_state(
+        stop.balancer_lag_ms,
+        int(stop.grace_s * 1000) - STOP_MARGIN_MS,
+        frozenset({ingress.SOURCE}),
+    )
+    boxes = runtime.boxes
+
+    def announce(command: messages.AnnounceLeaving) -> None:
+        # No other node keeps track of this one.
+        boxes.lifecycle.put(messages.LeavingAnnounced())
+
+    def leave(command: messages.LeaveFleet) -> None:
+        runtime.logger.info('callers served')
+
+    def close_port(command: lifecycle.ClosePort) -> None:
+        controls.close_port()
+
+    execute = executors.make_executor(
+        runtime,
+        boxes.lifecycle,
+        {
+            messages.ServingChanged: boxes.forwarding.put,
+            messages.EndKeepAlive: boxes.ingress.put,
+            messages.AnnounceLeaving: announce,
+            messages.LeaveFleet: leave,
+            messages.InFlightQuery: boxes.ingress.put,
+            lifecycle.ClosePort: close_port,
+            lifecycle.ExitNode: node_lifecycle.make_exit(runtime, controls),
+        },
+    )
+
+    def handle(message: Any) -> None:
+        execute(lifecycle.handle(state, message, runtime.clock.now_ms()))
+
+    def on_stop(number: int, frame: Any) -> None:
+        runtime.reactor.callFromThread(
+            boxes.lifecycle.put, lifecycle.StopRequested()
+        )
+
+    def on_reload(number: int, frame: Any) -> None:
+        runtime.reactor.callFromThread(
+            runtime.logger.info, 'settings unchanged until the next start'
+        )
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, on_stop)
+    signal.signal(signal.SIGHUP, on_reload)
+    boxes.lifecycle.start(handle)
+    return lambda: state.ready
--- /dev/null
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/status_http.py
@@ -0,0 +1,55 @@
+"""The task that answers the load balancer and serves metrics."""
+
+from collections.abc import Callable
+
+from gypsumbridge_decisions import forwarding
+from gypsumbridge_node import address
+from gypsumbridge_node.gateway import exposition
+from gypsumbridge_node.gateway import parsed_request
+from gypsumbridge_node.gateway import runtime as runtimes
+from gypsumbridge_node.gateway import server_connection
+
+
+def start_status_http_task(
+    runtime: runtimes.GatewayRuntime, is_ready: Callable[[], bool]
+) -> None:
+    """Serve readiness and metrics on their addresses."""
+    ready_path = runtime.adapter.ready_path
+
+    def answer_ready(
+        connection: server_connection.ServerConnection,
+        request: parsed_request.ParsedRequest,
+    ) -> None:
+        if request.target.partition('?')[0] != ready_path:
+            connection.respond(404, (), b'')
+            return
+        connection.respond(200 if is_ready() else 503, (), b'')
+
+    def answer_metrics(
+        connection: server_connection.ServerConnection,
+        request: parsed_request.ParsedRequest,
+    ) -> None:
+        headers = (('Content-Type', exposition.CONTENT_TYPE),)
+        body = exposition.encode_metrics(runtime.metrics)
+        connection.respond(200, headers, body)
+
+    serve(runtime, runtime.settings.listen.ready, answer_ready)
+    if runtime.settings.listen.metrics:
+        serve(runtime, runtime.settings.listen.metrics, answer_metrics)
+
+
+def serve(
+    runtime: runtimes.GatewayRuntime,
+    listen: str,
+    on_request: Callable[
+        [server_connection.ServerConnection, parsed_request.ParsedRequest],
+        None,
+    ],
+) -> None:
+    """Listen on an address with requests that are answered at once."""
+    limits = forwarding.IngressLimits()
+    factory = server_connection.make_factory(
+        on_request, lambda connection: None, lambda: limits, lambda: False
+    )
+    host, port = address.split_address(listen)
+    runtime.reactor.listenTCP(port, factory, interface=host)
--- a/packages/node/src/gypsumbridge_node/settings/load.py
+++ b/packages/node/src/gypsumbridge_node/settings/load.py
@@ -1,9 +1,12 @@
 """Reads the settings file and reports everything wrong with it at once."""
 
+from collections.abc import Callable
+from collections.abc import Mapping
 import configparser
 import dataclasses
 import pathlib
 from typing import Any
+from typing import TypeVar
 
 import msgspec
 
@@ -11,12 +14,28 @@
 from gypsumbridge_node.settings import checks
 from gypsumbridge_node.settings import settings
 
+T = TypeVar('T')
+ValueChecks = Mapping[tuple[str, str], checks.Check]
+
 
 def load_settings(path: pathlib.Path) -> settings.Settings:
+    """Return the settings of a node; see `load_sections`."""
+    return load_sections(
+        path, settings.Settings, checks.VALUE_CHECKS, checks.check_together
+    )
+
+
+def load_sections(
+    path: pathlib.Path,
+    settings_type: type[T],
+    value_checks: ValueChecks,
+    check_together: Callable[[T], list[checks.Clash]],
+) -> T:
     """Return the settings in an INI file.
 
-    Raises SettingsError with one line a problem: file, section, key,
-    value and remedy.
+    `settings_type` is a data class with a field for each section, whose
+    type is a data class with a field for each key. Raises SettingsError
+    with one line a problem: file, section, key, value and remedy.
     """
     parser = configparser.ConfigParser(interpolation=None)
     try:
@@ -26,17 +45,17 @@
             f'{path} cannot be read: {error}; give a readable INI file',
             'correct the settings and start again',
         ) from error
-    problems = _unknown_sections(path, parser)
+    problems = _unknown_sections(path, parser, settings_type)
     sections = {}
-    for field in dataclasses.fields(settings.Settings):
+    for field in dataclasses.fields(settings_type):
         values = {}
         if parser.has_section(field.name):
             values = dict(parser[field.name])
         sections[field.name] = _load_section(
-            path, field.name, field.type, values, problems
+            path, field.name, field.type, values, problems, value_checks
         )
-    loaded = settings.Settings(**sections)
-    for section, key, value, problem, remedy in checks.check_together(loaded):
+    loaded = settings_type(**sections)
+    for section, key, value, problem, remedy in check_together(loaded):
         problems.append(_line(path, section, key, value, problem, remedy))
     if problems:
         raise errors.SettingsError(
@@ -58,9 +77,11 @@
 
 
 def _unknown_sections(
-    path: pathlib.Path, parser: configparser.ConfigParser
+    path: pathlib.Path,
+    parser: configparser.ConfigParser,
+    settings_type: type[Any],
 ) -> list[str]:
-    known = {field.name for field in dataclasses.fields(settings.Settings)}
+    known = {field.name for field in dataclasses.fields(settings_type)}
     return [
         f'{path}: [{name}] is not a section; use one of {sorted(known)}'
         for name in parser.sections()
@@ -74,6 +95,7 @@
     section_type: Any,
     values: dict[str, str],
     problems: list[str],
+    value_checks: ValueChecks,
 ) -> Any:
     """Return the section; a value with a problem is None in it."""
     fields = {field.name: field for field in dataclasses.fields(section_type)}
@@ -86,7 +108,9 @@
     for name, field in fields.items():
         converted[name] = None
         if name in values:
-            problem = _read_value(section, field, values[name], converted)
+            problem = _read_value(
+                section, field, values[name], converted, value_checks
+            )
             if problem is not None:
                 problems.append(
                     _line(path, section, name, values[name], *problem)
@@ -104,12 +128,13 @@
     field: dataclasses.Field[Any],
     text: str,
     converted: dict[str, Any],
+    value_checks: ValueChecks,
 ) -> tuple[str, str] | None:
     try:
         value = _convert(text, field.type)
     except msgspec.ValidationError as error:
         return str(error), 'give a value of that type'
-    problem = checks.VALUE_CHECKS[(section, field.name)](value)
+    problem = value_checks[(section, field.name)](value)
     if problem is None:
         converted[field.name] = value
     return problem
--- a/packages/node/src/gypsumbridge_node/tasks/configuration.py
+++ b/packages/node/src/gypsumbridge_node/tasks/configuration.py
@@ -41,6 +41,7 @@
         runtime,
         boxes.configuration,
         {
+            messages.ToPeer: runtime.boxes.peer_link.put,
             messages.StoreRequest: call_store,
             messages.ServingCondition: boxes.lifecycle.put,
             messages.AcceptedReport: answer,
--- a/packages/node/src/gypsumbridge_node/tasks/front.py
+++ b/packages/node/src/gypsumbridge_node/tasks/front.py
@@ -20,6 +20,7 @@
         runtime,
         runtime.boxes.front,
         {
+            messages.ToPeer: runtime.boxes.peer_link.put,
             messages.Answer: deliver,
             messages.Refusal: deliver,
             messages.InFlightReport: runtime.boxes.lifecycle.put,
--- a/packages/node/src/gypsumbridge_node/tasks/membership.py
+++ b/packages/node/src/gypsumbridge_node/tasks/membership.py
@@ -38,6 +38,7 @@
         runtime,
         boxes.membership,
         {
+            messages.ToPeer: runtime.boxes.peer_link.put,
             messages.ToAddress: boxes.peer_link.put,
             messages.MembersChanged: publish,
             messages.ServingCondition: boxes.lifecycle.put,
--- a/packages/node/src/gypsumbridge_node/tasks/mutation.py
+++ b/packages/node/src/gypsumbridge_node/tasks/mutation.py
@@ -32,6 +32,7 @@
         runtime,
         boxes.mutation,
         {
+            messages.ToPeer: runtime.boxes.peer_link.put,
             messages.ClaimCall: call_store,
             messages.MutationAnswer: deliver,
             messages.ClaimReport: deliver,
--- a/packages/node/src/gypsumbridge_node/tasks/owner.py
+++ b/packages/node/src/gypsumbridge_node/tasks/owner.py
@@ -17,6 +17,7 @@
         runtime,
         runtime.boxes.owner,
         {
+            messages.ToPeer: runtime.boxes.peer_link.put,
             messages.EndpointRequest: to_endpoint,
             messages.EndpointCancel: to_endpoint,
             messages.EndpointCheck: to_endpoint,
--- a/tools/write_init.py
+++ b/tools/write_init.py
@@ -11,6 +11,7 @@
 MAX_LINE = 79
 PUBLIC_CONSTANTS = frozenset(
     {
+        'ASSUMED_NODES',
         'BUCKETS',
         'CONFIG_PREFIX',
         'MAX_MESSAGE_UPDATES',
