--- /dev/null
+++ b/tests/decisions/discovery/test_discovery.py
@@ -0,0 +1,156 @@
+import unittest
+
+from gypsumbridge_decisions import discovery
+from gypsumbridge_decisions import errors
+from gypsumbridge_decisions import forwarding
+from gypsumbridge_decisions import messages
+
+
+def decode_routes(value):
+    if value == b'bad':
+        raise errors.FrameError('bad', 'write it again')
+    return forwarding.RouteTable(
+        int(value), {}, {}, forwarding.IngressLimits()
+    )
+
+
+def decode_searcher(searcher_id, value):
+    if value == b'bad':
+        raise errors.FrameError('bad', 'write it again')
+    return forwarding.Searcher(
+        searcher_id, 's', '10.0.0.1', 80, 'd', 2, value == b'draining'
+    )
+
+
+SCHEMA = discovery.StoreSchema(
+    'routes', 'searchers/', 'nodes/', decode_routes, decode_searcher
+)
+HOLD_MS = 2_000
+
+
+class DiscoveryTest(unittest.TestCase):
+    def setUp(self):
+        self.now_ms = 0
+        self.state = discovery.make_discovery_state('n1', SCHEMA, HOLD_MS)
+        self.revision = 0
+
+    def handle(self, message):
+        return discovery.handle(self.state, message, self.now_ms)
+
+    def records(self, values):
+        found = []
+        for key, value in values.items():
+            self.revision += 1
+            found.append(discovery.StoreRecord(key, self.revision, value))
+        return tuple(found)
+
+    def list(self, **values):
+        records = self.records(
+            {k.replace('_', '/'): v for k, v in values.items()}
+        )
+        return self.handle(discovery.StoreListed(self.revision, records))
+
+    def change(self, **values):
+        records = self.records(
+            {k.replace('_', '/'): v for k, v in values.items()}
+        )
+        return self.handle(discovery.StoreChanged(self.revision, records))
+
+    def published(self, commands):
+        names = None
+        for command in commands:
+            if isinstance(command, forwarding.SearchersChanged):
+                names = {s.searcher_id: s.draining for s in command.searchers}
+        return names
+
+    def test_a_node_is_ready_once_it_knows_routes(self):
+        """Guards against readiness without a configuration."""
+        commands = self.list(searchers_a=b'ready')
+        self.assertNotIn(discovery.DiscoveryReady(), commands)
+        commands = self.change(routes=b'1')
+        self.assertIn(discovery.DiscoveryReady(), commands)
+        commands = self.change(routes=b'2')
+        self.assertNotIn(discovery.DiscoveryReady(), commands)
+
+    def test_a_draining_searcher_is_published_at_once(self):
+        """Guards against new work for a searcher that is leaving."""
+        self.list(searchers_a=b'ready')
+        commands = self.change(searchers_a=b'draining')
+        self.assertEqual({'a': True}, self.published(commands))
+
+    def test_a_removed_searcher_is_used_until_the_hold_ends(self):
+        """Guards against loss of live searchers whose entries lapsed."""
+        self.list(searchers_a=b'ready', searchers_b=b'ready')
+        commands = self.change(searchers_a=None)
+        self.assertIsNone(self.published(commands))
+        self.now_ms += HOLD_MS
+        commands = self.handle(discovery.RemovalTimer())
+        self.assertEqual({'b': False}, self.published(commands))
+
+    def test_a_searcher_that_is_back_in_time_is_kept(self):
+        """Guards against removing a searcher by an old timer."""
+        self.list(searchers_a=b'ready')
+        self.change(searchers_a=None)
+        self.now_ms += HOLD_MS // 2
+        self.change(searchers_a=b'ready')
+        self.now_ms += HOLD_MS
+        self.assertEqual([], self.handle(discovery.RemovalTimer()))
+
+    def test_a_list_without_a_searcher_removes_it_after_the_hold(self):
+        """Guards against searchers that stay after lost history."""
+        self.list(searchers_a=b'ready', searchers_b=b'ready')
+        commands = self.handle(discovery.HistoryLost())
+        self.assertIn(discovery.ListStore(), commands)
+        self.list(searchers_b=b'ready')
+        self.now_ms += HOLD_MS
+        commands = self.handle(discovery.RemovalTimer())
+        self.assertEqual({'b': False}, self.published(commands))
+
+    def test_values_that_cannot_be_read_leave_the_rest_in_force(self):
+        """Guards against one bad value that stops all news."""
+        commands = self.list(
+            routes=b'bad', searchers_a=b'bad', searchers_b=b'ready'
+        )
+        self.assertEqual({'b': False}, self.published(commands))
+        skipped = [
+            c.fields['key']
+            for c in commands
+            if isinstance(c, messages.Decision)
+            and c.name == 'store_record_skipped'
+        ]
+        self.assertEqual(['routes', 'searchers/a'], skipped)
+
+    def test_old_routes_are_not_published_again(self):
+        """Guards against a configuration that reverts."""
+        self.list(routes=b'7')
+        commands = self.change(routes=b'6')
+        kinds = [type(command) for command in commands]
+        self.assertNotIn(forwarding.RoutesChanged, kinds)
+
+    def test_failures_are_retried_and_logged_once(self):
+        """Guards against a node that stops asking, or floods its log."""
+        self.list(routes=b'1')
+        lost = 0
+        for _ in range(5):
+            commands = self.handle(discovery.StoreFailed('timeout'))
+            lost += sum(isinstance(c, messages.Decision) for c in commands)
+            timers = [c for c in commands if isinstance(c, messages.Timer)]
+            self.assertEqual(1, len(timers))
+            commands = self.handle(timers[0].event)
+            self.assertEqual(
+                [discovery.WatchStore(self.state.revision, 3_000)], commands
+            )
+        self.assertEqual(1, lost)
+        commands = self.change()
+        self.assertEqual('store_regained', commands[0].name)
+
+    def test_the_own_key_is_written_once(self):
+        """Guards against writes at each restart, and a missing node."""
+        commands = self.list(routes=b'1')
+        self.assertIn(discovery.WriteNode(), commands)
+        self.handle(discovery.NodeWritten(False))
+        self.assertIn(discovery.WriteNode(), self.change(routes=b'2'))
+        self.handle(discovery.NodeWritten(True))
+        commands = self.change(nodes_n1=b'x')
+        self.assertIn(forwarding.FleetSizeChanged(1), commands)
+        self.assertNotIn(discovery.WriteNode(), commands)
--- /dev/null
+++ b/tests/decisions/forwarding/test_gather.py
@@ -0,0 +1,162 @@
+from gypsumbridge_decisions import forwarding
+from tests.decisions.forwarding import gateway_case
+
+LOST = forwarding.AttemptOutcome.LOST
+NOT_RUN = forwarding.AttemptOutcome.NOT_RUN
+NOT_SENT = forwarding.AttemptOutcome.NOT_SENT
+
+
+def record(value):
+    return bytes([value]) * 16
+
+
+class GatherTest(gateway_case.GatewayCase):
+    def arrive_sent(self):
+        return gateway_case.sends(self.arrive())
+
+    def test_the_greatest_records_of_all_parts_are_returned(self):
+        """Guards against a merge that is not the greatest K, falling."""
+        bodies = (record(3) + record(9), record(5), record(9) + b'rest', b'')
+        commands = []
+        for sent, body in zip(self.arrive_sent(), bodies, strict=True):
+            commands += self.answer(sent, body)
+        (response,) = gateway_case.responses(commands)
+        self.assertEqual(200, response.status)
+        self.assertEqual(record(9) + record(9), response.body)
+        self.assertEqual(0, response.missing_parts)
+        self.assertEqual(4, len(set(response.part_signatures)))
+
+    def test_each_service_gets_one_attempt_at_its_own_domain(self):
+        """Guards against traffic between domains without need."""
+        chosen = {s.searcher.searcher_id for s in self.arrive_sent()}
+        self.assertEqual({'s1-d1', 's2-d1', 's3-d1', 's4-d1'}, chosen)
+
+    def test_the_objective_ends_a_gather_that_covers_enough(self):
+        """Guards against a late response where a partial one is enough."""
+        sent = self.arrive_sent()
+        for found in sent[:3]:
+            self.answer(found, record(1))
+        commands = self.handle(forwarding.ObjectiveTimer(1))
+        (response,) = gateway_case.responses(commands)
+        self.assertEqual((200, 1), (response.status, response.missing_parts))
+        self.assertEqual(3, len(response.part_signatures))
+
+    def test_a_gather_below_its_coverage_waits_past_the_objective(self):
+        """Guards against a success that includes too few parts."""
+        sent = self.arrive_sent()
+        for found in sent[:2]:
+            self.answer(found, record(1))
+        commands = self.handle(forwarding.ObjectiveTimer(1))
+        self.assertEqual([], gateway_case.responses(commands))
+        commands = self.answer(sent[2], record(1))
+        (response,) = gateway_case.responses(commands)
+        self.assertEqual((200, 1), (response.status, response.missing_parts))
+
+    def test_an_expired_gather_below_its_coverage_fails(self):
+        """Guards against a request without a final response."""
+        sent = self.arrive_sent()
+        self.answer(sent[0], record(1))
+        self.now_ms += 600
+        commands = self.handle(forwarding.ExpiryTimer(1))
+        (response,) = gateway_case.responses(commands)
+        self.assertEqual(504, response.status)
+        self.assertEqual((), response.part_signatures)
+
+    def test_an_unsigned_or_failed_response_is_no_part(self):
+        """Guards against a part that no searcher vouches for."""
+        sent = self.arrive_sent()
+        self.answer(sent[0], record(1), signature='')
+        self.answer(sent[1], record(1), status=500)
+        for found in sent[2:]:
+            self.answer(found, record(1))
+        exchange = self.state.exchanges[1]
+        self.assertIsNone(exchange.part('s1').answer)
+        self.assertIsNone(exchange.part('s2').answer)
+
+    def test_a_late_response_after_the_hedge_is_not_a_second_part(self):
+        """Guards against two signatures of one service."""
+        sent = self.arrive_sent()
+        for found in sent[:3]:
+            self.answer(found, record(1))
+        (hedge,) = gateway_case.sends(self.handle(forwarding.HedgeTimer(1)))
+        self.assertEqual('s4-d2', hedge.searcher.searcher_id)
+        commands = self.answer(hedge, record(2))
+        (response,) = gateway_case.responses(commands)
+        self.assertEqual(4, len(response.part_signatures))
+        self.assertEqual([], self.answer(sent[3], record(7)))
+
+    def test_the_budget_bounds_hedges(self):
+        """Guards against hedges beyond the ratio and the node's share."""
+        state = self.state
+        hedged = 0
+        for _ in range(200):
+            self.arrive_sent()
+            commands = self.handle(forwarding.HedgeTimer(self.last_call_id))
+            hedged += sum(
+                1
+                for sent in gateway_case.sends(commands)
+                if sent.searcher.service == 's1'
+            )
+        share = 54.0 * 0.7 / state.nodes
+        self.assertLessEqual(hedged, 200 * 0.2 + share)
+        self.assertGreater(hedged, 200 * 0.15)
+
+    def test_no_part_runs_on_more_searchers_than_declared(self):
+        """Guards against more runs than `max_attempts`."""
+        searchers = [
+            gateway_case.make_searcher(f's1-{n}', 's1') for n in range(5)
+        ]
+        self.publish(searchers)
+        sent = gateway_case.sends(self.arrive('/one/x'))
+        sent += gateway_case.sends(self.handle(forwarding.HedgeTimer(1)))
+        self.assertEqual(2, len(sent))
+        self.assertEqual([], gateway_case.sends(self.end(sent[0], LOST)))
+
+    def test_a_refused_gather_of_which_nothing_ran_says_so(self):
+        """Guards against a failure that hides that a retry is safe."""
+        self.publish([])
+        (response,) = gateway_case.responses(self.arrive())
+        self.assertEqual(503, response.status)
+        self.assertGreater(response.retry_after_ms, 0)
+
+    def test_requests_keep_the_routes_they_arrived_with(self):
+        """Guards against parts of two versions in one response."""
+        sent = self.arrive_sent()
+        newer = gateway_case.make_table(2, (gateway_case.SAFE,))
+        self.handle(forwarding.RoutesChanged(newer))
+        commands = []
+        for found in sent:
+            commands += self.answer(found, record(1))
+        (response,) = gateway_case.responses(commands)
+        self.assertEqual(4, len(response.part_signatures))
+
+    def test_an_older_version_does_not_replace_a_newer_one(self):
+        """Guards against a configuration that reverts."""
+        self.handle(forwarding.RoutesChanged(gateway_case.make_table(5)))
+        older = gateway_case.make_table(4, ())
+        self.handle(forwarding.RoutesChanged(older))
+        self.assertEqual(5, self.state.table.version)
+
+    def test_a_caller_that_left_stops_the_work_at_once(self):
+        """Guards against searchers that work for nobody."""
+        sent = self.arrive_sent()
+        commands = self.handle(forwarding.CallerGone(1))
+        stopped = gateway_case.cancels(commands)
+        self.assertEqual(
+            {found.attempt_id for found in sent},
+            {command.attempt_id for command in stopped},
+        )
+        self.assertEqual({0}, {command.linger_ms for command in stopped})
+        in_flight = {h.in_flight for h in self.state.health.values()}
+        self.assertEqual({0}, in_flight)
+
+    def test_a_draining_searcher_gets_nothing(self):
+        """Guards against new work for a searcher that is leaving."""
+        self.publish(
+            [
+                gateway_case.make_searcher('s1-d1', 's1', 'd1', True),
+                gateway_case.make_searcher('s1-d2', 's1', 'd2'),
+            ]
+        )
+        (sent,) = gateway_case.sends(self.arrive('/one/x'))
+        self.assertEqual('s1-d2', sent.searcher.searcher_id)
--- /dev/null
+++ b/tests/node/gateway/test_client_connection.py
@@ -0,0 +1,135 @@
+import unittest
+
+import logbook
+from twisted.internet import error as net_errors
+from twisted.internet import testing
+from twisted.python import failure
+
+from gypsumbridge_node.gateway import client_connection
+
+CLEAN = failure.Failure(net_errors.ConnectionDone())
+RESET = failure.Failure(net_errors.ConnectionLost())
+
+
+class SocketOptions:
+    def setsockopt(self, level, name, value):
+        pass
+
+
+class Transport(testing.StringTransportWithDisconnection):
+    def getHandle(self):
+        return SocketOptions()
+
+
+class ClientConnectionTest(unittest.TestCase):
+    def setUp(self):
+        self.replies = []
+        self.closed = []
+        self.connection = client_connection.ClientConnection(
+            lambda c, reply: self.replies.append(reply),
+            lambda c, reason: self.closed.append(reason),
+            logbook.Logger('test'),
+        )
+        self.transport = Transport()
+        self.transport.protocol = self.connection
+        self.connection.makeConnection(self.transport)
+
+    def send(self, request_id='r1'):
+        self.connection.send(
+            b'GET / HTTP/1.1\r\n\r\n',
+            lambda reply: reply.header('x-id') == request_id,
+        )
+
+    def receive(self, body=b'abc', request_id='r1', extra=b'', length=None):
+        length = len(body) if length is None else length
+        head = (
+            f'HTTP/1.1 200 OK\r\nX-Id: {request_id}\r\n'
+            f'Content-Length: {length}\r\n\r\n'
+        )
+        self.connection.dataReceived(head.encode() + body + extra)
+
+    def bodies(self):
+        return [reply.body for reply in self.replies]
+
+    def test_a_response_is_reported_and_the_connection_kept(self):
+        """Guards against a new connection for each request."""
+        self.send()
+        self.receive()
+        self.send('r2')
+        self.receive(b'def', 'r2')
+        self.assertEqual([b'abc', b'def'], self.bodies())
+        self.assertTrue(self.connection.is_usable(0))
+
+    def test_a_late_response_to_an_earlier_request_is_discarded(self):
+        """Guards against an answer that belongs to another request."""
+        self.send('r2')
+        self.receive(b'old', 'r1')
+        self.assertEqual([], self.replies)
+        self.receive(b'new', 'r2')
+        self.assertEqual([b'new'], self.bodies())
+        self.assertFalse(self.connection.is_usable(0))
+
+    def test_a_response_that_nobody_waits_for_ends_the_connection(self):
+        """Guards against bytes that the next request would read."""
+        self.receive()
+        self.assertEqual([], self.replies)
+        self.assertEqual(1, len(self.closed))
+
+    def test_bytes_after_a_response_end_the_connection(self):
+        """Guards against bytes that the next request would read."""
+        for extra in (b'HTTP/1.1 200 OK\r\n', b'noise'):
+            with self.subTest(extra=extra):
+                self.setUp()
+                self.send()
+                self.receive(extra=extra)
+                self.assertEqual([b'abc'], self.bodies())
+                self.assertEqual(1, len(self.closed))
+
+    def test_a_truncated_response_is_not_reported(self):
+        """Guards against a body that is not whole."""
+        self.send()
+        self.receive(length=10)
+        self.connection.connectionLost(CLEAN)
+        self.assertEqual([], self.replies)
+        self.assertEqual(['closed'], self.closed)
+
+    def test_an_unframed_response_ends_with_a_clean_close_only(self):
+        """Guards against a reset that looks like the end of a body."""
+        for reason, expected in ((CLEAN, [b'abc']), (RESET, [])):
+            with self.subTest(reason=reason.type):
+                self.setUp()
+                self.send()
+                self.connection.dataReceived(
+                    b'HTTP/1.1 200 OK\r\nX-Id: r1\r\n\r\nabc'
+                )
+                self.connection.connectionLost(reason)
+                self.assertEqual(expected, self.bodies())
+                self.assertFalse(any(r.framed for r in self.replies))
+
+    def test_bytes_that_are_no_response_end_the_connection(self):
+        """Guards against garbage that is taken for a response."""
+        self.send()
+        self.connection.dataReceived(b'\x00\x01garbage\r\n\r\n')
+        self.assertEqual([], self.replies)
+        self.assertEqual(1, len(self.closed))
+
+    def test_a_connection_near_its_stated_timeout_is_not_used(self):
+        """Guards against a request that crosses the server's close."""
+        self.send()
+        self.connection.dataReceived(
+            b'HTTP/1.1 200 OK\r\nX-Id: r1\r\nKeep-Alive: timeout=2\r\n'
+            b'Content-Length: 0\r\n\r\n'
+        )
+        self.connection.idle_since_ms = 1_000
+        self.assertTrue(self.connection.is_usable(2_000))
+        self.assertFalse(self.connection.is_usable(2_800))
+
+    def test_a_server_that_closes_is_not_used_again(self):
+        """Guards against a request on a connection that is ending."""
+        self.send()
+        self.connection.dataReceived(
+            b'HTTP/1.1 200 OK\r\nX-Id: r1\r\nConnection: close\r\n'
+            b'Content-Length: 0\r\n\r\n'
+        )
+        self.assertEqual(1, len(self.replies))
+        self.assertFalse(self.connection.is_usable(0))
--- /dev/null
+++ b/tests/node/gateway/test_server_connection.py
@@ -0,0 +1,134 @@
+import unittest
+
+from twisted.internet import error as net_errors
+from twisted.internet import task
+from twisted.internet import testing
+from twisted.python import failure
+
+from gypsumbridge_decisions import forwarding
+from gypsumbridge_node.gateway import server_connection
+
+LIMITS = forwarding.IngressLimits(
+    max_header_bytes=200,
+    max_body_bytes=100,
+    header_timeout_ms=3_000,
+    idle_timeout_ms=15_000,
+)
+
+
+class ServerConnectionTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = task.Clock()
+        self.requests = []
+        self.gone = 0
+        self.closing = False
+        factory = server_connection.make_factory(
+            lambda c, request: self.requests.append(request),
+            lambda c: self.count_gone(),
+            lambda: LIMITS,
+            lambda: self.closing,
+        )
+        self.connection = factory.buildProtocol(None)
+        self.connection.callLater = self.clock.callLater
+        self.transport = testing.StringTransportWithDisconnection()
+        self.transport.protocol = self.connection
+        self.transport.setTcpNoDelay = lambda enabled: None
+        self.connection.makeConnection(self.transport)
+
+    def count_gone(self):
+        self.gone += 1
+
+    def receive(self, data):
+        self.connection.dataReceived(data)
+
+    def written(self):
+        return self.transport.value()
+
+    def test_requests_are_served_one_at_a_time_in_order(self):
+        """Guards against responses in another order than the requests."""
+        self.receive(b'GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n')
+        self.assertEqual(['/a'], [r.target for r in self.requests])
+        self.connection.respond(200, (), b'A')
+        self.assertEqual(['/a', '/b'], [r.target for r in self.requests])
+        self.connection.respond(200, (), b'B')
+        head = b'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n'
+        self.assertEqual(head + b'A' + head + b'B', self.written())
+
+    def test_a_chunked_body_is_read_in_full(self):
+        """Guards against a body that is passed on in part."""
+        self.receive(
+            b'POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n'
+            b'3\r\nabc\r\n'
+        )
+        self.assertEqual([], self.requests)
+        self.receive(b'2\r\nde\r\n0\r\n\r\n')
+        self.assertEqual(b'abcde', self.requests[0].body)
+
+    def test_a_smuggled_request_is_refused(self):
+        """Guards against two readings of where a request ends."""
+        self.receive(
+            b'POST /a HTTP/1.1\r\nContent-Length: 5\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /b HTTP/1.1\r\n'
+        )
+        self.assertEqual([], self.requests)
+        self.assertIn(b' 400 ', self.written())
+        self.assertFalse(self.transport.connected)
+
+    def test_limits_are_enforced(self):
+        """Guards against callers that exhaust memory."""
+        cases = (
+            (b'GET /a HTTP/1.1\r\nX: ' + b'x' * 200 + b'\r\n\r\n', b' 431 '),
+            (
+                b'POST /a HTTP/1.1\r\nContent-Length: 101\r\n\r\n'
+                + b'x' * 101,
+                b' 413 ',
+            ),
+            (b'nonsense\r\n\r\n', b' 400 '),
+        )
+        for data, status in cases:
+            with self.subTest(status=status):
+                self.setUp()
+                self.receive(data)
+                self.assertIn(status, self.written())
+                self.assertEqual([], self.requests)
+                self.assertFalse(self.transport.connected)
+
+    def test_a_slow_header_ends_with_408(self):
+        """Guards against callers that hold connections open."""
+        self.receive(b'GET /a HT')
+        self.clock.advance(2.9)
+        self.assertEqual(b'', self.written())
+        self.clock.advance(0.2)
+        self.assertIn(b' 408 ', self.written())
+
+    def test_an_idle_connection_is_closed_silently(self):
+        """Guards against a response that no request asked for."""
+        self.clock.advance(14.9)
+        self.assertTrue(self.transport.connected)
+        self.clock.advance(0.2)
+        self.assertFalse(self.transport.connected)
+        self.assertEqual(b'', self.written())
+
+    def test_a_request_in_progress_is_not_idle(self):
+        """Guards against a close without a response."""
+        self.receive(b'GET /a HTTP/1.1\r\n\r\n')
+        self.clock.advance(60)
+        self.assertTrue(self.transport.connected)
+
+    def test_a_stopping_node_says_that_the_connection_ends(self):
+        """Guards against a close that crosses the next request."""
+        self.receive(b'GET /a HTTP/1.1\r\n\r\n')
+        self.closing = True
+        self.connection.respond(200, (), b'')
+        self.assertIn(b'Connection: close', self.written())
+        self.assertFalse(self.transport.connected)
+
+    def test_a_caller_that_leaves_is_reported_once(self):
+        """Guards against work for a caller that is gone."""
+        self.receive(b'GET /a HTTP/1.1\r\n\r\n')
+        self.connection.connectionLost(
+            failure.Failure(net_errors.ConnectionDone())
+        )
+        self.assertEqual(1, self.gone)
+        self.connection.respond(200, (), b'')
+        self.assertEqual(b'', self.written())
--- /dev/null
+++ b/tests/platform_adapter/test_decoding.py
@@ -0,0 +1,191 @@
+import base64
+import json
+import unittest
+
+from gypsumbridge_decisions import discovery
+from gypsumbridge_decisions import errors
+from gypsumbridge_platform import routes
+from gypsumbridge_platform import searchers
+from gypsumbridge_platform import store_calls
+
+ENTRY = {
+    'backend': 's1',
+    'address': '10.1.2.3:8080',
+    'zone': 'd1',
+    'version': 'v1',
+    'slots': 2,
+    'state': 'ready',
+    'warmupLeftMs': 0,
+    'sequence': 4,
+    'born': 1_700_000_000_000,
+}
+CONFIG = {
+    'version': 7,
+    'routes': [
+        {
+            'name': 'r1',
+            'hostname': 'A.example',
+            'prefix': '/all/',
+            'routeType': 'safe',
+            'timeoutMs': 300,
+            'targetLatencyMs': 56,
+            'priority': 0,
+            'gather': ['s1', 's2'],
+            'maxAttempts': 2,
+            'topK': 5,
+            'minCoverage': 0.75,
+        },
+        {
+            'name': 'r2',
+            'hostname': 'a.example',
+            'prefix': '/once/',
+            'routeType': 'unsafe',
+            'timeoutMs': 2_000,
+            'targetLatencyMs': 800,
+            'priority': 2,
+            'trafficSplit': [
+                {'backend': 's1', 'weight': 3},
+                {'backend': 's2', 'weight': 1},
+            ],
+            'maxAttempts': 1,
+        },
+    ],
+    'backends': [
+        {'name': 's1', 'healthPath': '/h', 'maxConnections': 26},
+        {'name': 's2', 'healthPath': '/h', 'maxConnections': 35},
+    ],
+    'limits': {
+        'maxHeaderBytes': 16_384,
+        'maxBodyBytes': 262_144,
+        'headerTimeoutMs': 3_000,
+        'idleTimeoutMs': 15_000,
+    },
+}
+
+
+def encode(value):
+    return json.dumps(value).encode()
+
+
+class SearcherTest(unittest.TestCase):
+    def decode(self, **changes):
+        entry = {**ENTRY, **changes}
+        entry = {k: v for k, v in entry.items() if v is not None}
+        return searchers.decode_searcher('i-1', encode(entry))
+
+    def test_an_entry_becomes_a_searcher(self):
+        """Guards against fields that are mistaken for each other."""
+        found = self.decode(state='draining')
+        self.assertEqual(('10.1.2.3', 8080), (found.address, found.port))
+        self.assertEqual(
+            ('s1', 'd1', 2), (found.service, found.failure_domain, found.slots)
+        )
+        self.assertTrue(found.draining)
+        self.assertEqual(1_700_000_000_000, found.incarnation)
+
+    def test_a_heartbeat_changes_nothing(self):
+        """Guards against news without a change."""
+        self.assertEqual(self.decode(sequence=4), self.decode(sequence=9))
+
+    def test_unusable_entries_are_refused(self):
+        """Guards against entries of another writer."""
+        cases = (
+            {'state': 'resting'},
+            {'state': None},
+            {'backend': None},
+            {'backend': 5},
+            {'address': 'host:80'},
+            {'address': '10.1.2.3'},
+            {'address': '10.1.2.3:0'},
+            {'address': '10.1.2.3:x'},
+            {'slots': 'two'},
+            {'slots': 0},
+            {'zone': None},
+        )
+        for changes in cases:
+            with self.subTest(changes=changes):
+                with self.assertRaises(errors.FrameError):
+                    self.decode(**changes)
+        for value in (b'', b'\xff\xfe', b'[]', b'null'):
+            with self.subTest(value=value):
+                with self.assertRaises(errors.FrameError):
+                    searchers.decode_searcher('i-1', value)
+
+
+class RoutesTest(unittest.TestCase):
+    def test_a_configuration_becomes_a_route_table(self):
+        """Guards against routes that lose their meaning in decoding."""
+        table = routes.decode_routes(encode(CONFIG))
+        self.assertEqual(7, table.version)
+        self.assertEqual({'s1': 26, 's2': 35}, table.connection_limits)
+        gathered = table.routes['a.example']['/all/']
+        self.assertTrue(gathered.idempotent)
+        self.assertEqual(
+            (5, 0.75), (gathered.gather.top_k, gathered.gather.min_coverage)
+        )
+        split = table.routes['a.example']['/once/']
+        self.assertFalse(split.idempotent)
+        self.assertEqual([3, 1], [t.weight for t in split.targets])
+        self.assertEqual(3_000, table.limits.header_timeout_ms)
+
+    def test_a_bad_configuration_is_refused(self):
+        """Guards against routes that are put into force in part."""
+        broken = json.loads(json.dumps(CONFIG))
+        del broken['routes'][0]['gather']
+        for value in (b'{', b'', b'{}', encode(broken)):
+            with self.subTest(value=value[:20]):
+                with self.assertRaises(errors.FrameError):
+                    routes.decode_routes(value)
+
+
+class StoreCallsTest(unittest.TestCase):
+    def test_pages_follow_the_last_key(self):
+        """Guards against a list that stops after its first page."""
+        body = {
+            'items': [
+                {'key': 'a/b', 'value': 'eA==', 'revision': 3, 'created': 1},
+                {'key': 'a/c', 'value': '*', 'revision': 4, 'created': 1},
+            ],
+            'hasMore': True,
+            'storeRevision': 9,
+        }
+        page = store_calls.decode_list(encode(body))
+        self.assertEqual((9, 'a/c'), (page.revision, page.next_after))
+        self.assertEqual([b'x', b''], [r.value for r in page.records])
+        request = store_calls.encode_list('a/c&d')
+        self.assertIn('after=a%2Fc%26d', request.target)
+
+    def test_a_watch_tells_deletions_from_writes(self):
+        """Guards against a deleted key that is taken for an empty one."""
+        body = {
+            'events': [
+                {
+                    'key': 'a',
+                    'value': base64.b64encode(b'v').decode(),
+                    'revision': 5,
+                    'created': 5,
+                    'lease': 0,
+                },
+                {'key': 'b', 'revision': 6, 'deleted': True},
+            ],
+            'storeRevision': 6,
+        }
+        self.assertEqual(
+            discovery.StoreChanged(
+                6,
+                (
+                    discovery.StoreRecord('a', 5, b'v'),
+                    discovery.StoreRecord('b', 6, None),
+                ),
+            ),
+            store_calls.decode_watch(encode(body)),
+        )
+
+    def test_unreadable_responses_are_refused(self):
+        """Guards against a response of something that is no store."""
+        for body in (b'', b'<html>', b'{"items": 3}'):
+            with self.subTest(body=body):
+                with self.assertRaises(errors.FrameError):
+                    store_calls.decode_list(body)
+                with self.assertRaises(errors.FrameError):
+                    store_calls.decode_watch(body)
