Stop asking at an address that another searcher has taken

An address of a dead searcher had gone to a searcher of another service of the same gather route. Each request sent there was answered 421 and counted as a repeat at the other service, whose budget was not charged.

Change: a searcher whose address answers for another one is not used until its entry changes. A searcher that takes no connection is ejected by its first failure, and a connection attempt ends after 200 ms in place of 400. Log lines go through a writer that never blocks and bounds what waits.

--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/choosing.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/choosing.py
@@ -23,8 +23,8 @@
 ) -> searchers.Searcher | None:
     """Return the searcher with the lowest expected latency, or None.
 
-    Draining and excluded searchers are never chosen; ejected ones only
-    when there is no other.
+    Draining, replaced and excluded searchers are never chosen; ejected ones
+    only when there is no other.
     """
     best = None
     best_cost = (True, 0.0)
@@ -32,6 +32,8 @@
         if candidate.draining or candidate.searcher_id in excluded:
             continue
         measured = health[candidate.searcher_id]
+        if measured.replaced:
+            continue
         measured.fade(now_ms)
         cost = (
             measured.ejected_until_ms > now_ms,
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/ending.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/ending.py
@@ -36,7 +36,7 @@
         return []
     part = exchange.part(attempt.service)
     part.running.discard(ended.attempt_id)
-    if ended.outcome in (_OUTCOME.NOT_RUN, _OUTCOME.NOT_SENT):
+    if ended.outcome.is_unrun():
         part.runs -= 1
     if part.answer is not None:
         return []
@@ -82,9 +82,10 @@
     if ended.outcome == _OUTCOME.ANSWERED:
         part.failure = ended
         part.reason = f'status_{ended.status}'
-    unrun = ended.outcome in (_OUTCOME.NOT_RUN, _OUTCOME.NOT_SENT)
     sent: list[command.Command] = []
-    if exchange.route.idempotent or (unrun and not part.running):
+    if exchange.route.idempotent or (
+        ended.outcome.is_unrun() and not part.running
+    ):
         charged = ended.outcome != _OUTCOME.NOT_SENT
         sent = sending.send_extra(state, exchange, part, now_ms, charged)
     if sent:
@@ -147,6 +148,9 @@
     health.in_flight -= 1
     if attempt.overdue:
         health.overdue -= 1
+    if ended.outcome == _OUTCOME.MISDIRECTED:
+        health.replaced = True
+        return
     latency_ms = now_ms - attempt.sent_ms
     window = state.latencies.get(attempt.route_name)
     usual_ms = window.median_ms if window is not None else latency_ms
@@ -158,4 +162,5 @@
     silent_ms = max(MIN_SILENCE_MS, SILENCE_FACTOR * usual_ms)
     if attempt.abandoned and latency_ms < silent_ms:
         return
-    health.record_failure(now_ms)
+    unreachable = ended.outcome == _OUTCOME.NOT_SENT
+    health.record_failure(now_ms, unreachable)
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/news.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/news.py
@@ -1,5 +1,7 @@
 """Changes of routes, searchers and nodes."""
 
+import dataclasses
+
 from gypsumbridge_decisions import messages
 from gypsumbridge_decisions.forwarding import command
 from gypsumbridge_decisions.forwarding import extra_budget
@@ -38,10 +40,19 @@
 ) -> list[command.Command]:
     """Replace the searchers; measurements of those that stay are kept."""
     known: set[str] = set()
+    previous = {
+        found.searcher_id: found
+        for service in state.searchers.values()
+        for found in service
+    }
     state.searchers = {}
     for found in news.searchers:
         known.add(found.searcher_id)
         state.searchers.setdefault(found.service, []).append(found)
+        before = previous.get(found.searcher_id, found)
+        if before != dataclasses.replace(found, draining=before.draining):
+            # Started again, or moved: what was measured is out of date.
+            state.health[found.searcher_id].replaced = False
         if found.searcher_id not in state.health:
             state.health[found.searcher_id] = searcher_health.SearcherHealth()
     busy = {a.searcher.searcher_id for a in state.attempts.values()}
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/searcher_health.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/searcher_health.py
@@ -16,7 +16,8 @@
     """Moving averages and an ejection time.
 
     `slowness` is the ratio of this searcher's latency to the usual latency
-    of the same route; `failure_rate` lies between 0 and 1.
+    of the same route; `failure_rate` lies between 0 and 1. `replaced` is
+    set when another searcher has answered at the address.
     """
 
     def __init__(self) -> None:
@@ -27,6 +28,7 @@
         self.measured_ms = 0
         self.failures_in_a_row = 0
         self.ejected_until_ms = 0
+        self.replaced = False
 
     def fade(self, now_ms: int) -> None:
         """Move the averages towards normal by the time that has passed."""
@@ -42,14 +44,17 @@
         self.failure_rate -= SAMPLE_WEIGHT * self.failure_rate
         self.failures_in_a_row = 0
 
-    def record_failure(self, now_ms: int) -> None:
-        """Count a failure; several in a row eject the searcher."""
+    def record_failure(self, now_ms: int, unreachable: bool) -> None:
+        """Count a failure; several in a row eject the searcher.
+
+        One that takes no connection is ejected by its first failure.
+        """
         self.fade(now_ms)
         self.failure_rate += SAMPLE_WEIGHT * (1.0 - self.failure_rate)
         self.failures_in_a_row += 1
         extra = self.failures_in_a_row - FAILURES_TO_EJECT
-        if extra >= 0:
+        if unreachable or extra >= 0:
             ejection_ms = min(
-                FIRST_EJECTION_MS << min(extra, 8), MAX_EJECTION_MS
+                FIRST_EJECTION_MS << max(0, min(extra, 8)), MAX_EJECTION_MS
             )
             self.ejected_until_ms = now_ms + ejection_ms
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/searchers.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/searchers.py
@@ -19,7 +19,7 @@
 from gypsumbridge_node.gateway import searchers_state
 
 # A host that does not answer at all; a new connection takes a few ms.
-CONNECT_TIMEOUT_S = 0.4
+CONNECT_TIMEOUT_S = 0.2
 # A request that must not run twice is not sent over a connection that was
 # idle for longer, since the searcher may be closing it at that moment.
 MAX_IDLE_UNSAFE_MS = 500
@@ -259,7 +259,10 @@
         if job is None:
             connection.close()
             return
-        self.report(job, classify(self.names, job.order, reply))
+        ended = classify(self.names, job.order, reply)
+        self.report(job, ended)
+        if ended.outcome == Outcome.MISDIRECTED:
+            connection.reusable = False
         if not connection.reusable:
             connection.close()
             self.serve_waiting(pool)
@@ -350,7 +353,9 @@
     """Return what a complete response says of the attempt."""
     not_run = reply.header(names.not_run) is not None
     outcome = Outcome.ANSWERED
-    if not_run or reply.status == STATUS_MISDIRECTED:
+    if reply.status == STATUS_MISDIRECTED:
+        outcome = Outcome.MISDIRECTED
+    elif not_run:
         outcome = Outcome.NOT_RUN
     elif order.framed_only and not reply.framed:
         outcome = Outcome.LOST
--- a/packages/node/src/gypsumbridge_node/json_lines.py
+++ b/packages/node/src/gypsumbridge_node/json_lines.py
@@ -7,6 +7,8 @@
 import logbook
 import msgspec
 
+from gypsumbridge_node import line_writer
+
 _encoder = msgspec.json.Encoder(enc_hook=str)
 
 
@@ -25,9 +27,13 @@
 
 
 def install_handler(level: str) -> logbook.StreamHandler:
-    """Send all log records as JSON lines to standard output."""
+    """Send all log records as JSON lines to standard output.
+
+    A reader that is slow or stopped never blocks the process.
+    """
     logbook.set_datetime_format(_utc_now)
-    handler = logbook.StreamHandler(sys.stdout, level=level.upper())
+    writer = line_writer.make_line_writer(sys.stdout.fileno())
+    handler = logbook.StreamHandler(writer, level=level.upper())
     handler.formatter = format_record
     handler.push_application()
     return handler
--- /dev/null
+++ b/packages/node/src/gypsumbridge_node/line_writer.py
@@ -0,0 +1,75 @@
+"""Standard output for log lines, without ever waiting for its reader."""
+
+import collections
+import os
+
+import msgspec
+
+# Lines that the reader has not taken yet, in bytes.
+MAX_WAITING_BYTES = 262_144
+
+
+class LineWriter:
+    """Writes lines to a file descriptor and keeps what does not fit.
+
+    When more than `max_bytes` wait, new lines are left out; how many is
+    written as a line of its own once the reader has caught up.
+    """
+
+    def __init__(self, descriptor: int, max_bytes: int) -> None:
+        self.descriptor = descriptor
+        self.max_bytes = max_bytes
+        self.waiting: collections.deque[bytes] = collections.deque()
+        self.waiting_bytes = 0
+        self.left_out = 0
+
+    def write(self, text: str) -> None:
+        """Add text that ends with a line end."""
+        line = text.encode()
+        if self.waiting_bytes + len(line) > self.max_bytes:
+            self.left_out += 1
+            return
+        self._append(line)
+        self.flush()
+
+    def flush(self) -> None:
+        """Write what the reader takes now."""
+        while self.waiting:
+            line = self.waiting[0]
+            try:
+                written = os.write(self.descriptor, line)
+            except BlockingIOError:
+                return
+            except BrokenPipeError:
+                # Nobody reads the log any more.
+                self.waiting.clear()
+                self.waiting_bytes = 0
+                return
+            self.waiting_bytes -= written
+            if written < len(line):
+                self.waiting[0] = line[written:]
+                return
+            self.waiting.popleft()
+            if not self.waiting and self.left_out:
+                self._append(self._left_out_line())
+
+    def _append(self, line: bytes) -> None:
+        self.waiting.append(line)
+        self.waiting_bytes += len(line)
+
+    def _left_out_line(self) -> bytes:
+        line = {
+            'level': 'warning',
+            'message': 'log lines left out, the reader is slow',
+            'count': self.left_out,
+        }
+        self.left_out = 0
+        return msgspec.json.encode(line) + b'\n'
+
+
+def make_line_writer(
+    descriptor: int, max_bytes: int = MAX_WAITING_BYTES
+) -> LineWriter:
+    """Return a writer on a descriptor, which no longer blocks."""
+    os.set_blocking(descriptor, False)
+    return LineWriter(descriptor, max_bytes)
--- a/tests/decisions/forwarding/test_forward.py
+++ b/tests/decisions/forwarding/test_forward.py
@@ -1,8 +1,10 @@
 import collections
+import dataclasses
 
 from gypsumbridge_decisions import forwarding
 from tests.decisions.forwarding import gateway_case
 
+MISDIRECTED = forwarding.AttemptOutcome.MISDIRECTED
 LOST = forwarding.AttemptOutcome.LOST
 NOT_RUN = forwarding.AttemptOutcome.NOT_RUN
 NOT_SENT = forwarding.AttemptOutcome.NOT_SENT
@@ -133,6 +135,32 @@
         sent = self.one_sent('/once/x')
         self.assertEqual('s1-d2', sent.searcher.searcher_id)
 
+    def test_a_replaced_searcher_is_not_asked_again(self):
+        """Guards against arrivals that another service has to reject.
+
+        They count against the other service's retry budget, which is not
+        charged for them.
+        """
+        only = gateway_case.make_searcher('s1-d1', 's1')
+        self.publish([only])
+        sent = self.one_sent('/once/x')
+        commands = self.end(sent, MISDIRECTED, 421)
+        (response,) = gateway_case.responses(commands)
+        self.assertEqual(503, response.status)
+        (response,) = gateway_case.responses(self.arrive('/once/x'))
+        self.assertEqual(503, response.status)
+        self.publish([dataclasses.replace(only, incarnation=1)])
+        self.one_sent('/once/x')
+
+    def test_an_unreachable_searcher_is_avoided_at_once(self):
+        """Guards against a second request to a host that is down."""
+        sent = self.one_sent('/once/x')
+        self.end(sent, NOT_SENT)
+        again = self.one_sent('/once/x')
+        self.assertNotEqual(
+            sent.searcher.searcher_id, again.searcher.searcher_id
+        )
+
     def test_the_last_searcher_is_used_although_it_fails(self):
         """Guards against ejecting every searcher of a service."""
         self.publish([gateway_case.make_searcher('s1-d1', 's1')])
