Hedge one attempt in ten where time is left, and spread preferences by node

Change: the hedge delay lies between the 0.75 and 0.9 quantiles of the route's latencies; ties between searchers are broken by a hash of node and searcher; watches and pauses grow with the fleet; a node begins with one token; a latency histogram for each rank; docs/OPERATIONS.md takes the place of operators.md.

--- a/packages/ctl/src/gypsumbridge_ctl/exit_code.py
+++ b/packages/ctl/src/gypsumbridge_ctl/exit_code.py
@@ -4,7 +4,7 @@
 
 
 class ExitCode(enum.IntEnum):
-    """What a script may rely on; documented in docs/operators.md.
+    """What a script may rely on; documented in docs/OPERATIONS.md.
 
     `UNAVAILABLE` also covers a write whose outcome is unknown.
     """
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/syncing.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/syncing.py
@@ -13,11 +13,16 @@
 from gypsumbridge_decisions.discovery import watch_store
 from gypsumbridge_decisions.discovery import write_node
 
-# A waiting watch is a call that is paid for, and a watch on a connection
-# that went silent is only noticed at its end.
+# A waiting watch is a call that is paid for; one on a connection that went
+# silent, with its probes unanswered, is given up at its end. The more nodes
+# share the price, the longer each one waits.
 WATCH_MS = 3_000
+MAX_WATCH_MS = 25_000
 # Changes that come within this time of each other are read in one call.
-COALESCE_MS = 250
+COALESCE_MS = 300
+MAX_COALESCE_MS = 1_000
+# The fleet for which the times above are meant; larger ones scale them.
+SMALL_FLEET = 10
 FIRST_RETRY_MS = 100
 MAX_RETRY_MS = 800
 
@@ -26,7 +31,14 @@
     """Make the next call to the store."""
     if state.list_needed:
         return [list_store.ListStore()]
-    return [watch_store.WatchStore(state.revision, WATCH_MS)]
+    wait_ms = scale(state, WATCH_MS, MAX_WATCH_MS)
+    return [watch_store.WatchStore(state.revision, wait_ms)]
+
+
+def scale(state: states.DiscoveryState, time_ms: int, most_ms: int) -> int:
+    """Return a time in proportion to the fleet, within bounds."""
+    nodes = max(SMALL_FLEET, len(state.nodes))
+    return min(most_ms, time_ms * nodes // SMALL_FLEET)
 
 
 def take_list(
@@ -62,7 +74,8 @@
     commands += announce(state)
     if not changed.records:
         return [*commands, *resume(state)]
-    timer = messages.Timer(COALESCE_MS, resume_timer.ResumeTimer())
+    pause_ms = scale(state, COALESCE_MS, MAX_COALESCE_MS)
+    timer = messages.Timer(pause_ms, resume_timer.ResumeTimer())
     return [*commands, timer]
 
 
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/choosing.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/choosing.py
@@ -3,8 +3,10 @@
 from collections.abc import Collection
 from collections.abc import Iterable
 
+from gypsumbridge_decisions.forwarding import policy as policies
 from gypsumbridge_decisions.forwarding import searcher as searchers
 from gypsumbridge_decisions.forwarding import searcher_health
+from gypsumbridge_decisions.routing import rendezvous
 
 # A searcher in another failure domain is chosen when the one in this domain
 # is expected to take this much longer. Traffic between domains is billed.
@@ -12,12 +14,15 @@
 # An attempt that is overdue suggests a pause that outlasts a usual request.
 OVERDUE_PENALTY = 3.0
 FAILURE_PENALTY = 4.0
+# Nodes without a searcher nearby, or with several, differ in which one they
+# prefer, so that connections and load spread over all of them.
+PREFERENCE_SPREAD = 0.2
 
 
 def choose_searcher(
     candidates: Iterable[searchers.Searcher],
     health: dict[str, searcher_health.SearcherHealth],
-    own_domain: str,
+    policy: policies.ForwardingPolicy,
     excluded: Collection[str],
     now_ms: int,
 ) -> searchers.Searcher | None:
@@ -37,7 +42,7 @@
         measured.fade(now_ms)
         cost = (
             measured.ejected_until_ms > now_ms,
-            expected_cost(candidate, measured, own_domain),
+            expected_cost(candidate, measured, policy),
         )
         if best is None or cost < best_cost:
             best = candidate
@@ -48,13 +53,14 @@
 def expected_cost(
     searcher: searchers.Searcher,
     measured: searcher_health.SearcherHealth,
-    own_domain: str,
+    policy: policies.ForwardingPolicy,
 ) -> float:
     """Return the expected latency in units of the route's usual latency."""
     load = max(0, measured.in_flight + 1 - searcher.slots) / searcher.slots
     cost = measured.slowness * (1.0 + load)
     cost += OVERDUE_PENALTY * measured.overdue
     cost += FAILURE_PENALTY * measured.failure_rate
-    if searcher.failure_domain != own_domain:
+    if searcher.failure_domain != policy.failure_domain:
         cost += OTHER_DOMAIN_PENALTY
-    return cost
+    weight = rendezvous.weight(searcher.searcher_id, policy.node_id)
+    return cost + PREFERENCE_SPREAD * weight / rendezvous.HASH_RANGE
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/command.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/command.py
@@ -12,4 +12,5 @@
     | messages.Timer
     | messages.Decision
     | messages.Count
+    | messages.Observe
 )
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/extra_budget.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/extra_budget.py
@@ -17,8 +17,8 @@
     allowance that does not depend on traffic, for each window of
     `window_ms`: a part of it can be saved, the rest is earned evenly over
     time, so that no window sees more than `ratio` times its requests plus
-    `fixed`. A restarted node begins with half of what can be saved, since
-    the one before may have spent its share in this window.
+    `fixed`. A restarted node begins with one token at most, since the one
+    before may have spent its share in this window.
     """
 
     def __init__(
@@ -28,7 +28,7 @@
         self.fixed = fixed
         self.window_ms = window_ms
         self.earned_ms = now_ms
-        self.tokens = self.most_saved() / 2
+        self.tokens = min(1.0, self.most_saved())
 
     def most_saved(self) -> float:
         """Return how many tokens can be kept for later."""
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/finishing.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/finishing.py
@@ -146,6 +146,10 @@
         messages.Count(f'forwarding.finished.{response.status}'),
         messages.Count(f'forwarding.rank_{rank}.{response.status}'),
         messages.Count('forwarding.missing_parts', len(missing)),
+        messages.Observe(
+            f'forwarding.latency.rank_{rank}',
+            now_ms - exchange.request.arrived_ms,
+        ),
     ]
 
 
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/hedging.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/hedging.py
@@ -36,11 +36,13 @@
     """Return when parts that are still out are sent once more.
 
     Hedges cost the service a part of its shared budget. A route with time
-    to spare hedges late, which leaves the budget to those without.
+    to spare hedges one attempt in ten, which leaves budget to routes
+    without, and to retries; those hedge up to one in four.
     """
     window = latencies_of(state, route)
     latest_ms = answer_after_ms - LATENCIES_LEFT * window.high_ms
-    return max(MIN_DELAY_MS, int(max(window.usual_ms, latest_ms)))
+    delay_ms = max(window.usual_ms, min(window.high_ms, latest_ms))
+    return max(MIN_DELAY_MS, int(delay_ms))
 
 
 def hedge(
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/policy.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/policy.py
@@ -5,13 +5,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class ForwardingPolicy:
-    """What the deployment prescribes.
+    """This node's place, and what the deployment prescribes.
 
     `extra_ratio` and `extra_allowance` bound the attempts beyond the first
     of each request, for each service and window of `window_ms`, over all
     nodes together.
     """
 
+    node_id: str
     failure_domain: str
     extra_ratio: float
     extra_allowance: float
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/sending.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/sending.py
@@ -77,7 +77,7 @@
     return choosing.choose_searcher(
         state.searchers.get(part.service, ()),
         state.health,
-        state.policy.failure_domain,
+        state.policy,
         part.tried,
         now_ms,
     )
--- a/packages/decisions/src/gypsumbridge_decisions/messages/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/messages/__init__.py
@@ -121,6 +121,7 @@
 from gypsumbridge_decisions.messages.mutation_result import (
     MutationResult as MutationResult,
 )
+from gypsumbridge_decisions.messages.observe import Observe as Observe
 from gypsumbridge_decisions.messages.owner_alive import (
     OwnerAlive as OwnerAlive,
 )
--- a/packages/node/src/gypsumbridge_node/execute.py
+++ b/packages/node/src/gypsumbridge_node/execute.py
@@ -18,7 +18,7 @@
 ) -> Callable[[Iterable[Any]], None]:
     """Return a function that carries out commands.
 
-    Timers, decisions and counts mean the same for every task; `actions`
+    Timers, decisions, counts and latencies mean the same for every task; `actions`
     adds the task's own commands.
     """
 
@@ -28,10 +28,14 @@
     def count(counted: messages.Count) -> None:
         runtime.metrics.count(counted.name, counted.value)
 
+    def observe(observed: messages.Observe) -> None:
+        runtime.metrics.observe(observed.name, observed.value_ms)
+
     table: dict[type, Callable[[Any], None]] = {
         messages.Timer: set_timer,
         messages.Decision: runtime.decisions.write,
         messages.Count: count,
+        messages.Observe: observe,
         **actions,
     }
 
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/forwarding_task.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/forwarding_task.py
@@ -13,6 +13,7 @@
     settings = runtime.settings
     state = forwarding.make_forwarding_state(
         forwarding.ForwardingPolicy(
+            settings.node.node_id,
             settings.node.failure_domain,
             settings.retry.ratio,
             settings.retry.allowance,
--- a/packages/node/src/gypsumbridge_node/metrics.py
+++ b/packages/node/src/gypsumbridge_node/metrics.py
@@ -1,7 +1,9 @@
-"""Counters and gauges, sent by statsd."""
+"""Counters, gauges and latencies; the first two are sent by statsd."""
 
 import statsd
 
+from gypsumbridge_node import latency_histogram
+
 FLUSH_INTERVAL_S = 1.0
 
 
@@ -17,6 +19,7 @@
         self.counts: dict[str, int] = {}
         self.gauges: dict[str, float] = {}
         self.totals: dict[str, int] = {}
+        self.histograms: dict[str, latency_histogram.LatencyHistogram] = {}
 
     def count(self, name: str, value: int = 1) -> None:
         """Add to a counter."""
@@ -27,6 +30,14 @@
         """Set a gauge."""
         self.gauges[name] = value
 
+    def observe(self, name: str, value_ms: float) -> None:
+        """Count a latency in milliseconds in the histogram `name`."""
+        found = self.histograms.get(name)
+        if found is None:
+            found = latency_histogram.LatencyHistogram()
+            self.histograms[name] = found
+        found.observe(value_ms)
+
     def flush(self) -> None:
         """Send what has been counted since the last flush."""
         counts, self.counts = self.counts, {}
--- a/tests/decisions/forwarding/gateway_case.py
+++ b/tests/decisions/forwarding/gateway_case.py
@@ -67,7 +67,7 @@
         self.now_ms = 1_000
         self.last_call_id = 0
         self.state = forwarding.make_forwarding_state(
-            forwarding.ForwardingPolicy('d1', 0.2, 54.0, 10_000)
+            forwarding.ForwardingPolicy('n1', 'd1', 0.2, 54.0, 10_000)
         )
         # A node alone has tokens for hedges from the start.
         self.handle(forwarding.FleetSizeChanged(1))
--- a/tests/decisions/forwarding/test_timing.py
+++ b/tests/decisions/forwarding/test_timing.py
@@ -33,7 +33,6 @@
 
 class ExtraBudgetTest(gateway_case.GatewayCase):
     RATIO = 0.2
-    ALLOWANCE = 58.0
     WINDOW_MS = 10_000
 
     def test_no_window_exceeds_the_fleets_budget(self):
@@ -44,10 +43,11 @@
         """
         for seed in range(20):
             with self.subTest(seed=seed):
-                self.run_fleet(random.Random(seed), nodes=9)
+                self.run_fleet(random.Random(seed), 9, 58.0)
+                self.run_fleet(random.Random(seed), 83, 206.0)
 
-    def run_fleet(self, rng, nodes):
-        fixed = forwarding.fixed_share(self.ALLOWANCE, nodes)
+    def run_fleet(self, rng, nodes, allowance):
+        fixed = forwarding.fixed_share(allowance, nodes)
 
         def make_budget(now_ms):
             return forwarding.ExtraBudget(
@@ -63,7 +63,7 @@
         while now_ms < 30_000:
             rate = rng.choice((5, 50, 400))
             now_ms += int(rng.expovariate(rate) * 1000)
-            node = min(int(rng.expovariate(0.4)), nodes - 1)
+            node = min(int(rng.expovariate(4 / nodes)), nodes - 1)
             if now_ms > restart_ms and node not in restarted:
                 restarted.add(node)
                 budgets[node] = make_budget(now_ms)
@@ -75,4 +75,4 @@
             begin = end - self.WINDOW_MS
             spent = sum(begin < t <= end for t in extras)
             asked = sum(begin < t <= end for t in requests)
-            self.assertLessEqual(spent, self.RATIO * asked + self.ALLOWANCE)
+            self.assertLessEqual(spent, self.RATIO * asked + allowance)
--- a/tests/docs/test_operators_page.py
+++ b/tests/docs/test_operations_page.py
@@ -7,7 +7,7 @@
 from gypsumbridge_wire import operator
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
-PAGE = (ROOT / 'docs' / 'operators.md').read_text(encoding='utf-8')
+PAGE = (ROOT / 'docs' / 'OPERATIONS.md').read_text(encoding='utf-8')
 
 
 class OperatorsPageTest(unittest.TestCase):
