Stand in for the users' platform, and test gateways as processes

Change: a store and searchers on loopback, on the codecs of platform/, with a control port for faults; tests of gathers under truncated, foreign, extra and failed responses, of unsafe requests, true refusals, draining searchers, routes that never revert, an outage of the store, and a stop under traffic. The quantiles of a route's latencies include hedged and abandoned attempts; without them each hedge made the next one come earlier.

--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/ending.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/ending.py
@@ -154,9 +154,12 @@
     latency_ms = now_ms - attempt.sent_ms
     window = state.latencies.get(attempt.route_name)
     usual_ms = window.median_ms if window is not None else latency_ms
-    if ended.outcome == _OUTCOME.ANSWERED and ended.status < 500:
-        if window is not None and not attempt.overdue:
-            window.add(latency_ms)
+    answered = ended.outcome == _OUTCOME.ANSWERED and ended.status < 500
+    if window is not None and (answered or attempt.abandoned):
+        # One that was given up would have taken longer still. Without the
+        # slow ones the quantiles fall with each hedge that they cause.
+        window.add(latency_ms)
+    if answered:
         health.record_answer(latency_ms / max(1.0, usual_ms), now_ms)
         return
     silent_ms = max(MIN_SILENCE_MS, SILENCE_FACTOR * usual_ms)
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/hedging.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/hedging.py
@@ -15,7 +15,7 @@
 MIN_DELAY_MS = 5
 # The latency that is assumed before any is measured, as a share of the
 # objective.
-ASSUMED_LATENCY_SHARE = 0.25
+ASSUMED_LATENCY_SHARE = 0.45
 
 
 def latencies_of(
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/latency_window.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/latency_window.py
@@ -2,7 +2,7 @@
 
 import collections
 
-WINDOW = 200
+WINDOW = 400
 # The quantiles are worked out again after this many samples.
 REFRESH = 20
 MEDIAN = 0.5
--- a/packages/standins/src/gypsumbridge_standins/cluster/cluster.py
+++ b/packages/standins/src/gypsumbridge_standins/cluster/cluster.py
@@ -1,6 +1,7 @@
 """Processes of one deployment on loopback."""
 
 import json
+import os
 import pathlib
 import subprocess
 import sys
@@ -27,14 +28,23 @@
         self.balancer_lag_ms = 300
         self.controls: list[str] = []
 
-    def spawn(self, name: str, arguments: list[str]) -> None:
-        """Start a Python module as a process with a log file of its own."""
+    def spawn(
+        self,
+        name: str,
+        arguments: list[str],
+        variables: dict[str, str] | None = None,
+    ) -> None:
+        """Start a Python module as a process with a log file of its own.
+
+        `variables` are added to the environment.
+        """
         with (self.folder / f'{name}.log').open('ab') as log:
             self.processes[name] = subprocess.Popen(
                 [sys.executable, '-m', *arguments],
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
+                env={**os.environ, **(variables or {})},
             )
 
     def signal(self, name: str, number: int) -> None:
--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/users_platform/gateway_cluster.py
@@ -0,0 +1,109 @@
+"""Starts the platform's stand-in and gateways as processes."""
+
+import json
+from typing import Any
+
+from gypsumbridge_platform import __main__ as platform_main
+from gypsumbridge_platform import platform_adapter
+from gypsumbridge_standins.cluster import cluster as clusters
+from gypsumbridge_standins.cluster import node_address
+from gypsumbridge_standins.cluster import ports
+
+MODULE = 'gypsumbridge_standins.users_platform'
+GATEWAY = 'gypsumbridge_platform'
+DOMAINS = ('d1', 'd2')
+
+SETTINGS = """\
+[node]
+node_id = {name}
+failure_domain = {domain}
+
+[listen]
+callers = 127.0.0.1:{callers}
+ready = 127.0.0.1:{ready}
+metrics = 127.0.0.1:{metrics}
+
+[discovery]
+store_address = 127.0.0.1:{store}
+
+[retry]
+ratio = 0.2
+allowance = 50
+
+[stop]
+grace_s = 6
+balancer_lag_ms = 300
+
+[log]
+decision_lines_per_second = 5000
+"""
+
+
+def start_gateway_cluster(
+    cluster: clusters.Cluster,
+    config: dict[str, Any],
+    services: tuple[str, ...],
+    nodes: int,
+) -> None:
+    """Start two searchers for each service and some gateways.
+
+    A searcher's id is its service and failure domain, joined by a dash.
+    `cluster.controls` holds the stand-in's control address.
+    """
+    chosen = ports.free_ports(2 + len(services) * len(DOMAINS) + 3 * nodes)
+    store, control = chosen.pop(), chosen.pop()
+    searchers = {
+        f'{service}-{domain}': {
+            'service': service,
+            'port': chosen.pop(),
+            'domain': domain,
+        }
+        for service in services
+        for domain in DOMAINS
+    }
+    plan = {
+        'store': store,
+        'control': control,
+        'config': config,
+        'searchers': searchers,
+    }
+    path = cluster.folder / 'platform.json'
+    path.write_text(json.dumps(plan))
+    cluster.spawn('platform', [MODULE, str(path)])
+    cluster.store = f'127.0.0.1:{store}'
+    cluster.controls = [f'127.0.0.1:{control}']
+    for number in range(nodes):
+        start_gateway(cluster, number, [chosen.pop() for _ in range(3)])
+
+
+def start_gateway(
+    cluster: clusters.Cluster, number: int, listen: list[int]
+) -> None:
+    """Start one gateway and wait until it is ready.
+
+    `listen` holds the ports for callers, readiness and metrics.
+    """
+    name = f'gateway-{number}'
+    domain = DOMAINS[number % len(DOMAINS)]
+    callers, ready, metrics = listen
+    settings = SETTINGS.format(
+        name=name,
+        domain=domain,
+        callers=callers,
+        ready=ready,
+        metrics=metrics,
+        store=cluster.store.rpartition(':')[2],
+    )
+    path = cluster.folder / f'{name}.ini'
+    path.write_text(settings)
+    variables = {platform_main.SETTINGS_VARIABLE: str(path)}
+    cluster.nodes[name] = node_address.NodeAddress(
+        name, domain, f'127.0.0.1:{metrics}', f'127.0.0.1:{callers}'
+    )
+    cluster.spawn(name, [GATEWAY], variables)
+    clusters.wait_until(
+        lambda: clusters.answers(
+            f'127.0.0.1:{ready}', platform_adapter.READY_PATH
+        ),
+        f'{name} is ready',
+    )
--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/users_platform/store_site.py
@@ -0,0 +1,97 @@
+"""The store's calls."""
+
+from typing import Any
+import urllib.parse
+
+import msgspec
+
+from gypsumbridge_node.gateway import parsed_request
+from gypsumbridge_node.gateway import server_connection
+from gypsumbridge_platform import item as items
+from gypsumbridge_platform import range_body
+from gypsumbridge_platform import store_calls
+from gypsumbridge_platform import watch_body
+from gypsumbridge_standins.users_platform import platform_state
+
+# Small, so that a list of a few searchers takes several pages.
+PAGE = 5
+
+
+def make_store_handler(
+    reactor: Any, state: platform_state.PlatformState
+) -> Any:
+    """Return a function that answers one call."""
+
+    def handle(
+        connection: server_connection.ServerConnection,
+        request: parsed_request.ParsedRequest,
+    ) -> None:
+        state.calls += 1
+        if state.outage:
+            connection.respond(503, (), b'')
+            return
+        path, _, text = request.target.partition('?')
+        query = dict(urllib.parse.parse_qsl(text))
+        if path == store_calls.RANGE_PATH:
+            body = list_range(state, query)
+            connection.respond(200, (), msgspec.json.encode(body))
+        elif path == store_calls.WATCH_PATH:
+            watch(reactor, state, connection, query)
+        elif path == store_calls.WRITE_PATH:
+            for put in msgspec.json.decode(request.body)['puts']:
+                state.write(put['key'], put['value'])
+            connection.respond(200, (), b'{}')
+        else:
+            connection.respond(404, (), b'')
+
+    return handle
+
+
+def list_range(
+    state: platform_state.PlatformState, query: dict[str, str]
+) -> range_body.RangeBody:
+    """Return one page of the keys with a prefix."""
+    found = [
+        item
+        for key, item in sorted(state.items.items())
+        if key.startswith(query.get(store_calls.PREFIX, ''))
+        and key > query.get(store_calls.AFTER, '')
+    ]
+    return range_body.RangeBody(
+        found[:PAGE], len(found) > PAGE, state.revision
+    )
+
+
+def watch(
+    reactor: Any,
+    state: platform_state.PlatformState,
+    connection: server_connection.ServerConnection,
+    query: dict[str, str],
+) -> None:
+    """Answer with the changes after a revision, when there are any."""
+    after = int(query[store_calls.AFTER])
+    if after < state.oldest_revision and state.revision > after:
+        if state.oldest_revision > 1:
+            connection.respond(410, (), b'')
+            return
+
+    def changes() -> list[items.Item]:
+        return [found for found in state.history if found.revision > after]
+
+    def answer() -> None:
+        if timer.active():
+            timer.cancel()
+        end()
+
+    def end() -> None:
+        if answer in state.watchers:
+            state.watchers.remove(answer)
+        body = watch_body.WatchBody(changes(), state.revision)
+        connection.respond(200, (), msgspec.json.encode(body))
+
+    wait_ms = int(query[store_calls.WAIT_MS])
+    timer = reactor.callLater(wait_ms / 1000, end)
+    if changes():
+        answer()
+        return
+    state.watchers.append(answer)
--- a/tests/decisions/forwarding/test_timing.py
+++ b/tests/decisions/forwarding/test_timing.py
@@ -30,6 +30,22 @@
         self.assertEqual(126, delay(self.state, route, 200))
         self.assertEqual(31, delay(self.state, route, 60))
 
+    def test_slow_attempts_count_in_the_latencies(self):
+        """Guards against hedges that make the next ones come earlier."""
+        window = forwarding.latencies_of(self.state, gateway_case.SAFE)
+        for _ in range(10):
+            (sent,) = gateway_case.sends(self.arrive('/one/x', 2_000))
+            hedged = gateway_case.sends(
+                self.handle(forwarding.HedgeTimer(self.last_call_id))
+            )
+            self.now_ms += 10
+            for found in hedged:
+                self.answer(found)
+            self.now_ms += 190
+            self.answer(sent)
+        self.assertEqual(20, len(window.samples))
+        self.assertEqual(200, window.high_ms)
+
 
 class ExtraBudgetTest(gateway_case.GatewayCase):
     RATIO = 0.2
--- /dev/null
+++ b/tests/processes/test_gateway.py
@@ -0,0 +1,264 @@
+import http.client
+import json
+import signal
+import threading
+import unittest
+
+from gypsumbridge_platform import header_names
+from gypsumbridge_standins import json_http
+from gypsumbridge_standins.cluster import cluster as clusters
+from gypsumbridge_standins.users_platform import gateway_cluster
+from gypsumbridge_standins.users_platform import searcher_site
+
+NAMES = header_names.HEADERS
+SERVICES = ('s1', 's2', 's3', 's4')
+TOP_K = 5
+# Longer than any run of a test, so that its end depends on no clock.
+DEADLINE_MS = 20_000
+
+
+def make_config(version=1, timeout_ms=DEADLINE_MS):
+    def route(prefix, kind, **target):
+        return {
+            'name': f'r{prefix}',
+            'hostname': 'a.example',
+            'prefix': prefix,
+            'routeType': kind,
+            'timeoutMs': timeout_ms,
+            'targetLatencyMs': 10_000,
+            'maxAttempts': 2,
+            **target,
+        }
+
+    return {
+        'version': version,
+        'routes': [
+            route(
+                '/all/',
+                'safe',
+                gather=list(SERVICES),
+                topK=TOP_K,
+                minCoverage=0.75,
+            ),
+            route('/one/', 'safe', backend='s1'),
+            route('/once/', 'unsafe', backend='s2'),
+        ],
+        'backends': [
+            {'name': name, 'maxConnections': 200} for name in SERVICES
+        ],
+        'limits': {
+            'maxHeaderBytes': 16_384,
+            'maxBodyBytes': 262_144,
+            'headerTimeoutMs': 10_000,
+            'idleTimeoutMs': 60_000,
+        },
+    }
+
+
+class GatewayTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.cluster = clusters.Cluster()
+        cls.addClassCleanup(cls.cluster.stop)
+        gateway_cluster.start_gateway_cluster(
+            cls.cluster, make_config(), SERVICES, 2
+        )
+        cls.requests = 0
+        clusters.wait_until(
+            lambda: cls('ask').ask('/all/warm')[0] == 200, 'parts arrive'
+        )
+
+    def control(self, **order):
+        status, seen = json_http.call_json(
+            'POST', self.cluster.controls[0], '/', order
+        )
+        self.assertEqual(200, status)
+        return seen
+
+    def set_fault(self, searcher, fault):
+        self.control(faults={searcher: fault})
+        self.addCleanup(self.control, faults={searcher: ''})
+
+    def send(self, connection, target, method='GET', body=None):
+        type(self).requests += 1
+        request_id = f'q{self.requests}'
+        headers = {
+            'Host': 'a.example',
+            NAMES.request_id: request_id,
+            NAMES.deadline_ms: str(DEADLINE_MS),
+        }
+        connection.request(method, target, body, headers)
+        response = connection.getresponse()
+        return request_id, response, response.read()
+
+    def ask(self, target, node='gateway-0', method='GET'):
+        address = self.cluster.nodes[node].http
+        connection = http.client.HTTPConnection(address, timeout=30)
+        try:
+            body = b'x' * 50_000 if method == 'POST' else None
+            request_id, response, data = self.send(
+                connection, target, method, body
+            )
+            return response.status, request_id, response, data
+        finally:
+            connection.close()
+
+    def check_gathered(self, target, found):
+        """Check that the body is the merge of exactly the named parts."""
+        status, request_id, response, body = found
+        self.assertEqual(200, status)
+        signatures = response.headers[NAMES.part_signatures].split(', ')
+        services = []
+        for signature in signatures:
+            searcher, _, signed_id = signature.partition('.')
+            self.assertEqual(request_id, signed_id)
+            services.append(searcher.partition('-')[0])
+        self.assertEqual(len(services), len(set(services)))
+        missing = int(response.headers[NAMES.missing_parts])
+        self.assertEqual(len(SERVICES), len(services) + missing)
+        records = []
+        for service in services:
+            part = searcher_site.records_of(service, target)
+            records += [part[n : n + 16] for n in range(0, len(part), 16)]
+        records.sort(reverse=True)
+        self.assertEqual(b''.join(records[:TOP_K]), body)
+        return missing
+
+    def test_both_gateways_gather_all_parts(self):
+        """Guards against a merge that differs from the named parts."""
+        for node in self.cluster.nodes:
+            found = self.ask('/all/x', node)
+            self.assertEqual(0, self.check_gathered('/all/x', found))
+
+    def test_a_faulty_searcher_spoils_no_answer(self):
+        """Guards against parts from truncated, late or foreign bytes."""
+        for fault in ('truncate', 'garbage', 'extra', 'error', 'shed'):
+            with self.subTest(fault=fault):
+                self.set_fault('s1-d1', fault)
+                for number in range(10):
+                    target = f'/all/{fault}{number}'
+                    self.check_gathered(target, self.ask(target))
+                self.control(faults={'s1-d1': ''})
+
+    def test_an_unsafe_request_runs_once_at_most(self):
+        """Guards against a second run after a lost answer."""
+        self.set_fault('s2-d1', 'truncate')
+        self.set_fault('s2-d2', 'truncate')
+        status, request_id, _, _ = self.ask('/once/x', method='POST')
+        self.assertEqual(502, status)
+        self.assertEqual(1, len(self.control()['runs'][request_id]))
+
+    def test_a_refusal_is_true(self):
+        """Guards against 503 for a request that has run."""
+        self.set_fault('s2-d1', 'shed')
+        self.set_fault('s2-d2', 'shed')
+        status, request_id, response, _ = self.ask('/once/x', method='POST')
+        self.assertEqual(503, status)
+        self.assertIn('Retry-After', response.headers)
+        self.assertNotIn(request_id, self.control()['runs'])
+
+    def test_a_relayed_answer_is_the_searchers_own(self):
+        """Guards against a body or signature that was changed."""
+        status, request_id, response, body = self.ask('/one/x?a=1')
+        self.assertEqual(200, status)
+        self.assertEqual(searcher_site.records_of('s1', '/one/x?a=1'), body)
+        signature = response.headers[NAMES.signature]
+        self.assertEqual(request_id, signature.partition('.')[2])
+
+    def test_a_draining_searcher_gets_nothing_more(self):
+        """Guards against new work for a searcher that is leaving."""
+        self.control(states={'s3-d1': 'draining'})
+        self.addCleanup(self.control, states={'s3-d1': 'ready'})
+        clusters.wait_until(
+            lambda: 's3-d1' not in self.run_one(), 'the searcher is left out'
+        )
+        for _ in range(5):
+            self.assertNotIn('s3-d1', self.run_one())
+
+    def run_one(self):
+        _, request_id, _, _ = self.ask('/all/drain')
+        return self.control()['runs'][request_id]
+
+    def test_routes_come_into_force_and_never_revert(self):
+        """Guards against an older version after a newer one."""
+        config = make_config(2)
+        config['routes'][1]['prefix'] = '/two/'
+        self.control(config=config, compact=True)
+        clusters.wait_until(
+            lambda: self.ask('/two/x')[0] == 200, 'version 2 is in force'
+        )
+        self.control(config=make_config(1))
+        self.assertEqual(404, self.ask('/one/x')[0])
+        self.control(config=make_config(3))
+        clusters.wait_until(
+            lambda: self.ask('/one/x')[0] == 200, 'version 3 is in force'
+        )
+
+    def test_queries_go_on_without_the_store(self):
+        """Guards against a gateway that fails with the store."""
+        self.control(outage=True)
+        self.addCleanup(self.control, outage=False)
+        self.check_gathered('/all/outage', self.ask('/all/outage'))
+
+    def test_metrics_are_served(self):
+        """Guards against operators who see nothing."""
+        connection = http.client.HTTPConnection(
+            self.cluster.nodes['gateway-0'].peer, timeout=30
+        )
+        self.addCleanup(connection.close)
+        connection.request('GET', '/metrics')
+        text = connection.getresponse().read().decode()
+        self.assertIn('gypsumbridge_forwarding_finished_200_total', text)
+        self.assertIn('gypsumbridge_forwarding_latency_rank_0_ms_sum', text)
+
+
+class GatewayStopTest(unittest.TestCase):
+    def test_a_stop_cuts_no_request(self):
+        """Guards against connections that end without their response."""
+        cluster = clusters.Cluster()
+        self.addCleanup(cluster.stop)
+        gateway_cluster.start_gateway_cluster(
+            cluster, make_config(), SERVICES, 1
+        )
+        address = cluster.nodes['gateway-0'].http
+        clusters.wait_until(
+            lambda: self.one(address) == 200, 'requests are served'
+        )
+        json_http.call_json(
+            'POST', cluster.controls[0], '/', {'faults': {'s2-d1': 'pause'}}
+        )
+        statuses = []
+        threads = [
+            threading.Thread(target=lambda: statuses.append(self.one(address)))
+            for _ in range(8)
+        ]
+        for thread in threads:
+            thread.start()
+        clusters.wait_until(
+            lambda: self.runs(cluster) >= 9, 'requests are in flight'
+        )
+        cluster.signal('gateway-0', signal.SIGTERM)
+        for thread in threads:
+            thread.join()
+        self.assertEqual([200] * 8, statuses)
+        self.assertEqual(0, cluster.wait('gateway-0'))
+        log = (cluster.folder / 'gateway-0.log').read_text()
+        lines = [json.loads(line) for line in log.splitlines()]
+        self.assertEqual('gateway stopped', lines[-1]['message'])
+
+    def runs(self, cluster):
+        _, seen = json_http.call_json('GET', cluster.controls[0], '/')
+        return sum(len(found) for found in seen['runs'].values())
+
+    def one(self, address):
+        connection = http.client.HTTPConnection(address, timeout=30)
+        headers = {
+            'Host': 'a.example',
+            NAMES.request_id: f'stop{id(connection)}',
+            NAMES.deadline_ms: str(DEADLINE_MS),
+        }
+        try:
+            connection.request('POST', '/once/x', b'x', headers)
+            return connection.getresponse().status
+        finally:
+            connection.close()
