Split the longer functions of the gateway's tasks

Change: the writer of the node's key and the signal handlers are functions of their own; no behaviour changes.

--- a/packages/node/src/gypsumbridge_node/gateway/ingress_state.py
+++ b/packages/node/src/gypsumbridge_node/gateway/ingress_state.py
@@ -16,3 +16,7 @@
         self.last_call_id = 0
         self.limits = forwarding.IngressLimits()
         self.closing = False
+
+    def end_keep_alive(self) -> None:
+        """End each connection with its next response."""
+        self.closing = True
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/ingress.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/ingress.py
@@ -42,9 +42,6 @@
     def change_routes(news: forwarding.RoutesChanged) -> None:
         state.limits = news.table.limits
 
-    def end_keep_alive(command: messages.EndKeepAlive) -> None:
-        state.closing = True
-
     def count_in_flight(query: messages.InFlightQuery) -> None:
         # Callers that keep a connection open learn that it ends.
         for connection in list(factory.connections):
@@ -57,7 +54,7 @@
     table: dict[type, Callable[[Any], None]] = {
         forwarding.CallerResponse: make_responder(runtime, state),
         forwarding.RoutesChanged: change_routes,
-        messages.EndKeepAlive: end_keep_alive,
+        messages.EndKeepAlive: lambda command: state.end_keep_alive(),
         messages.InFlightQuery: count_in_flight,
     }
 
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/lifecycle_task.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/lifecycle_task.py
@@ -56,9 +56,17 @@
     def handle(message: Any) -> None:
         execute(lifecycle.handle(state, message, runtime.clock.now_ms()))
 
+    handle_signals(runtime)
+    boxes.lifecycle.start(handle)
+    return lambda: state.ready
+
+
+def handle_signals(runtime: runtimes.GatewayRuntime) -> None:
+    """Stop on SIGTERM and SIGINT, and log SIGHUP."""
+
     def on_stop(number: int, frame: Any) -> None:
         runtime.reactor.callFromThread(
-            boxes.lifecycle.put, lifecycle.StopRequested()
+            runtime.boxes.lifecycle.put, lifecycle.StopRequested()
         )
 
     def on_reload(number: int, frame: Any) -> None:
@@ -69,5 +77,3 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, on_stop)
     signal.signal(signal.SIGHUP, on_reload)
-    boxes.lifecycle.start(handle)
-    return lambda: state.ready
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/store.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/store.py
@@ -56,25 +56,35 @@
             return
         discovery_box.put(discovery.StoreFailed(reason))
 
-    def write(command: discovery.WriteNode) -> None:
-        settings = runtime.settings
-        key = adapter.schema.node_prefix + settings.node.node_id
-        value = settings.listen.callers.encode()
-        store_client.send_call(
-            client,
-            adapter.encode_put(key, value),
-            timeout_ms,
-            lambda reply: discovery_box.put(discovery.NodeWritten(True)),
-            lambda reason: discovery_box.put(discovery.NodeWritten(False)),
-        )
-
     table: dict[type, Callable[[Any], None]] = {
         discovery.ListStore: start_list,
         discovery.WatchStore: watch,
-        discovery.WriteNode: write,
+        discovery.WriteNode: make_node_writer(runtime, client),
     }
 
     def handle(message: Any) -> None:
         table[type(message)](message)
 
     runtime.boxes.store.start(handle)
+
+
+def make_node_writer(
+    runtime: runtimes.GatewayRuntime,
+    client: store_client_state.StoreClientState,
+) -> Callable[[discovery.WriteNode], None]:
+    """Return a function that writes this node's own key."""
+    settings = runtime.settings
+    adapter = runtime.adapter
+    box = runtime.boxes.discovery
+
+    def write(command: discovery.WriteNode) -> None:
+        key = adapter.schema.node_prefix + settings.node.node_id
+        store_client.send_call(
+            client,
+            adapter.encode_put(key, settings.listen.callers.encode()),
+            settings.discovery.timeout_ms,
+            lambda reply: box.put(discovery.NodeWritten(True)),
+            lambda reason: box.put(discovery.NodeWritten(False)),
+        )
+
+    return write
--- a/packages/standins/src/gypsumbridge_standins/users_platform/platform_state.py
+++ b/packages/standins/src/gypsumbridge_standins/users_platform/platform_state.py
@@ -10,7 +10,7 @@
 
     `history` holds every change; a watch from before its first one gets
     410. `faults` names a fault for a searcher, `runs` lists the searchers
-    that ran each request. Requests to `draining` ones are counted in it too.
+    that ran each request.
     """
 
     def __init__(self) -> None:
@@ -23,7 +23,6 @@
         self.watchers: list[Any] = []
         self.faults: dict[str, str] = {}
         self.runs: dict[str, list[str]] = {}
-        self.draining: set[str] = set()
 
     def write(self, key: str, value: str | None) -> None:
         """Store a value in base64, or delete the key."""
