Hold a removed searcher for two seconds at most

The hold was drain_ms less one second, 4 s there, and the pause between two watches of a large fleet adds up to one second.

Ruled out: a shorter pause, which costs calls at 83 nodes.

Change: the hold is the two seconds within which lapsed entries are back, or less where drain_ms is short. With 3,000 ms to drain nothing changes.

--- a/packages/decisions/src/gypsumbridge_decisions/discovery/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/__init__.py
@@ -31,6 +31,9 @@
 from gypsumbridge_decisions.discovery.node_written import (
     NodeWritten as NodeWritten,
 )
+from gypsumbridge_decisions.discovery.removal_hold import (
+    removal_hold_ms as removal_hold_ms,
+)
 from gypsumbridge_decisions.discovery.removal_timer import (
     RemovalTimer as RemovalTimer,
 )
@@ -63,6 +66,7 @@
 )
 from gypsumbridge_decisions.discovery.syncing import regain as regain
 from gypsumbridge_decisions.discovery.syncing import resume as resume
+from gypsumbridge_decisions.discovery.syncing import scale as scale
 from gypsumbridge_decisions.discovery.syncing import (
     take_changes as take_changes,
 )
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/discovery_task.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/discovery_task.py
@@ -8,21 +8,15 @@
 from gypsumbridge_node import execute as executors
 from gypsumbridge_node.gateway import runtime as runtimes
 
-# A removed searcher is dropped this much before it may no longer be used,
-# which covers the delay of the news and of the last requests.
-REMOVAL_MARGIN_MS = 1_000
-MIN_HOLD_MS = 100
-
 
 def start_discovery_task(runtime: runtimes.GatewayRuntime) -> None:
     """Run the discovery decisions on their mailbox."""
     boxes = runtime.boxes
     settings = runtime.settings
-    hold_ms = settings.discovery.drain_ms - REMOVAL_MARGIN_MS
     state = discovery.make_discovery_state(
         settings.node.node_id,
         runtime.adapter.schema,
-        max(MIN_HOLD_MS, hold_ms),
+        discovery.removal_hold_ms(settings.discovery.drain_ms),
     )
 
     def publish(news: Any) -> None:
--- a/tests/decisions/discovery/test_discovery.py
+++ b/tests/decisions/discovery/test_discovery.py
@@ -87,6 +87,24 @@
         commands = self.handle(discovery.RemovalTimer())
         self.assertEqual({'b': False}, self.published(commands))
 
+    def test_a_removed_searcher_is_dropped_well_before_its_time_is_up(self):
+        """Guards against requests to a searcher that may have ended.
+
+        The news of a removal waits for the pause between two watches. With
+        5,000 ms to drain, a hold of 4,000 ms let requests through 5,011 ms
+        after the removal (abl-gypsum-grown, trouble-1, seed 720988341571).
+        """
+        for drain_ms, slowest_news_ms in ((3_000, 800), (5_000, 2_500)):
+            with self.subTest(drain_ms=drain_ms):
+                hold_ms = discovery.removal_hold_ms(drain_ms)
+                self.assertLess(hold_ms + slowest_news_ms, drain_ms)
+
+    def test_a_lapsed_entry_has_the_time_to_come_back(self):
+        """Guards against dropping searchers that live through an outage."""
+        for drain_ms in (3_000, 5_000, 20_000):
+            with self.subTest(drain_ms=drain_ms):
+                self.assertEqual(2_000, discovery.removal_hold_ms(drain_ms))
+
     def test_a_searcher_that_is_back_in_time_is_kept(self):
         """Guards against removing a searcher by an old timer."""
         self.list(searchers_a=b'ready')
