Use new connections for hedges when little is answered

Ruled out: searchers (other gateways were served by them at that time) and ejections (six parts running, one hedge each). Probes of the operating system do not help where something on the path still acknowledges.

Change: hedges of a request at which most parts are out, and retries after a lost connection, are sent over a new connection; an idle one makes room for it where this node's share is used up.

--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/ending.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/ending.py
@@ -86,8 +86,15 @@
     if exchange.route.idempotent or (
         ended.outcome.is_unrun() and not part.running
     ):
-        charged = ended.outcome != _OUTCOME.NOT_SENT
-        sent = sending.send_extra(state, exchange, part, now_ms, charged)
+        sent = sending.send_extra(
+            state,
+            exchange,
+            part,
+            now_ms,
+            charged=ended.outcome != _OUTCOME.NOT_SENT,
+            # What ended this connection may have ended the idle ones, too.
+            new_connection=ended.outcome == _OUTCOME.LOST,
+        )
     if sent:
         sent.append(messages.Count('forwarding.retries'))
     return [
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/hedging.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/hedging.py
@@ -53,6 +53,10 @@
     if exchange is None:
         return []
     commands: list[command.Command] = []
+    # Connections may lose all bytes without being closed. A node at which
+    # this happens to most of them gets almost no answers at all.
+    still_open = sum(part.is_open() for part in exchange.parts)
+    new_connection = still_open * 2 > len(exchange.parts)
     for part in exchange.parts:
         if not part.is_open():
             continue
@@ -62,7 +66,9 @@
                 continue
             running.overdue = True
             state.health[running.searcher.searcher_id].overdue += 1
-        sent = sending.send_extra(state, exchange, part, now_ms)
+        sent = sending.send_extra(
+            state, exchange, part, now_ms, new_connection=new_connection
+        )
         if not sent:
             commands.append(messages.Count('forwarding.hedges_withheld'))
             continue
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/send_attempt.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/send_attempt.py
@@ -11,7 +11,8 @@
     """Sends `request` to `searcher`, who has `remaining_ms` to answer.
 
     An `idempotent` request may run more than once. With `framed_only`, a
-    response must state its length or be chunked.
+    response must state its length or be chunked. With `new_connection`, no
+    connection that has been idle may be used.
     """
 
     attempt_id: int
@@ -20,3 +21,4 @@
     remaining_ms: int
     idempotent: bool
     framed_only: bool
+    new_connection: bool
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/sending.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/sending.py
@@ -51,11 +51,13 @@
     part: part_state.PartState,
     now_ms: int,
     charged: bool = True,
+    new_connection: bool = False,
 ) -> list[command.Command]:
     """Send one attempt more if limits, candidates and budget allow it.
 
     An attempt that follows one that was never sent is not `charged`, since
-    the service has seen no request yet.
+    the service has seen no request yet. With `new_connection`, idle
+    connections are not to be trusted.
     """
     route = exchange.route
     if part.runs >= route.max_attempts:
@@ -67,7 +69,7 @@
         return []
     if charged and not budget_for(state, part.service, now_ms).spend():
         return []
-    return [send(state, exchange, part, chosen, now_ms)]
+    return [send(state, exchange, part, chosen, now_ms, new_connection)]
 
 
 def choose(
@@ -89,6 +91,7 @@
     part: part_state.PartState,
     chosen: searchers.Searcher,
     now_ms: int,
+    new_connection: bool = False,
 ) -> send_attempt.SendAttempt:
     """Record an attempt and return the order to send it."""
     state.last_attempt_id += 1
@@ -112,4 +115,5 @@
         max(1, exchange.expires_ms - now_ms),
         exchange.route.idempotent,
         exchange.route.gather is not None,
+        new_connection,
     )
--- a/packages/node/src/gypsumbridge_node/gateway/lending.py
+++ b/packages/node/src/gypsumbridge_node/gateway/lending.py
@@ -65,6 +65,23 @@
     )
 
 
+def open_for(
+    context: searchers_context.SearchersContext,
+    pool: searcher_pool.SearcherPool,
+    job: attempt_job.AttemptJob,
+) -> None:
+    """Open a connection for an attempt; an idle one makes room for it.
+
+    Without room the attempt waits for the next connection that is free.
+    """
+    pool.waiting.append(job)
+    limit = context.state.limit_for(pool.searcher.service)
+    if pool.size() >= limit and pool.idle:
+        pool.idle.pop(0).close()
+    if pool.size() < limit:
+        open_connection(context, pool)
+
+
 def opened(
     context: searchers_context.SearchersContext,
     pool: searcher_pool.SearcherPool,
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/searchers.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/searchers.py
@@ -60,6 +60,9 @@
     pool = lending.pool_for(context, order.searcher)
     job = attempt_job.AttemptJob(order, now_ms)
     context.state.jobs[order.attempt_id] = job
+    if order.new_connection:
+        lending.open_for(context, pool, job)
+        return
     max_idle_ms = None if order.idempotent else MAX_IDLE_UNSAFE_MS
     found = pool.take_idle(now_ms, max_idle_ms)
     if found is not None:
--- /dev/null
+++ b/tests/decisions/forwarding/test_silence.py
@@ -0,0 +1,38 @@
+from gypsumbridge_decisions import forwarding
+from tests.decisions.forwarding import gateway_case
+
+Outcome = forwarding.AttemptOutcome
+
+
+class SilenceTest(gateway_case.GatewayCase):
+    def hedge(self, answered):
+        for service in ('s1', 's2', 's3', 's4'):
+            forwarding.budget_for(self.state, service, self.now_ms).tokens = 9
+        first = gateway_case.sends(self.arrive())
+        for sent in first[:answered]:
+            self.answer(sent)
+        return gateway_case.sends(
+            self.handle(forwarding.HedgeTimer(self.last_call_id))
+        )
+
+    def test_hedges_leave_connections_on_which_nothing_arrives(self):
+        """Guards against a second attempt into a silent connection.
+
+        Fault soak seed 8: all idle connections to both failure domains
+        lost their bytes, and all parts timed out.
+        """
+        hedges = self.hedge(answered=0)
+        self.assertEqual([True] * 4, [sent.new_connection for sent in hedges])
+
+    def test_one_slow_searcher_costs_no_connection(self):
+        """Guards against a new connection for every hedge."""
+        (hedge,) = self.hedge(answered=3)
+        self.assertFalse(hedge.new_connection)
+
+    def test_a_retry_after_a_lost_connection_uses_a_new_one(self):
+        """Guards against a retry into a connection that is lost, too."""
+        (sent,) = gateway_case.sends(self.arrive('/one/x', 2_000))
+        self.assertFalse(sent.new_connection)
+        forwarding.budget_for(self.state, 's1', self.now_ms).tokens = 9
+        (retry,) = gateway_case.sends(self.end(sent, Outcome.LOST))
+        self.assertTrue(retry.new_connection)
--- /dev/null
+++ b/tests/node/gateway/test_new_connections.py
@@ -0,0 +1,66 @@
+import types
+import unittest
+
+from twisted.internet import testing
+
+from gypsumbridge_decisions import clock as clocks
+from gypsumbridge_decisions import forwarding
+from gypsumbridge_node.gateway import client_connection
+from gypsumbridge_node.gateway import lending
+from gypsumbridge_node.gateway import searchers_context
+from gypsumbridge_node.gateway import searchers_state
+from gypsumbridge_node.gateway.tasks import searchers
+from gypsumbridge_platform import header_names
+from tests.decisions.forwarding import gateway_case
+
+
+class NewConnectionsTest(unittest.TestCase):
+    def setUp(self):
+        self.reactor = testing.MemoryReactorClock()
+        runtime = types.SimpleNamespace(
+            reactor=self.reactor,
+            clock=clocks.ManualTime(1_000).clock(),
+            metrics=types.SimpleNamespace(count=lambda name: None),
+            logger=None,
+        )
+        state = searchers_state.SearchersState()
+        state.nodes = 26
+        state.table = gateway_case.make_table()
+        self.context = searchers_context.SearchersContext(
+            runtime, state, header_names.HEADERS
+        )
+        self.searcher = gateway_case.make_searcher('s1-d1', 's1')
+        self.pool = lending.pool_for(self.context, self.searcher)
+        self.idle = client_connection.ClientConnection(
+            lambda *reply: None, lambda *reason: None, None
+        )
+        self.idle.transport = testing.StringTransport()
+        self.pool.idle.append(self.idle)
+
+    def send(self, new_connection):
+        request = forwarding.CallerRequest(
+            1, 'r', 'GET', 'a.example', '/', (), b'', 600, 0
+        )
+        order = forwarding.SendAttempt(
+            1, request, self.searcher, 500, True, True, new_connection
+        )
+        searchers.send(self.context, order)
+
+    def test_an_idle_connection_is_used(self):
+        """Guards against a connection for each attempt."""
+        self.send(new_connection=False)
+        self.assertIn(self.idle, self.pool.busy)
+        self.assertEqual([], self.reactor.tcpClients)
+
+    def test_a_new_connection_is_opened_on_demand(self):
+        """Guards against a hedge on a connection that may be silent."""
+        self.send(new_connection=True)
+        self.assertEqual({}, self.pool.busy)
+        self.assertEqual(1, len(self.reactor.tcpClients))
+
+    def test_an_idle_connection_makes_room_for_the_new_one(self):
+        """Guards against more connections than this node's share."""
+        self.assertEqual(1, self.context.state.limit_for('s1'))
+        self.send(new_connection=True)
+        self.assertFalse(self.idle.reusable)
+        self.assertEqual(1, self.pool.size())
