Soak gateways as processes under faults from outside

The earlier randomised runs play the query API in memory. This one runs gateways, store and searchers as processes, with loopback proxies that delay, reset, silence or cut links one way, and with signals. Promises are checked from what callers and searchers see.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 export PATH := $(abspath $(VENV))/bin:$(PATH)
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: setup run samples test lint format bench capacity check-model soak
+.PHONY: setup run samples test lint format bench capacity check-model soak fault-soak
 
 setup: $(STAMP)
 
@@ -52,3 +52,6 @@
 
 soak: setup
 	python -m gypsumbridge_standins.soak $(or $(SEED),1) $(or $(STEPS),20000)
+
+fault-soak: setup
+	python -m gypsumbridge_standins.fault_soak $(or $(SEED),1) $(or $(SECONDS),20) $(if $(GATEWAYS),--gateways $(GATEWAYS))
--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomised run of gateways as processes, with faults from outside."""
--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/__main__.py
@@ -0,0 +1,51 @@
+"""Runs a fault soak from the command line."""
+
+import collections
+import sys
+from typing import Any
+
+import defopt
+from twisted.internet import task
+
+from gypsumbridge_standins.fault_soak import fault_plan
+from gypsumbridge_standins.fault_soak import run
+from gypsumbridge_standins.fault_soak import soak_state
+
+
+def main(seed: int, seconds: int, *, gateways: int = 4) -> None:
+    """Run gateways under faults and print what was broken.
+
+    :param seed: Seed of the faults and the traffic.
+    :param seconds: Length of the time with faults.
+    :param gateways: Number of gateways.
+    """
+
+    async def run_once(reactor: Any) -> None:
+        plan = fault_plan.draw_plan(seed, seconds, gateways)
+        state = await run.run_soak(reactor, plan)
+        print(summarise(state))
+        if state.breaches:
+            sys.exit(1)
+
+    task.react(run_once)
+
+
+def summarise(state: soak_state.SoakState) -> str:
+    """Return the lines that tell how a run went."""
+    statuses = collections.Counter(o.status for o in state.outcomes)
+    lines = [
+        f'seed {state.plan.seed}: {len(state.plan.faults)} faults,'
+        f' {len(state.outcomes)} requests, by status'
+        f' {dict(sorted(statuses.items()))},'
+        f' {len(state.breaches)} broken'
+    ]
+    if state.breaches:
+        path = state.cluster.folder / 'events.log'
+        path.write_text('\n'.join(state.events) + '\n')
+        lines += state.breaches[:20]
+        lines.append(f'logs are in {state.cluster.folder}')
+    return '\n'.join(lines)
+
+
+if __name__ == '__main__':
+    defopt.run(main)
--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/callers.py
@@ -0,0 +1,141 @@
+"""Callers that send requests and keep their connections open."""
+
+import random
+from typing import Any
+
+from twisted.internet import defer
+from twisted.internet import error
+from twisted.internet import task
+from twisted.web import client
+from twisted.web import http_headers
+
+from gypsumbridge_node import bytes_producer
+from gypsumbridge_platform import header_names
+from gypsumbridge_standins.fault_soak import answer_checks
+from gypsumbridge_standins.fault_soak import contact
+from gypsumbridge_standins.fault_soak import deployment
+from gypsumbridge_standins.fault_soak import outcome as outcomes
+from gypsumbridge_standins.fault_soak import sent_request
+from gypsumbridge_standins.fault_soak import soak_state
+
+NAMES = header_names.HEADERS
+CALLERS = 10
+MEAN_GAP_S = 0.06
+DEADLINE_MS = 4_000
+# One request in this many is given up while it runs.
+GIVE_UP_ONE_IN = 12
+GIVE_UP_MS = (5, 300)
+KINDS = {'all': 10, 'one': 3, 'once': 5, 'new': 1, 'dropped': 1}
+BODY = b'x' * 20_000
+FAILURES = (
+    error.ConnectError,
+    error.ConnectionLost,
+    error.ConnectionDone,
+    client.ResponseFailed,
+    client.PartialDownloadError,
+    defer.CancelledError,
+    defer.TimeoutError,
+)
+
+
+async def run_caller(state: soak_state.SoakState, number: int) -> None:
+    """Send requests to all nodes until the run stops."""
+    source = random.Random(f'caller {state.plan.seed} {number}')
+    pool = client.HTTPConnectionPool(state.reactor, persistent=True)
+    pool.retryAutomatically = False
+    pool.maxPersistentPerHost = 1
+    pool.cachedConnectionTimeout = 40
+    agent = client.Agent(state.reactor, connectTimeout=1.0, pool=pool)
+    while not state.stopping:
+        request = draw_request(state, source)
+        if request is not None:
+            outcome = await send(state, agent, request)
+            state.outcomes.append(outcome)
+            state.breaches.extend(answer_checks.check_answer(outcome))
+        gap_s = source.expovariate(1 / MEAN_GAP_S)
+        await task.deferLater(state.reactor, gap_s, lambda: None)
+    await pool.closeCachedConnections()
+
+
+def draw_request(
+    state: soak_state.SoakState, source: random.Random
+) -> sent_request.SentRequest | None:
+    """Return the next request, or none if its kind does not fit now."""
+    kind = source.choices(tuple(KINDS), tuple(KINDS.values()))[0]
+    node = source.choice(sorted(state.cluster.nodes))
+    now_ms = state.clock.now_ms()
+    gives_up_ms = DEADLINE_MS
+    if source.randrange(GIVE_UP_ONE_IN) == 0:
+        gives_up_ms = source.randint(*GIVE_UP_MS)
+    state.sent += 1
+    target = f'/{kind}/{state.sent}'
+    if kind in ('new', 'dropped'):
+        version = pick_version(state, kind, now_ms)
+        if version is None or not contact.in_touch(
+            state, node, now_ms, now_ms
+        ):
+            return None
+        target = f'{deployment.marker_prefix(version)}{state.sent}'
+    return sent_request.SentRequest(
+        f'q{state.sent}', kind, target, node, now_ms, now_ms + gives_up_ms
+    )
+
+
+def pick_version(
+    state: soak_state.SoakState, kind: str, now_ms: int
+) -> int | None:
+    """Return a version whose marker route must be there, or be gone."""
+    newest = max(state.versions)
+    settled_ms = state.versions[newest] + deployment.CONFIG_APPLY_MS
+    if now_ms < settled_ms:
+        return None
+    return newest if kind == 'new' else newest - 1 or None
+
+
+async def send(
+    state: soak_state.SoakState,
+    agent: client.Agent,
+    request: sent_request.SentRequest,
+) -> outcomes.Outcome:
+    """Send a request and return what its caller saw."""
+    address = state.cluster.nodes[request.node].http
+    left_ms = request.gives_up_ms - request.sent_ms
+    headers = http_headers.Headers(
+        {
+            'host': [deployment.HOST],
+            NAMES.request_id: [request.request_id],
+            NAMES.deadline_ms: [str(DEADLINE_MS)],
+        }
+    )
+    method, body = b'GET', None
+    if request.kind == 'once':
+        method, body = b'POST', bytes_producer.BytesProducer(BODY)
+    uri = f'http://{address}{request.target}'.encode()
+    sending = defer.ensureDeferred(exchange(agent, method, uri, headers, body))
+    sending.addTimeout(left_ms / 1_000, state.reactor)
+    try:
+        status, found, data = await sending
+    except FAILURES:
+        now_ms = state.clock.now_ms()
+        gave_up = now_ms >= request.gives_up_ms
+        return outcomes.Outcome(request, now_ms, 0, {}, b'', gave_up)
+    return outcomes.Outcome(
+        request, state.clock.now_ms(), status, found, data, False
+    )
+
+
+async def exchange(
+    agent: client.Agent,
+    method: bytes,
+    uri: bytes,
+    headers: http_headers.Headers,
+    body: Any,
+) -> tuple[int, dict[str, str], bytes]:
+    """Return status, headers and body of a complete response."""
+    response = await agent.request(method, uri, headers, body)
+    data = await client.readBody(response)
+    found = {
+        name.decode().lower(): b', '.join(values).decode()
+        for name, values in response.headers.getAllRawHeaders()
+    }
+    return response.code, found, data
--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/fault_kinds.py
@@ -0,0 +1,36 @@
+"""How each kind of fault is injected."""
+
+from collections.abc import Callable
+
+from gypsumbridge_standins.fault_soak import gateway_faults
+from gypsumbridge_standins.fault_soak import link_faults
+from gypsumbridge_standins.fault_soak import link_mode
+from gypsumbridge_standins.fault_soak import searcher_faults
+from gypsumbridge_standins.fault_soak import store_faults
+
+LINK_GROUPS = ('callers', 'store', 'searchers')
+ANSWERS = ('silent', 'truncate', 'garbage', 'extra', 'error', 'shed')
+
+INJECT: dict[str, Callable] = {
+    'kill': gateway_faults.exclusive(gateway_faults.kill),
+    'pause': gateway_faults.exclusive(gateway_faults.pause),
+    'stop': gateway_faults.exclusive(gateway_faults.stop),
+    'reload': gateway_faults.exclusive(gateway_faults.reload),
+    'searchers_kill': searcher_faults.kill,
+    'searchers_pause': searcher_faults.pause,
+    'drain': searcher_faults.drain,
+    'unreadable_entry': store_faults.write_unreadable,
+    'outage': store_faults.outage,
+    'compact': store_faults.compact,
+    'configure': store_faults.configure,
+    **{
+        f'{group}_{mode.value}': link_faults.make_link_fault(group, mode)
+        for group in LINK_GROUPS
+        for mode in link_mode.LinkMode
+        if mode is not link_mode.LinkMode.PASS
+    },
+    **{
+        f'searcher_{word}': searcher_faults.make_answer_fault(word)
+        for word in ANSWERS
+    },
+}
--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/fault_plan.py
@@ -0,0 +1,76 @@
+"""Draws the faults of a run."""
+
+import random
+
+from gypsumbridge_standins.fault_soak import fault as faults
+from gypsumbridge_standins.fault_soak import soak_plan
+
+# Relative frequencies.
+KINDS = {
+    'kill': 2,
+    'pause': 2,
+    'stop': 3,
+    'reload': 1,
+    'callers_delay': 1,
+    'callers_reset': 1,
+    'callers_silence': 1,
+    'callers_cut_requests': 1,
+    'callers_cut_responses': 1,
+    'store_delay': 1,
+    'store_reset': 1,
+    'store_silence': 1,
+    'store_cut_requests': 1,
+    'store_cut_responses': 1,
+    'searchers_delay': 1,
+    'searchers_reset': 1,
+    'searchers_silence': 1,
+    'searchers_cut_requests': 1,
+    'searchers_cut_responses': 1,
+    'searchers_kill': 1,
+    'searchers_pause': 1,
+    'searcher_silent': 1,
+    'searcher_truncate': 1,
+    'searcher_garbage': 1,
+    'searcher_extra': 1,
+    'searcher_error': 1,
+    'searcher_shed': 1,
+    'drain': 3,
+    'unreadable_entry': 1,
+    'outage': 1,
+    'compact': 1,
+    'configure': 4,
+}
+MEAN_GAP_MS = 500
+MEAN_LENGTH_MS = 1_500
+MOST_LENGTH_MS = 6_000
+# Faults often come as a series of the same kind.
+SERIES_CHANCE = 0.3
+SERIES_GAP_MS = 150
+MOST_IN_SERIES = 3
+
+
+def draw_plan(seed: int, seconds: int, gateways: int) -> soak_plan.SoakPlan:
+    """Return the plan of a seed."""
+    source = random.Random(f'plan {seed}')
+    found = []
+    at_ms = 0.0
+    while True:
+        at_ms += source.expovariate(1 / MEAN_GAP_MS)
+        if at_ms >= seconds * 1_000:
+            break
+        kind = source.choices(tuple(KINDS), tuple(KINDS.values()))[0]
+        count = 1
+        if source.random() < SERIES_CHANCE:
+            count = source.randint(2, MOST_IN_SERIES)
+        for number in range(count):
+            length_ms = source.expovariate(1 / MEAN_LENGTH_MS)
+            found.append(
+                faults.Fault(
+                    int(at_ms) + number * SERIES_GAP_MS,
+                    kind,
+                    source.random(),
+                    min(int(length_ms), MOST_LENGTH_MS),
+                )
+            )
+    found.sort(key=lambda fault: fault.at_ms)
+    return soak_plan.SoakPlan(seed, seconds, gateways, tuple(found))
--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/processes.py
@@ -0,0 +1,107 @@
+"""Starts the processes of a run and the links between them."""
+
+import dataclasses
+import json
+
+from gypsumbridge_standins.cluster import cluster as clusters
+from gypsumbridge_standins.cluster import ports
+from gypsumbridge_standins.fault_soak import deployment
+from gypsumbridge_standins.fault_soak import link_proxy
+from gypsumbridge_standins.fault_soak import link_state
+from gypsumbridge_standins.fault_soak import run_record
+from gypsumbridge_standins.fault_soak import soak_state
+from gypsumbridge_standins.users_platform import gateway_cluster
+
+RUN_LOG = 'runs-{number}.log'
+PLATFORMS = 2
+PORTS_OF_GATEWAY = 5
+
+
+def start(state: soak_state.SoakState) -> None:
+    """Start stand-ins, links and gateways, without waiting for them.
+
+    The first stand-in is the store and runs the searchers of the first
+    failure domain. The second one runs the others, so that it can be
+    killed without the store.
+    """
+    count = len(deployment.SEARCHERS)
+    chosen = ports.free_ports(
+        2 * PLATFORMS + 2 * count + PORTS_OF_GATEWAY * state.plan.gateways
+    )
+    searchers = {}
+    for searcher_id in deployment.SEARCHERS:
+        service, _, domain = searcher_id.partition('-')
+        port, proxy = chosen.pop(), chosen.pop()
+        searchers[searcher_id] = {
+            'service': service,
+            'port': port,
+            'domain': domain,
+            'address': f'127.0.0.1:{proxy}',
+        }
+        # One link a failure domain, over the connections of all its ports.
+        add_link(state, f'searchers/{domain}', proxy, port)
+    for number, domain in enumerate(deployment.DOMAINS):
+        plan = {
+            'store': chosen.pop(),
+            'control': chosen.pop(),
+            'config': deployment.make_config(1),
+            'searchers': searchers,
+            'serves': [s for s in searchers if s.endswith(f'-{domain}')],
+            'run_log': str(
+                state.cluster.folder / RUN_LOG.format(number=number)
+            ),
+        }
+        path = state.cluster.folder / f'platform-{number}.json'
+        path.write_text(json.dumps(plan))
+        state.cluster.controls.append(f'127.0.0.1:{plan["control"]}')
+        if number == 0:
+            store = plan['store']
+        spawn_platform(state.cluster, number)
+    for number in range(state.plan.gateways):
+        listen = [chosen.pop() for _ in range(PORTS_OF_GATEWAY)]
+        start_gateway(state, number, listen, store)
+
+
+def spawn_platform(cluster: clusters.Cluster, number: int) -> None:
+    """Start one of the stand-ins."""
+    path = cluster.folder / f'platform-{number}.json'
+    cluster.spawn(f'platform-{number}', [gateway_cluster.MODULE, str(path)])
+
+
+def start_gateway(
+    state: soak_state.SoakState, number: int, listen: list[int], store: int
+) -> None:
+    """Start a gateway behind links to its callers and to the store."""
+    callers, ready, metrics, callers_link, store_link = listen
+    name = gateway_cluster.write_settings(
+        state.cluster, number, [callers, ready, metrics], store_link
+    )
+    node = state.cluster.nodes[name]
+    state.cluster.nodes[name] = dataclasses.replace(
+        node, http=f'127.0.0.1:{callers_link}'
+    )
+    state.ready_addresses[name] = f'127.0.0.1:{ready}'
+    add_link(state, f'callers/{name}', callers_link, callers)
+    add_link(state, f'store/{name}', store_link, store)
+    gateway_cluster.spawn_gateway(state.cluster, name)
+
+
+def add_link(
+    state: soak_state.SoakState, name: str, port: int, target: int
+) -> None:
+    """Listen at a port for a link, which may have several ports."""
+    link = state.links.setdefault(name, link_state.LinkState())
+    link_proxy.listen(state.reactor, port, target, link)
+
+
+def read_runs(state: soak_state.SoakState) -> list[run_record.RunRecord]:
+    """Return what the searchers have run so far."""
+    found = []
+    for number in range(PLATFORMS):
+        path = state.cluster.folder / RUN_LOG.format(number=number)
+        for line in path.read_text().splitlines():
+            at_ms, request_id, searcher_id = line.split()
+            found.append(
+                run_record.RunRecord(int(at_ms), request_id, searcher_id)
+            )
+    return found
--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/readiness.py
@@ -0,0 +1,39 @@
+"""Waits for gateways."""
+
+from twisted.internet import error
+from twisted.internet import task
+from twisted.web import client
+
+from gypsumbridge_platform import platform_adapter
+from gypsumbridge_standins.fault_soak import soak_state
+
+POLL_S = 0.1
+TIMEOUT_S = 60.0
+
+
+async def wait_ready(state: soak_state.SoakState, node: str) -> None:
+    """Wait until a gateway is ready, or record that it never is.
+
+    Faults of its link to the store may hold it up, so the time is long.
+    """
+    limit_ms = state.clock.now_ms() + TIMEOUT_S * 1_000
+    while state.clock.now_ms() < limit_ms:
+        if await is_ready(state, node):
+            return
+        await task.deferLater(state.reactor, POLL_S, lambda: None)
+    state.breaches.append(f'{node} is not ready after {TIMEOUT_S} s')
+
+
+async def is_ready(state: soak_state.SoakState, node: str) -> bool:
+    """Ask a gateway whether it is ready."""
+    agent = client.Agent(state.reactor, connectTimeout=1.0)
+    address = state.ready_addresses[node]
+    uri = f'http://{address}{platform_adapter.READY_PATH}'.encode()
+    try:
+        response = await agent.request(b'GET', uri).addTimeout(
+            1.0, state.reactor
+        )
+        await client.readBody(response)
+    except (error.ConnectError, client.ResponseFailed, TimeoutError):
+        return False
+    return bool(response.code == 200)
--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/run_record.py
@@ -0,0 +1,17 @@
+"""A request that a searcher ran."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class RunRecord:
+    """One run of a request; the time is of the steady clock."""
+
+    at_ms: int
+    request_id: str
+    searcher_id: str
+
+    @property
+    def service(self) -> str:
+        """The searcher's service."""
+        return self.searcher_id.partition('-')[0]
--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/soak_plan.py
@@ -0,0 +1,15 @@
+"""What a run is to do."""
+
+import dataclasses
+
+from gypsumbridge_standins.fault_soak import fault as faults
+
+
+@dataclasses.dataclass(frozen=True)
+class SoakPlan:
+    """The seed of a run, its size and its faults in order of time."""
+
+    seed: int
+    seconds: int
+    gateways: int
+    faults: tuple[faults.Fault, ...]
--- a/packages/standins/src/gypsumbridge_standins/users_platform/gateway_cluster.py
+++ b/packages/standins/src/gypsumbridge_standins/users_platform/gateway_cluster.py
@@ -83,6 +83,32 @@
 
     `listen` holds the ports for callers, readiness and metrics.
     """
+    store = int(cluster.store.rpartition(':')[2])
+    name = write_settings(cluster, number, listen, store)
+    spawn_gateway(cluster, name)
+    clusters.wait_until(
+        lambda: clusters.answers(
+            f'127.0.0.1:{listen[1]}', platform_adapter.READY_PATH
+        ),
+        f'{name} is ready',
+    )
+
+
+def spawn_gateway(cluster: clusters.Cluster, name: str) -> None:
+    """Start the process of a gateway that has its settings."""
+    path = cluster.folder / f'{name}.ini'
+    variables = {platform_main.SETTINGS_VARIABLE: str(path)}
+    cluster.spawn(name, [GATEWAY], variables)
+
+
+def write_settings(
+    cluster: clusters.Cluster, number: int, listen: list[int], store: int
+) -> str:
+    """Write a gateway's settings file and return the gateway's name.
+
+    `listen` holds the ports for callers, readiness and metrics, `store` is
+    the port at which the gateway finds the store.
+    """
     name = f'gateway-{number}'
     domain = DOMAINS[number % len(DOMAINS)]
     callers, ready, metrics = listen
@@ -92,18 +118,11 @@
         callers=callers,
         ready=ready,
         metrics=metrics,
-        store=cluster.store.rpartition(':')[2],
+        store=store,
     )
     path = cluster.folder / f'{name}.ini'
     path.write_text(settings)
-    variables = {platform_main.SETTINGS_VARIABLE: str(path)}
     cluster.nodes[name] = node_address.NodeAddress(
         name, domain, f'127.0.0.1:{metrics}', f'127.0.0.1:{callers}'
     )
-    cluster.spawn(name, [GATEWAY], variables)
-    clusters.wait_until(
-        lambda: clusters.answers(
-            f'127.0.0.1:{ready}', platform_adapter.READY_PATH
-        ),
-        f'{name} is ready',
-    )
+    return name
--- a/packages/standins/src/gypsumbridge_standins/users_platform/platform_state.py
+++ b/packages/standins/src/gypsumbridge_standins/users_platform/platform_state.py
@@ -1,5 +1,6 @@
 """State of the platform's stand-in."""
 
+from collections.abc import Callable
 from typing import Any
 
 from gypsumbridge_platform import item as items
@@ -10,10 +11,14 @@
 
     `history` holds every change; a watch from before its first one gets
     410. `faults` names a fault for a searcher, `runs` lists the searchers
-    that ran each request.
+    that ran each request, and `on_run` is called with the request's id and
+    the searcher's.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, on_run: Callable[[str, str], None] = lambda *run: None
+    ) -> None:
+        self.on_run = on_run
         self.revision = 1
         self.items: dict[str, items.Item] = {}
         self.history: list[items.Item] = []
--- a/packages/standins/src/gypsumbridge_standins/users_platform/searcher_site.py
+++ b/packages/standins/src/gypsumbridge_standins/users_platform/searcher_site.py
@@ -45,6 +45,7 @@
             connection.respond(503, (echo, (NAMES.not_run, '1')), b'')
             return
         state.runs.setdefault(request_id, []).append(searcher_id)
+        state.on_run(request_id, searcher_id)
         body = records_of(service, request.target)
         signature = (NAMES.signature, f'{searcher_id}.{request_id}')
         whole = http_head.encode_response(200, (echo, signature), body, False)
--- /dev/null
+++ b/tests/standins/test_fault_soak_checks.py
@@ -0,0 +1,179 @@
+import dataclasses
+import types
+import unittest
+
+from gypsumbridge_platform import header_names
+from gypsumbridge_standins.fault_soak import answer_checks
+from gypsumbridge_standins.fault_soak import deployment
+from gypsumbridge_standins.fault_soak import fault_plan
+from gypsumbridge_standins.fault_soak import outcome as outcomes
+from gypsumbridge_standins.fault_soak import run_checks
+from gypsumbridge_standins.fault_soak import run_record
+from gypsumbridge_standins.fault_soak import sent_request
+from gypsumbridge_standins.fault_soak import span
+from gypsumbridge_standins.users_platform import searcher_site
+
+NAMES = header_names.HEADERS
+SENT_MS = 100_000
+ALL_RECORDS = sorted(
+    (
+        searcher_site.records_of(service, '/all/1')[n : n + 16]
+        for service in deployment.SERVICES
+        for n in range(0, 16 * searcher_site.RECORDS, 16)
+    ),
+    reverse=True,
+)
+
+
+def make_outcome(kind='once', status=200, took_ms=50, number=1, **changes):
+    request = sent_request.SentRequest(
+        f'q{number}', kind, f'/{kind}/1', 'n1', SENT_MS, SENT_MS + 4_000
+    )
+    made = outcomes.Outcome(request, SENT_MS + took_ms, status, {}, b'', False)
+    return dataclasses.replace(made, **changes)
+
+
+def make_gathered():
+    signatures = [f'{service}-d1.q1' for service in deployment.SERVICES]
+    return make_outcome(
+        'all',
+        headers={NAMES.part_signatures: ', '.join(signatures)},
+        body=b''.join(ALL_RECORDS[: deployment.TOP_K]),
+    )
+
+
+class AnswerChecksTest(unittest.TestCase):
+    def broken(self, outcome):
+        return len(answer_checks.check_answer(outcome))
+
+    def test_a_correct_merge_passes(self):
+        """Guards against a soak that fails for no reason."""
+        self.assertEqual(0, self.broken(make_gathered()))
+
+    def test_wrong_merges_are_found(self):
+        """Guards against a soak that passes wrong responses."""
+        good = make_gathered()
+        listed = good.headers[NAMES.part_signatures]
+        for headers in (
+            {NAMES.part_signatures: listed.replace('q1', 'q2', 1)},
+            {NAMES.part_signatures: listed.replace('s1-', 's2-', 1)},
+            {NAMES.part_signatures: listed, NAMES.missing_parts: '1'},
+            {NAMES.part_signatures: 's1-d1.q1', NAMES.missing_parts: '5'},
+            {},
+        ):
+            with self.subTest(headers=headers):
+                outcome = dataclasses.replace(good, headers=headers)
+                self.assertEqual(1, self.broken(outcome))
+        short = dataclasses.replace(good, body=good.body[:-16])
+        self.assertEqual(1, self.broken(short))
+
+    def test_wrong_relays_are_found(self):
+        """Guards against a soak that passes a foreign or cut body."""
+        body = searcher_site.records_of('s1', '/one/1')
+        signed = {NAMES.signature: 's1-d1.q1'}
+        foreign = {NAMES.signature: 's1-d1.q2'}
+        for headers, content, status, broken in (
+            (signed, body, 200, 0),
+            (signed, body[:-1], 200, 1),
+            (signed, b'', 503, 1),
+            (foreign, body, 200, 1),
+            ({}, body, 200, 1),
+            ({}, b'', 404, 1),
+        ):
+            outcome = make_outcome(
+                'one', status, headers=headers, body=content
+            )
+            self.assertEqual(broken, self.broken(outcome))
+
+
+class RunChecksTest(unittest.TestCase):
+    def setUp(self):
+        self.state = types.SimpleNamespace(
+            outcomes=[], unplanned={}, planned={}, draining={}
+        )
+
+    def broken(self, runs=()):
+        records = [
+            run_record.RunRecord(SENT_MS + at_ms, request_id, searcher_id)
+            for at_ms, request_id, searcher_id in runs
+        ]
+        return len(run_checks.check_runs(self.state, records))
+
+    def test_an_unsafe_request_that_ran_twice_is_found(self):
+        """Guards against a soak that misses a second run."""
+        self.state.outcomes = [make_outcome()]
+        self.assertEqual(0, self.broken([(5, 'q1', 's2-d1')]))
+        twice = [(5, 'q1', 's2-d1'), (9, 'q1', 's2-d2')]
+        self.assertEqual(1, self.broken(twice))
+
+    def test_a_false_refusal_is_found(self):
+        """Guards against a soak that believes a refusal."""
+        self.state.outcomes = [make_outcome(status=503)]
+        self.assertEqual(0, self.broken())
+        self.assertEqual(1, self.broken([(900, 'q1', 's2-d1')]))
+
+    def test_too_many_attempts_are_found(self):
+        """Guards against a soak that counts searchers of all services."""
+        runs = [(1, 'q1', 's1-d1'), (2, 'q1', 's1-d2'), (3, 'q1', 's2-d1')]
+        self.assertEqual(0, self.broken(runs))
+        self.assertEqual(1, self.broken([*runs, (4, 'q1', 's1-d1')]))
+
+    def test_a_spent_budget_is_found(self):
+        """Guards against a soak that sees no storm of repeats."""
+        runs = []
+        for number in range(deployment.ALLOWANCE + 1):
+            runs += [(number, f'q{number}', f's1-d{d}') for d in (1, 2)]
+        self.assertEqual(0, self.broken(runs[:-2]))
+        self.assertEqual(1, self.broken(runs))
+
+    def test_work_for_a_draining_searcher_is_found(self):
+        """Guards against a soak that misses late work."""
+        self.state.outcomes = [make_outcome('one')]
+        runs = [(5, 'q1', 's1-d1')]
+        since = SENT_MS - deployment.DRAIN_MS
+        for start_ms, broken in ((since - 10, 1), (since + 10, 0)):
+            found = span.Span(start_ms, SENT_MS + 1_000)
+            self.state.draining = {'s1-d1': [found]}
+            self.assertEqual(broken, self.broken(runs))
+        self.state.draining = {'s1-d1': [span.Span(since - 10, SENT_MS)]}
+        self.assertEqual(0, self.broken(runs))
+
+    def test_work_after_a_close_is_found(self):
+        """Guards against a soak that misses requests nobody waits for."""
+        self.state.outcomes = [
+            make_outcome('one', 0, number=number, gave_up=True)
+            for number in range(4)
+        ]
+        runs = [(900, f'q{number}', 's1-d1') for number in range(4)]
+        self.assertEqual(0, self.broken(runs[:-1]))
+        self.assertEqual(4, self.broken(runs))
+
+    def test_a_cut_connection_is_found_unless_a_fault_explains_it(self):
+        """Guards against a soak that blames its faults for every loss."""
+        self.state.outcomes = [make_outcome(status=0)]
+        self.assertEqual(0, self.broken())
+        runs = [(5, 'q1', 's2-d1')]
+        self.assertEqual(1, self.broken(runs))
+        self.state.planned = {'n1': [span.Span(SENT_MS, SENT_MS + 10)]}
+        self.assertEqual(1, self.broken(runs))
+        self.state.unplanned = {'n1': [span.Span(SENT_MS, SENT_MS + 10)]}
+        self.assertEqual(0, self.broken(runs))
+
+    def test_requests_that_are_held_are_found(self):
+        """Guards against a soak that waits for ever."""
+        self.state.outcomes = [
+            make_outcome(status=504, took_ms=2_600) for _ in range(8)
+        ]
+        self.assertEqual(8, self.broken())
+        self.state.outcomes += [
+            make_outcome(status=504, took_ms=2_100) for _ in range(8)
+        ]
+        self.assertEqual(0, self.broken())
+
+
+class FaultPlanTest(unittest.TestCase):
+    def test_a_seed_gives_its_plan(self):
+        """Guards against a failure whose seed gives other faults."""
+        first = fault_plan.draw_plan(8, 20, 4)
+        self.assertEqual(first, fault_plan.draw_plan(8, 20, 4))
+        self.assertNotEqual(first, fault_plan.draw_plan(9, 20, 4))
