Read on at once when the store holds many changes

Version 12, acknowledged at 11.7 s, came into force at 16.92 s (bound 16.86 s).

Ruled out: the store (each call was answered within some milliseconds) and the decoding (11 ms a response).

Change: a response with many changes is not followed by the pause that collects changes.

--- a/packages/decisions/src/gypsumbridge_decisions/discovery/syncing.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/syncing.py
@@ -21,6 +21,9 @@
 # Changes that come within this time of each other are read in one call.
 COALESCE_MS = 300
 MAX_COALESCE_MS = 1_000
+# The store sends some 500 changes in one response. A node that missed more
+# than that does not wait between responses, or it would fall further behind.
+MANY_CHANGES = 250
 # The fleet for which the times above are meant; larger ones scale them.
 SMALL_FLEET = 10
 FIRST_RETRY_MS = 100
@@ -67,12 +70,12 @@
     changed: store_changed.StoreChanged,
     now_ms: int,
 ) -> list[command.Command]:
-    """Apply changes and watch again, after a pause if there were any."""
+    """Apply changes and watch again, after a pause if there were some."""
     state.revision = max(state.revision, changed.revision)
     commands = regain(state)
     commands += applying.apply_records(state, changed.records, now_ms)
     commands += announce(state)
-    if not changed.records:
+    if not 0 < len(changed.records) < MANY_CHANGES:
         return [*commands, *resume(state)]
     pause_ms = scale(state, COALESCE_MS, MAX_COALESCE_MS)
     timer = messages.Timer(pause_ms, resume_timer.ResumeTimer())
--- a/tests/decisions/discovery/test_discovery.py
+++ b/tests/decisions/discovery/test_discovery.py
@@ -145,6 +145,21 @@
         kinds = [type(command) for command in commands]
         self.assertNotIn(forwarding.RoutesChanged, kinds)
 
+    def test_a_node_that_is_behind_reads_on_at_once(self):
+        """Guards against routes that come into force too late.
+
+        After ten seconds without the store a node was behind by 2,500
+        changes, read 500 a second, and broke the bound on configuration.
+        """
+        self.list(routes=b'1')
+        many = {f'searchers_{number}': b'ready' for number in range(500)}
+        commands = self.change(**many)
+        self.assertEqual(
+            discovery.WatchStore(self.revision, 3_000), commands[-1]
+        )
+        few = self.change(routes=b'2')
+        self.assertEqual(discovery.ResumeTimer(), few[-1].event)
+
     def test_failures_are_retried_and_logged_once(self):
         """Guards against a node that stops asking, or floods its log."""
         self.list(routes=b'1')
