--- a/packages/standins/src/gypsumbridge_standins/fault_soak/deployment.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/deployment.py
@@ -3,11 +3,12 @@
 from typing import Any
 
 from gypsumbridge_standins.users_platform import gateway_cluster
+from gypsumbridge_standins.users_platform import operator_config
 
 SERVICES = ('s1', 's2', 's3', 's4', 's5', 's6')
 DOMAINS = gateway_cluster.DOMAINS
 SEARCHERS = tuple(f'{s}-{d}' for s in SERVICES for d in DOMAINS)
-HOST = 'a.example'
+HOST = operator_config.HOST
 TOP_K = 5
 MIN_COVERAGE = 0.5
 MAX_ATTEMPTS = 2
@@ -30,40 +31,26 @@
 
 def make_config(version: int) -> dict[str, Any]:
     """Return the operator's configuration."""
-
-    def route(prefix: str, kind: str, **target: Any) -> dict[str, Any]:
-        return {
-            'name': f'r{prefix}',
-            'hostname': HOST,
-            'prefix': prefix,
-            'routeType': kind,
-            'timeoutMs': TIMEOUT_MS,
-            'targetLatencyMs': OBJECTIVE_MS,
-            'maxAttempts': MAX_ATTEMPTS,
-            **target,
-        }
-
-    return {
-        'version': version,
-        'routes': [
-            route(
+    return operator_config.make_config(
+        version,
+        SERVICES,
+        (
+            operator_config.make_gather_route(
                 '/all/',
-                'safe',
-                gather=list(SERVICES),
-                topK=TOP_K,
-                minCoverage=MIN_COVERAGE,
+                SERVICES,
+                TIMEOUT_MS,
+                OBJECTIVE_MS,
+                TOP_K,
+                MIN_COVERAGE,
+            ),
+            operator_config.make_route(
+                '/one/', 's1', TIMEOUT_MS, OBJECTIVE_MS
+            ),
+            operator_config.make_route(
+                '/once/', 's2', TIMEOUT_MS, OBJECTIVE_MS, idempotent=False
+            ),
+            operator_config.make_route(
+                marker_prefix(version), 's3', TIMEOUT_MS, OBJECTIVE_MS
             ),
-            route('/one/', 'safe', backend='s1'),
-            route('/once/', 'unsafe', backend='s2'),
-            route(marker_prefix(version), 'safe', backend='s3'),
-        ],
-        'backends': [
-            {'name': name, 'maxConnections': 200} for name in SERVICES
-        ],
-        'limits': {
-            'maxHeaderBytes': 16_384,
-            'maxBodyBytes': 262_144,
-            'headerTimeoutMs': 10_000,
-            'idleTimeoutMs': 60_000,
-        },
-    }
+        ),
+    )
--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/users_platform/operator_config.py
@@ -0,0 +1,82 @@
+"""The operator's configuration."""
+
+from collections.abc import Iterable
+from typing import Any
+
+import msgspec
+
+from gypsumbridge_platform import backend_body
+from gypsumbridge_platform import config_body
+from gypsumbridge_platform import limits_body
+from gypsumbridge_platform import route_body
+
+HOST = 'a.example'
+MOST_CONNECTIONS = 200
+ATTEMPTS = 2
+LIMITS = limits_body.LimitsBody(
+    max_header_bytes=16_384,
+    max_body_bytes=262_144,
+    header_timeout_ms=10_000,
+    idle_timeout_ms=60_000,
+)
+
+
+def make_config(
+    version: int,
+    services: Iterable[str],
+    routes: Iterable[route_body.RouteBody],
+) -> dict[str, Any]:
+    """Return a configuration as the operator writes it."""
+    body = config_body.ConfigBody(
+        version,
+        list(routes),
+        [
+            backend_body.BackendBody(name, MOST_CONNECTIONS)
+            for name in services
+        ],
+        LIMITS,
+    )
+    return msgspec.to_builtins(body)
+
+
+def make_route(
+    prefix: str,
+    service: str,
+    timeout_ms: int,
+    objective_ms: int,
+    idempotent: bool = True,
+) -> route_body.RouteBody:
+    """Return a route to one service."""
+    return route_body.RouteBody(
+        name=f'r{prefix}',
+        hostname=HOST,
+        prefix=prefix,
+        route_type='safe' if idempotent else 'unsafe',
+        timeout_ms=timeout_ms,
+        target_latency_ms=objective_ms,
+        max_attempts=ATTEMPTS,
+        backend=service,
+    )
+
+
+def make_gather_route(
+    prefix: str,
+    services: Iterable[str],
+    timeout_ms: int,
+    objective_ms: int,
+    top_k: int,
+    min_coverage: float,
+) -> route_body.RouteBody:
+    """Return a route that merges the parts of several services."""
+    return route_body.RouteBody(
+        name=f'r{prefix}',
+        hostname=HOST,
+        prefix=prefix,
+        route_type='safe',
+        timeout_ms=timeout_ms,
+        target_latency_ms=objective_ms,
+        max_attempts=ATTEMPTS,
+        gather=list(services),
+        top_k=top_k,
+        min_coverage=min_coverage,
+    )
--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -8,6 +8,7 @@
 from gypsumbridge_standins import json_http
 from gypsumbridge_standins.cluster import cluster as clusters
 from gypsumbridge_standins.users_platform import gateway_cluster
+from gypsumbridge_standins.users_platform import operator_config
 from gypsumbridge_standins.users_platform import searcher_site
 
 NAMES = header_names.HEADERS
@@ -15,44 +16,25 @@
 TOP_K = 5
 # Longer than any run of a test, so that its end depends on no clock.
 DEADLINE_MS = 20_000
+OBJECTIVE_MS = 10_000
 
 
 def make_config(version=1, timeout_ms=DEADLINE_MS):
-    def route(prefix, kind, **target):
-        return {
-            'name': f'r{prefix}',
-            'hostname': 'a.example',
-            'prefix': prefix,
-            'routeType': kind,
-            'timeoutMs': timeout_ms,
-            'targetLatencyMs': 10_000,
-            'maxAttempts': 2,
-            **target,
-        }
-
-    return {
-        'version': version,
-        'routes': [
-            route(
-                '/all/',
-                'safe',
-                gather=list(SERVICES),
-                topK=TOP_K,
-                minCoverage=0.75,
+    return operator_config.make_config(
+        version,
+        SERVICES,
+        (
+            operator_config.make_gather_route(
+                '/all/', SERVICES, timeout_ms, OBJECTIVE_MS, TOP_K, 0.75
+            ),
+            operator_config.make_route(
+                '/one/', 's1', timeout_ms, OBJECTIVE_MS
+            ),
+            operator_config.make_route(
+                '/once/', 's2', timeout_ms, OBJECTIVE_MS, idempotent=False
             ),
-            route('/one/', 'safe', backend='s1'),
-            route('/once/', 'unsafe', backend='s2'),
-        ],
-        'backends': [
-            {'name': name, 'maxConnections': 200} for name in SERVICES
-        ],
-        'limits': {
-            'maxHeaderBytes': 16_384,
-            'maxBodyBytes': 262_144,
-            'headerTimeoutMs': 10_000,
-            'idleTimeoutMs': 60_000,
-        },
-    }
+        ),
+    )
 
 
 class GatewayTest(unittest.TestCase):
