Deliver messages between tasks without a poll in between

Cause: a response passed three turns of the reactor (forwarding, ingress, write), and each turn first reads every socket that is ready. With 90 parts on half a core a turn takes some 20 ms, so responses left after the objective that they were timed for.

Change: the mailboxes of a reactor share a turn that delivers up to six rounds before the sockets are polled again; responses are written at once; hedges of a gather are put off once while most parts are out. Both daemons build their mailboxes with one function.

--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/exchange.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/exchange.py
@@ -9,7 +9,8 @@
     """A request, the route that it is pinned to, and its parts.
 
     `expires_ms` is when the final response is due on the node's clock,
-    `open_services` names the parts whose answer may still arrive.
+    `open_services` names the parts whose answer may still arrive,
+    `hedge_put_off` says that hedges wait for a second time.
     """
 
     def __init__(
@@ -28,6 +29,7 @@
         self.by_service = {part.service: part for part in self.parts}
         self.open_services: set[str] = set()
         self.hedges = 0
+        self.hedge_put_off = False
         self.objective_passed = False
 
     def part(self, service: str) -> part_state.PartState:
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/hedging.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/hedging.py
@@ -2,6 +2,7 @@
 
 from gypsumbridge_decisions import messages
 from gypsumbridge_decisions.forwarding import command
+from gypsumbridge_decisions.forwarding import hedge_timer
 from gypsumbridge_decisions.forwarding import latency_window
 from gypsumbridge_decisions.forwarding import route as routes
 from gypsumbridge_decisions.forwarding import sending
@@ -53,10 +54,18 @@
     if exchange is None:
         return []
     commands: list[command.Command] = []
-    # Connections may lose all bytes without being closed. A node at which
-    # this happens to most of them gets almost no answers at all.
-    still_open = len(exchange.open_services)
-    new_connection = still_open * 2 > len(exchange.parts)
+    # Searchers are slow one by one. Where most parts are out, this node or
+    # its link is slow, which hedges would make worse; after a second delay
+    # connections may have lost their bytes without being closed.
+    most_open = len(exchange.open_services) * 2 > len(exchange.parts)
+    if most_open and len(exchange.parts) > 1 and not exchange.hedge_put_off:
+        exchange.hedge_put_off = True
+        delay_ms = max(MIN_DELAY_MS, now_ms - exchange.request.arrived_ms)
+        timer = hedge_timer.HedgeTimer(call_id)
+        return [
+            messages.Count('forwarding.hedges_put_off'),
+            messages.Timer(delay_ms, timer),
+        ]
     for part in exchange.parts:
         if not part.is_open():
             continue
@@ -67,7 +76,7 @@
             running.overdue = True
             state.health[running.searcher.searcher_id].overdue += 1
         sent = sending.send_extra(
-            state, exchange, part, now_ms, new_connection=new_connection
+            state, exchange, part, now_ms, new_connection=most_open
         )
         if not sent:
             commands.append(messages.Count('forwarding.hedges_withheld'))
--- a/packages/node/src/gypsumbridge_node/daemon.py
+++ b/packages/node/src/gypsumbridge_node/daemon.py
@@ -122,7 +122,7 @@
         metrics=metrics.make_metrics(
             settings.metrics.statsd_address, settings.metrics.prefix
         ),
-        boxes=mailboxes.make_mailboxes(
-            reactor, mailbox.make_error_log(logger)
+        boxes=mailbox.make_boxes(
+            mailboxes.Mailboxes, reactor, mailbox.make_error_log(logger)
         ),
     )
--- a/packages/node/src/gypsumbridge_node/gateway/daemon.py
+++ b/packages/node/src/gypsumbridge_node/gateway/daemon.py
@@ -99,6 +99,8 @@
             logger, clock, settings.log.decision_lines_per_second
         ),
         metrics=metrics.make_metrics('', 'gypsumbridge'),
-        boxes=boxes.make_boxes(reactor, mailbox.make_error_log(logger)),
+        boxes=mailbox.make_boxes(
+            boxes.GatewayBoxes, reactor, mailbox.make_error_log(logger)
+        ),
         adapter=adapter,
     )
--- a/packages/node/src/gypsumbridge_node/gateway/server_connection.py
+++ b/packages/node/src/gypsumbridge_node/gateway/server_connection.py
@@ -13,6 +13,7 @@
 from gypsumbridge_decisions import forwarding
 from gypsumbridge_node.gateway import headers
 from gypsumbridge_node.gateway import http_head
+from gypsumbridge_node.gateway import immediate_write
 from gypsumbridge_node.gateway import parsed_request
 from gypsumbridge_node.gateway import socket_options
 
@@ -53,6 +54,8 @@
         self.in_progress = False
         self.keep_alive = True
         self.ended = False
+        # Set once the transport may hold bytes that are not written yet.
+        self.buffered = False
         self.reading = False
         self.requests = 0
         self._reset_message()
@@ -106,9 +109,11 @@
             return
         close = not self.keep_alive or self.closing()
         self.in_progress = False
-        self.transport.write(
-            http_head.encode_response(status, headers, body, close)
-        )
+        data = http_head.encode_response(status, headers, body, close)
+        if self.buffered:
+            self.transport.write(data)
+        else:
+            self.buffered = not immediate_write.write(self.transport, data)
         if close:
             self.close()
             return
--- a/packages/node/src/gypsumbridge_node/mailbox.py
+++ b/packages/node/src/gypsumbridge_node/mailbox.py
@@ -2,11 +2,17 @@
 
 import collections
 from collections.abc import Callable
+import dataclasses
 from typing import Any
+from typing import TypeVar
 
 import logbook
 from twisted.internet import interfaces
 
+from gypsumbridge_node import turn as turns
+
+Boxes = TypeVar('Boxes')
+
 
 class Mailbox:
     """Delivers messages to one handler, one at a time and in order.
@@ -17,10 +23,10 @@
 
     def __init__(
         self,
-        reactor: interfaces.IReactorTime,
+        turn: turns.Turn,
         on_error: Callable[[Exception, Any], None],
     ) -> None:
-        self.reactor = reactor
+        self.turn = turn
         self.on_error = on_error
         self.waiting: collections.deque[Any] = collections.deque()
         self.handle: Callable[[Any], None] | None = None
@@ -32,24 +38,17 @@
         self._schedule()
 
     def put(self, message: Any) -> None:
-        """Add a message; it is handled on a later turn of the reactor."""
+        """Add a message; it is handled when this one has been."""
         self.waiting.append(message)
         if not self.scheduled:
             self._schedule()
 
     def put_later(self, delay_ms: int, message: Any) -> None:
         """Add a message after a delay."""
-        self.reactor.callLater(delay_ms / 1000, self.put, message)
-
-    def _schedule(self) -> None:
-        if self.handle is None or not self.waiting:
-            return
-        self.scheduled = True
-        self.reactor.callLater(0, self._drain)
+        self.turn.reactor.callLater(delay_ms / 1000, self.put, message)
 
-    def _drain(self) -> None:
-        # Only what waits now is delivered, so that a task that answers
-        # itself leaves the reactor time for its sockets.
+    def deliver(self) -> None:
+        """Handle what waits now, but not what it leads to."""
         for _ in range(len(self.waiting)):
             message = self.waiting.popleft()
             try:
@@ -59,13 +58,25 @@
         self.scheduled = False
         self._schedule()
 
+    def _schedule(self) -> None:
+        if self.handle is None or not self.waiting:
+            return
+        self.scheduled = True
+        self.turn.add(self)
+
 
-def make_mailbox(
+def make_boxes(
+    kind: type[Boxes],
     reactor: interfaces.IReactorTime,
     on_error: Callable[[Exception, Any], None],
-) -> Mailbox:
-    """Return a mailbox whose handler is set later with `start`."""
-    return Mailbox(reactor, on_error)
+) -> Boxes:
+    """Return a data class whose fields are mailboxes of one reactor."""
+    turn = turns.Turn(reactor)
+    made = {
+        field.name: Mailbox(turn, on_error)
+        for field in dataclasses.fields(kind)
+    }
+    return kind(**made)
 
 
 def make_error_log(
--- a/packages/node/src/gypsumbridge_node/mailboxes.py
+++ b/packages/node/src/gypsumbridge_node/mailboxes.py
@@ -1,10 +1,6 @@
 """The mailboxes of all tasks of a node."""
 
-from collections.abc import Callable
 import dataclasses
-from typing import Any
-
-from twisted.internet import interfaces
 
 from gypsumbridge_node import mailbox
 
@@ -24,15 +20,3 @@
     mutation: mailbox.Mailbox
     lifecycle: mailbox.Mailbox
     operator_http: mailbox.Mailbox
-
-
-def make_mailboxes(
-    reactor: interfaces.IReactorTime,
-    on_error: Callable[[Exception, Any], None],
-) -> Mailboxes:
-    """Return a mailbox for each task."""
-    made = {
-        field.name: mailbox.make_mailbox(reactor, on_error)
-        for field in dataclasses.fields(Mailboxes)
-    }
-    return Mailboxes(**made)
--- /dev/null
+++ b/tests/node/test_turn.py
@@ -0,0 +1,75 @@
+import dataclasses
+import unittest
+
+from gypsumbridge_node import mailbox
+
+
+class Reactor:
+    """Keeps calls until they are run one by one."""
+
+    def __init__(self):
+        self.calls = []
+
+    def callLater(self, delay_s, call, *arguments):
+        self.calls.append((call, arguments))
+
+    def run_one(self):
+        call, arguments = self.calls.pop(0)
+        call(*arguments)
+
+
+@dataclasses.dataclass(frozen=True)
+class Boxes:
+    first: mailbox.Mailbox
+    second: mailbox.Mailbox
+    third: mailbox.Mailbox
+
+
+class TurnTest(unittest.TestCase):
+    def setUp(self):
+        self.reactor = Reactor()
+        self.errors = []
+        self.seen = []
+        self.boxes = mailbox.make_boxes(
+            Boxes, self.reactor, lambda *error: self.errors.append(error)
+        )
+        self.boxes.third.start(self.seen.append)
+
+    def test_a_message_passes_all_tasks_in_one_turn(self):
+        """Guards against a wait for all ready sockets at each task."""
+        self.boxes.first.start(self.boxes.second.put)
+        self.boxes.second.start(self.boxes.third.put)
+        self.boxes.first.put('a')
+        self.assertEqual([], self.seen)
+        self.reactor.run_one()
+        self.assertEqual(['a'], self.seen)
+
+    def test_messages_keep_their_order(self):
+        """Guards against a later message that is handled first."""
+        self.boxes.first.start(self.boxes.third.put)
+        for number in range(5):
+            self.boxes.first.put(number)
+        self.reactor.run_one()
+        self.assertEqual([0, 1, 2, 3, 4], self.seen)
+
+    def test_a_task_that_writes_to_itself_leaves_time_for_sockets(self):
+        """Guards against a loop that never polls the sockets."""
+        self.boxes.first.start(self.boxes.first.put)
+        self.boxes.first.put('again')
+        self.reactor.run_one()
+        self.assertEqual(1, len(self.reactor.calls))
+
+    def test_an_error_loses_one_message_only(self):
+        """Guards against a task that ends with its first error."""
+
+        def handle(message):
+            if message == 1:
+                raise ValueError(message)
+            self.seen.append(message)
+
+        self.boxes.first.start(handle)
+        for number in range(3):
+            self.boxes.first.put(number)
+        self.reactor.run_one()
+        self.assertEqual([0, 2], self.seen)
+        self.assertEqual(1, len(self.errors))
