--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,7 @@
 	python tools/run_tests.py
 
 run: setup
+	python -m gypsumbridge_standins.gateway_demo
 	python -m gypsumbridge_standins.demo $(if $(KEEP),--keep)
 
 capacity: setup
--- a/packages/standins/src/gypsumbridge_standins/bench/gather_cost.py
+++ b/packages/standins/src/gypsumbridge_standins/bench/gather_cost.py
@@ -2,17 +2,15 @@
 
 import http.client
 
-from gypsumbridge_platform import header_names
 from gypsumbridge_standins.bench import process_time
 from gypsumbridge_standins.cluster import cluster as clusters
 from gypsumbridge_standins.users_platform import gateway_cluster
 from gypsumbridge_standins.users_platform import operator_config
+from gypsumbridge_standins.users_platform import plain_request
 
-NAMES = header_names.HEADERS
 SHARDS = (20, 90)
 WARM = 20
 GATHERS = 100
-DEADLINE_MS = 5_000
 TOP_K = 10
 MIN_COVERAGE = 0.5
 
@@ -26,7 +24,12 @@
     """Send gathers one after another and measure the gateway's time."""
     services = tuple(f's{number}' for number in range(shards))
     route = operator_config.make_gather_route(
-        '/all/', services, DEADLINE_MS, DEADLINE_MS, TOP_K, MIN_COVERAGE
+        '/all/',
+        services,
+        plain_request.DEADLINE_MS,
+        plain_request.DEADLINE_MS,
+        TOP_K,
+        MIN_COVERAGE,
     )
     cluster = clusters.Cluster()
     try:
@@ -57,14 +60,9 @@
 
 def send(connection: http.client.HTTPConnection, request_id: str) -> None:
     """Send a gather and read its response; raises RuntimeError if partial."""
-    headers = {
-        'Host': operator_config.HOST,
-        NAMES.request_id: request_id,
-        NAMES.deadline_ms: str(DEADLINE_MS),
-    }
-    connection.request('GET', f'/all/{request_id}', None, headers)
-    response = connection.getresponse()
-    response.read()
-    missing = response.headers.get(NAMES.missing_parts)
-    if response.status != 200 or missing != '0':
-        raise RuntimeError(f'status {response.status}, {missing} missing')
+    status, headers, _ = plain_request.send(
+        connection, request_id, f'/all/{request_id}'
+    )
+    missing = headers.get(plain_request.NAMES.missing_parts)
+    if status != 200 or missing != '0':
+        raise RuntimeError(f'status {status}, {missing} missing')
--- /dev/null
+++ b/packages/standins/src/gypsumbridge_standins/users_platform/plain_request.py
@@ -0,0 +1,31 @@
+"""A caller's request to a gateway."""
+
+import http.client
+
+from gypsumbridge_platform import header_names
+from gypsumbridge_standins.users_platform import operator_config
+
+NAMES = header_names.HEADERS
+DEADLINE_MS = 5_000
+
+
+def send(
+    connection: http.client.HTTPConnection,
+    request_id: str,
+    target: str,
+    body: bytes | None = None,
+) -> tuple[int, http.client.HTTPMessage, bytes]:
+    """Send a GET, or a POST if there is a body; return what came back.
+
+    Returns status, headers and body. Raises OSError or HTTPException where
+    the connection ends without a whole response.
+    """
+    headers = {
+        'Host': operator_config.HOST,
+        NAMES.request_id: request_id,
+        NAMES.deadline_ms: str(DEADLINE_MS),
+    }
+    method = 'GET' if body is None else 'POST'
+    connection.request(method, target, body, headers)
+    response = connection.getresponse()
+    return response.status, response.headers, response.read()
