Time partial responses by how long they take to write

Cause: a partial response left a fixed margin and twice the lag of timers before the objective.

Change: the ingress reports when such a response was written; mean and deviation for each route, as RFC 6298 does for round trips, replace the fixed figures once measured.

--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
@@ -1,11 +1,15 @@
 """Decisions of the ingress that forwards and gathers HTTP requests."""
 
+from gypsumbridge_decisions.forwarding.answer_delay import (
+    AnswerDelay as AnswerDelay,
+)
 from gypsumbridge_decisions.forwarding.arrival import (
     answer_after_ms as answer_after_ms,
 )
 from gypsumbridge_decisions.forwarding.arrival import (
     choose_services as choose_services,
 )
+from gypsumbridge_decisions.forwarding.arrival import delay_of as delay_of
 from gypsumbridge_decisions.forwarding.arrival import receive as receive
 from gypsumbridge_decisions.forwarding.arrival import set_timers as set_timers
 from gypsumbridge_decisions.forwarding.attempt import Attempt as Attempt
@@ -33,6 +37,7 @@
 from gypsumbridge_decisions.forwarding.choosing import (
     expected_cost as expected_cost,
 )
+from gypsumbridge_decisions.forwarding.choosing import preference as preference
 from gypsumbridge_decisions.forwarding.command import Command as Command
 from gypsumbridge_decisions.forwarding.ending import (
     cancel_running as cancel_running,
@@ -68,6 +73,9 @@
 from gypsumbridge_decisions.forwarding.finishing import (
     may_have_run as may_have_run,
 )
+from gypsumbridge_decisions.forwarding.finishing import (
+    measure_delay as measure_delay,
+)
 from gypsumbridge_decisions.forwarding.finishing import (
     pass_objective as pass_objective,
 )
@@ -117,6 +125,9 @@
 from gypsumbridge_decisions.forwarding.policy import (
     ForwardingPolicy as ForwardingPolicy,
 )
+from gypsumbridge_decisions.forwarding.response_written import (
+    ResponseWritten as ResponseWritten,
+)
 from gypsumbridge_decisions.forwarding.route import Route as Route
 from gypsumbridge_decisions.forwarding.route_table import (
     find_route as find_route,
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/arrival.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/arrival.py
@@ -1,6 +1,7 @@
 """Plan of a request that has just arrived."""
 
 from gypsumbridge_decisions import messages
+from gypsumbridge_decisions.forwarding import answer_delay
 from gypsumbridge_decisions.forwarding import caller_request
 from gypsumbridge_decisions.forwarding import command
 from gypsumbridge_decisions.forwarding import exchange as exchanges
@@ -16,12 +17,12 @@
 from gypsumbridge_decisions.forwarding import state as states
 
 STATUS_NO_ROUTE = 404
-# Reading the request and writing the response, beside the measured lag of
-# timers, and what each part adds to the merge.
-ANSWER_MARGIN_MS = 5
+# From a timer to the response on the socket, and what each part adds to
+# the merge, until this has been measured.
+ANSWER_MARGIN_MS = 3
+# Reading the request, and the caller's own reading of the response.
+READ_MARGIN_MS = 2
 PART_MARGIN_MS = 0.06
-# The lag delays the request, the timer and the response.
-LAG_FACTOR = 2
 # A caller further away than this share of the objective is answered late.
 MAX_NETWORK_SHARE = 0.4
 MAX_OWN_SHARE = 0.3
@@ -116,7 +117,20 @@
     network_ms = min(
         request.network_ms, route.objective_ms * MAX_NETWORK_SHARE
     )
-    own_ms = ANSWER_MARGIN_MS + LAG_FACTOR * state.timer_lag_ms
-    own_ms += PART_MARGIN_MS * len(route.targets)
+    # Requests wait as long for this node as its timers do.
+    own_ms = READ_MARGIN_MS + state.timer_lag_ms
+    own_ms += delay_of(state, route).high_ms()
     own_ms = min(own_ms, route.objective_ms * MAX_OWN_SHARE)
     return max(1, int(route.objective_ms - network_ms - own_ms))
+
+
+def delay_of(
+    state: states.ForwardingState, route: routes.Route
+) -> answer_delay.AnswerDelay:
+    """Return how long a route's responses take, made on first use."""
+    found = state.answer_delays.get(route.name)
+    if found is None:
+        estimate_ms = ANSWER_MARGIN_MS + PART_MARGIN_MS * len(route.targets)
+        found = answer_delay.AnswerDelay(estimate_ms)
+        state.answer_delays[route.name] = found
+    return found
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/finishing.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/finishing.py
@@ -1,5 +1,7 @@
 """Final responses to callers."""
 
+import dataclasses
+
 from gypsumbridge_decisions import messages
 from gypsumbridge_decisions.forwarding import attempt_ended
 from gypsumbridge_decisions.forwarding import caller_request
@@ -10,6 +12,7 @@
 from gypsumbridge_decisions.forwarding import merge
 from gypsumbridge_decisions.forwarding import objective_timer
 from gypsumbridge_decisions.forwarding import part_state
+from gypsumbridge_decisions.forwarding import response_written
 from gypsumbridge_decisions.forwarding import state as states
 
 STATUS_OK = 200
@@ -90,7 +93,23 @@
     exchange.objective_passed = True
     if not covers_enough(exchange):
         return []
-    return finish(state, exchange, now_ms)
+    commands = finish(state, exchange, now_ms)
+    response = commands[0]
+    assert isinstance(response, caller_response.CallerResponse)
+    timed = dataclasses.replace(
+        response, objective_route=exchange.route.name, due_ms=timer.due_ms
+    )
+    return [timed, *commands[1:]]
+
+
+def measure_delay(
+    state: states.ForwardingState, written: response_written.ResponseWritten
+) -> list[command.Command]:
+    """Count how long a response took."""
+    found = state.answer_delays.get(written.route)
+    if found is not None:
+        found.add(written.late_ms)
+    return []
 
 
 def expire(
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/handler.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/handler.py
@@ -15,6 +15,7 @@
 from gypsumbridge_decisions.forwarding import hedging
 from gypsumbridge_decisions.forwarding import news
 from gypsumbridge_decisions.forwarding import objective_timer
+from gypsumbridge_decisions.forwarding import response_written
 from gypsumbridge_decisions.forwarding import routes_changed
 from gypsumbridge_decisions.forwarding import searchers_changed
 from gypsumbridge_decisions.forwarding import state as states
@@ -38,6 +39,8 @@
             return finishing.expire(state, message.call_id, now_ms)
         case caller_gone.CallerGone():
             return finishing.drop(state, message.call_id, now_ms)
+        case response_written.ResponseWritten():
+            return finishing.measure_delay(state, message)
         case searchers_changed.SearchersChanged():
             return news.change_searchers(state, message)
         case routes_changed.RoutesChanged():
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/state.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/state.py
@@ -1,5 +1,6 @@
 """State of the forwarding task."""
 
+from gypsumbridge_decisions.forwarding import answer_delay
 from gypsumbridge_decisions.forwarding import attempt
 from gypsumbridge_decisions.forwarding import exchange
 from gypsumbridge_decisions.forwarding import extra_budget
@@ -17,9 +18,9 @@
 class ForwardingState:
     """Everything that the forwarding task owns.
 
-    `searchers` holds the searchers of each service; `latencies` and
-    `splits` are kept by the name of the route. `timer_lag_ms` is how late
-    timers are handled, as a moving average.
+    `searchers` holds the searchers of each service; `latencies`, `splits`
+    and `answer_delays` are kept by the name of the route. `timer_lag_ms` is
+    how late timers are handled, as a moving average.
     """
 
     def __init__(self, policy: policies.ForwardingPolicy) -> None:
@@ -36,6 +37,7 @@
         self.splits: dict[str, split.Split] = {}
         self.draining = False
         self.timer_lag_ms = 0.0
+        self.answer_delays: dict[str, answer_delay.AnswerDelay] = {}
 
 
 def make_forwarding_state(
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/ingress.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/ingress.py
@@ -129,5 +129,10 @@
             headers.append((names.missing_parts, str(response.missing_parts)))
             headers.append(('Content-Type', 'application/octet-stream'))
         connection.respond(response.status, headers, response.body)
+        if response.objective_route:
+            late_ms = runtime.clock.now_ms() - response.due_ms
+            runtime.boxes.forwarding.put(
+                forwarding.ResponseWritten(response.objective_route, late_ms)
+            )
 
     return respond
--- a/tests/decisions/forwarding/test_timing.py
+++ b/tests/decisions/forwarding/test_timing.py
@@ -28,10 +28,31 @@
         idle_ms = self.answer_after(route, 2.0)
         for _ in range(50):
             self.handle(forwarding.ObjectiveTimer(0, self.now_ms - 4))
+            self.handle(forwarding.ResponseWritten('all', 7))
         self.assertAlmostEqual(
             idle_ms - 8, self.answer_after(route, 2.0), delta=1
         )
 
+    def test_a_response_is_timed_by_when_it_was_written(self):
+        """Guards against a margin that suits one size of machine only."""
+        sent = gateway_case.sends(self.arrive())
+        for found in sent[:3]:
+            self.answer(found, b'x' * 16)
+        timer = forwarding.ObjectiveTimer(self.last_call_id, self.now_ms - 2)
+        (response,) = gateway_case.responses(self.handle(timer))
+        self.assertEqual('all', response.objective_route)
+        self.assertEqual(self.now_ms - 2, response.due_ms)
+
+    def test_uneven_delays_take_more_time_off(self):
+        """Guards against a mean that half of the responses exceed."""
+        route = gateway_case.GATHER
+        self.answer_after(route, 2.0)
+        for number in range(100):
+            late_ms = 2 if number % 2 else 12
+            self.handle(forwarding.ResponseWritten('all', late_ms))
+        steady_ms = 100 - 2 - 2 - 7
+        self.assertLess(self.answer_after(route, 2.0), steady_ms - 5)
+
     def test_a_route_with_time_to_spare_hedges_fewer_attempts(self):
         """Guards against a budget spent where it gains least."""
         window = forwarding.latencies_of(self.state, gateway_case.GATHER)
