--- a/packages/node/src/gypsumbridge_node/daemon.py
+++ b/packages/node/src/gypsumbridge_node/daemon.py
@@ -1,25 +1,21 @@
 """Wires the tasks of a node together and runs the reactor."""
 
-import time
 from typing import Any
 
-import logbook
 from twisted.internet import task
 from twisted.web import server
 import txzmq
 
-from gypsumbridge_decisions import clock as clocks
 from gypsumbridge_node import address
 from gypsumbridge_node import bounded_request
-from gypsumbridge_node import decision_log
 from gypsumbridge_node import http_channel
 from gypsumbridge_node import json_lines
-from gypsumbridge_node import mailbox
 from gypsumbridge_node import mailboxes
 from gypsumbridge_node import metrics
 from gypsumbridge_node import path_resource
 from gypsumbridge_node import process_controls
 from gypsumbridge_node import runtime as runtimes
+from gypsumbridge_node import runtime_factory
 from gypsumbridge_node.settings import settings as all_settings
 from gypsumbridge_node.tasks import caller_http
 from gypsumbridge_node.tasks import configuration
@@ -39,7 +35,15 @@
     from twisted.internet import reactor
 
     json_lines.install_handler(settings.log.level)
-    runtime = make_runtime(reactor, settings)
+    runtime = runtime_factory.make_runtime(
+        runtimes.Runtime,
+        mailboxes.Mailboxes,
+        reactor,
+        settings,
+        metrics.make_metrics(
+            settings.metrics.statsd_address, settings.metrics.prefix
+        ),
+    )
     factory = txzmq.ZmqFactory()
     root = path_resource.PathResource()
     channels: set[http_channel.JsonChannel] = set()
@@ -102,27 +106,3 @@
     )
     host, port = address.split_address(settings.node.http_address)
     return runtime.reactor.listenTCP(port, site, interface=host)
-
-
-def make_runtime(
-    reactor: Any, settings: all_settings.Settings
-) -> runtimes.Runtime:
-    """Return what the tasks of a node share."""
-    logger = logbook.Logger(settings.node.node_id)
-    clock = clocks.make_clock(time.monotonic_ns, time.time_ns)
-
-    return runtimes.Runtime(
-        reactor=reactor,
-        clock=clock,
-        settings=settings,
-        logger=logger,
-        decisions=decision_log.DecisionLog(
-            logger, clock, settings.log.decision_lines_per_second
-        ),
-        metrics=metrics.make_metrics(
-            settings.metrics.statsd_address, settings.metrics.prefix
-        ),
-        boxes=mailbox.make_boxes(
-            mailboxes.Mailboxes, reactor, mailbox.make_error_log(logger)
-        ),
-    )
--- a/packages/node/src/gypsumbridge_node/gateway/daemon.py
+++ b/packages/node/src/gypsumbridge_node/gateway/daemon.py
@@ -3,18 +3,12 @@
 import gc
 import pathlib
 import sys
-import time
-from typing import Any
 
-import logbook
-
-from gypsumbridge_decisions import clock as clocks
 from gypsumbridge_decisions import errors
-from gypsumbridge_node import decision_log
 from gypsumbridge_node import json_lines
-from gypsumbridge_node import mailbox
 from gypsumbridge_node import metrics
 from gypsumbridge_node import process_controls
+from gypsumbridge_node import runtime_factory
 from gypsumbridge_node.gateway import adapter as adapters
 from gypsumbridge_node.gateway import boxes
 from gypsumbridge_node.gateway import runtime as runtimes
@@ -52,7 +46,14 @@
     from twisted.internet import reactor
 
     json_lines.install_handler(settings.log.level)
-    runtime = make_runtime(reactor, settings, adapter)
+    runtime = runtime_factory.make_runtime(
+        runtimes.GatewayRuntime,
+        boxes.GatewayBoxes,
+        reactor,
+        settings,
+        metrics.make_metrics('', 'gypsumbridge'),
+        adapter=adapter,
+    )
     exit_statuses = [0]
 
     def exit_process(status: int) -> None:
@@ -79,28 +80,3 @@
     reactor.run(installSignalHandlers=False)
     runtime.logger.info('gateway stopped')
     return exit_statuses[-1]
-
-
-def make_runtime(
-    reactor: Any,
-    settings: gateway_settings.GatewaySettings,
-    adapter: adapters.Adapter,
-) -> runtimes.GatewayRuntime:
-    """Return what the tasks of a gateway share."""
-    logger = logbook.Logger(settings.node.node_id)
-    clock = clocks.make_clock(time.monotonic_ns, time.time_ns)
-
-    return runtimes.GatewayRuntime(
-        reactor=reactor,
-        clock=clock,
-        settings=settings,
-        logger=logger,
-        decisions=decision_log.DecisionLog(
-            logger, clock, settings.log.decision_lines_per_second
-        ),
-        metrics=metrics.make_metrics('', 'gypsumbridge'),
-        boxes=mailbox.make_boxes(
-            boxes.GatewayBoxes, reactor, mailbox.make_error_log(logger)
-        ),
-        adapter=adapter,
-    )
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/store.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/store.py
@@ -16,14 +16,47 @@
 def start_store_task(runtime: runtimes.GatewayRuntime) -> None:
     """List, watch and write; each call is answered to the discovery task."""
     client = store_client_state.StoreClientState(runtime)
+    table: dict[type, Callable[[Any], None]] = {
+        discovery.ListStore: make_lister(runtime, client),
+        discovery.WatchStore: make_watcher(runtime, client),
+        discovery.WriteNode: make_node_writer(runtime, client),
+    }
+
+    def handle(message: Any) -> None:
+        table[type(message)](message)
+
+    runtime.boxes.store.start(handle)
+
+
+def make_failure_report(
+    runtime: runtimes.GatewayRuntime,
+) -> Callable[[str], None]:
+    """Return a function that reports a failed list or watch."""
+    box = runtime.boxes.discovery
+
+    def report(reason: str) -> None:
+        if reason == f'status_{STATUS_GONE}':
+            box.put(discovery.HistoryLost())
+            return
+        box.put(discovery.StoreFailed(reason))
+
+    return report
+
+
+def make_lister(
+    runtime: runtimes.GatewayRuntime,
+    client: store_client_state.StoreClientState,
+) -> Callable[[discovery.ListStore], None]:
+    """Return a function that reads all pages of the store."""
     adapter = runtime.adapter
-    discovery_box = runtime.boxes.discovery
     timeout_ms = runtime.settings.discovery.timeout_ms
+    report_failure = make_failure_report(runtime)
     pages: list[store_page.StorePage] = []
 
     def list_page(after: str) -> None:
+        request = adapter.encode_list(after)
         store_client.send_call(
-            client, adapter.encode_list(after), timeout_ms, take_page, fail
+            client, request, timeout_ms, take_page, report_failure
         )
 
     def start_list(command: discovery.ListStore) -> None:
@@ -39,33 +72,36 @@
         records = tuple(r for found in pages for r in found.records)
         # Pages are read one after another: what changed since the first
         # one is read again by the watch.
-        discovery_box.put(discovery.StoreListed(pages[0].revision, records))
-
-    def watch(command: discovery.WatchStore) -> None:
-        request = adapter.encode_watch(command.after_revision, command.wait_ms)
-        store_client.send_call(
-            client, request, timeout_ms + command.wait_ms, take_watch, fail
+        runtime.boxes.discovery.put(
+            discovery.StoreListed(pages[0].revision, records)
         )
 
-    def take_watch(reply: http_reply.HttpReply) -> None:
-        discovery_box.put(adapter.decode_watch(reply.body))
+    return start_list
 
-    def fail(reason: str) -> None:
-        if reason == f'status_{STATUS_GONE}':
-            discovery_box.put(discovery.HistoryLost())
-            return
-        discovery_box.put(discovery.StoreFailed(reason))
 
-    table: dict[type, Callable[[Any], None]] = {
-        discovery.ListStore: start_list,
-        discovery.WatchStore: watch,
-        discovery.WriteNode: make_node_writer(runtime, client),
-    }
+def make_watcher(
+    runtime: runtimes.GatewayRuntime,
+    client: store_client_state.StoreClientState,
+) -> Callable[[discovery.WatchStore], None]:
+    """Return a function that waits for changes of the store."""
+    adapter = runtime.adapter
+    timeout_ms = runtime.settings.discovery.timeout_ms
+    report_failure = make_failure_report(runtime)
 
-    def handle(message: Any) -> None:
-        table[type(message)](message)
+    def take_changes(reply: http_reply.HttpReply) -> None:
+        runtime.boxes.discovery.put(adapter.decode_watch(reply.body))
 
-    runtime.boxes.store.start(handle)
+    def watch(command: discovery.WatchStore) -> None:
+        request = adapter.encode_watch(command.after_revision, command.wait_ms)
+        store_client.send_call(
+            client,
+            request,
+            timeout_ms + command.wait_ms,
+            take_changes,
+            report_failure,
+        )
+
+    return watch
 
 
 def make_node_writer(
