--- a/packages/standins/src/gypsumbridge_standins/fault_soak/callers.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/callers.py
@@ -29,6 +29,7 @@
 BODY = b'x' * 20_000
 FAILURES = (
     error.ConnectError,
+    error.ConnectingCancelledError,
     error.ConnectionLost,
     error.ConnectionDone,
     client.ResponseFailed,
