--- a/packages/standins/src/gypsumbridge_standins/fault_soak/callers.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/callers.py
@@ -32,6 +32,7 @@
     error.ConnectingCancelledError,
     error.ConnectionLost,
     error.ConnectionDone,
+    error.DNSLookupError,
     client.ResponseFailed,
     client.PartialDownloadError,
     defer.CancelledError,
--- a/packages/standins/src/gypsumbridge_standins/fault_soak/recovery.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/recovery.py
@@ -57,6 +57,9 @@
 def check_memory(state: soak_state.SoakState, node: str) -> None:
     """Check the memory of a gateway at the end of a run."""
     process = state.cluster.processes[node]
+    if process.poll() is not None:
+        state.breaches.append(f'{node} ended with {process.returncode}')
+        return
     text = pathlib.Path(f'/proc/{process.pid}/status').read_text()
     fields = dict(line.split(':', 1) for line in text.splitlines())
     rss_mb = int(fields['VmRSS'].split()[0]) // 1_024
--- a/packages/standins/src/gypsumbridge_standins/fault_soak/soak_state.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/soak_state.py
@@ -18,7 +18,8 @@
     `searchers/DOMAIN`. `unplanned` and `planned` hold the spans of faults
     and of planned work by node, or under `store` and `searchers`.
     `versions` and `draining` hold when the store took a version of the
-    configuration or a searcher's announcement.
+    configuration or a searcher's announcement. `stalls` holds the times in
+    which this process itself did not run, and forwarded nothing.
     """
 
     def __init__(
@@ -42,6 +43,7 @@
         self.events: list[str] = []
         self.breaches: list[str] = []
         self.busy: set[str] = set()
+        self.stalls: list[span.Span] = []
         self.ready_addresses: dict[str, str] = {}
         self.sent = 0
         self.stopping = False
