--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/finishing.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/finishing.py
@@ -93,13 +93,7 @@
     exchange.objective_passed = True
     if not covers_enough(exchange):
         return []
-    commands = finish(state, exchange, now_ms)
-    response = commands[0]
-    assert isinstance(response, caller_response.CallerResponse)
-    timed = dataclasses.replace(
-        response, objective_route=exchange.route.name, due_ms=timer.due_ms
-    )
-    return [timed, *commands[1:]]
+    return finish(state, exchange, now_ms, timer.due_ms)
 
 
 def measure_delay(
@@ -141,14 +135,25 @@
 
 
 def finish(
-    state: states.ForwardingState, exchange: exchanges.Exchange, now_ms: int
+    state: states.ForwardingState,
+    exchange: exchanges.Exchange,
+    now_ms: int,
+    due_ms: int | None = None,
 ) -> list[command.Command]:
-    """Answer the caller and give up what is still out."""
+    """Answer the caller and give up what is still out.
+
+    A response to the route's objective was due at `due_ms`; how much later
+    it is written is measured.
+    """
     del state.exchanges[exchange.request.call_id]
     if covers_enough(exchange):
         response = success(exchange)
     else:
         response = failure(exchange, now_ms)
+    if due_ms is not None:
+        response = dataclasses.replace(
+            response, objective_route=exchange.route.name, due_ms=due_ms
+        )
     missing = [p for p in exchange.parts if p.answer is None]
     fields: dict[str, str | int | float] = {
         'request_id': exchange.request.request_id,
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/hedging.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/hedging.py
@@ -49,7 +49,10 @@
 def hedge(
     state: states.ForwardingState, call_id: int, now_ms: int
 ) -> list[command.Command]:
-    """Send every part that is still out to another searcher."""
+    """Send every part that is still out to another searcher.
+
+    While most of them are out, this waits once for as long again.
+    """
     exchange = state.exchanges.get(call_id)
     if exchange is None:
         return []
--- a/packages/standins/src/gypsumbridge_standins/fault_soak/gateway_faults.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/gateway_faults.py
@@ -12,6 +12,7 @@
 from gypsumbridge_standins.users_platform import gateway_cluster
 
 POLL_S = 0.05
+# As in the gateways' settings.
 GRACE_S = 6.0
 EXIT_KILLED = -signal.SIGKILL
 
