--- a/packages/standins/src/gypsumbridge_standins/fault_soak/run.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/run.py
@@ -32,6 +32,8 @@
     """Run a plan and return what was seen; a breach ends the faults."""
     clock = clocks.make_clock(time.monotonic_ns, time.time_ns)
     state = soak_state.SoakState(plan, clusters.Cluster(), clock, reactor)
+    # A run that is itself ended by a signal leaves no process behind.
+    reactor.addSystemEventTrigger('before', 'shutdown', state.cluster.stop)
     try:
         processes.start(state)
         for node in state.cluster.nodes:
