Count a lost request from when its gateway got it

Two were sent while their gateway was down between two starts, and no process can have read them; the soak's proxies needed more than 200 ms to report that. The one of 503 is in no gateway's log; its gateway closed its port 92 ms after it was sent.

Change: the bound of 200 ms, unchanged, counts from when the proxy passed the request on to a gateway's connection.

--- a/packages/standins/src/gypsumbridge_standins/fault_soak/link_proxy.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/link_proxy.py
@@ -82,14 +82,17 @@
         # Never before a piece that was delayed earlier.
         due_s = max(now_s + delay_s, due_s)
         if due_s <= now_s:
-            half.peer.transport.write(data)
+            write(data)
             return
         due_s += 1e-6
         reactor.callLater(due_s - now_s, write, data)
 
     def write(data: bytes) -> None:
-        if half.peer is not None and half.peer.transport is not None:
-            half.peer.transport.write(data)
+        if half.peer is None or half.peer.transport is None:
+            return
+        half.peer.transport.write(data)
+        if isinstance(half, ClientSide):
+            half.factory.state.on_pass(data)
 
     return forward
 
--- a/packages/standins/src/gypsumbridge_standins/fault_soak/processes.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/processes.py
@@ -1,8 +1,11 @@
 """Starts the processes of a run and the links between them."""
 
+from collections.abc import Callable
 import dataclasses
 import json
+import re
 
+from gypsumbridge_platform import header_names
 from gypsumbridge_standins.cluster import cluster as clusters
 from gypsumbridge_standins.cluster import ports
 from gypsumbridge_standins.fault_soak import deployment
@@ -14,6 +17,9 @@
 
 RUN_LOG = 'runs-{number}.log'
 PLATFORMS = 2
+REQUEST_ID = re.compile(
+    header_names.HEADERS.request_id.encode() + rb': (\S+)', re.IGNORECASE
+)
 PORTS_OF_GATEWAY = 5
 
 
@@ -86,11 +92,26 @@
         node, http=f'127.0.0.1:{callers_link}'
     )
     state.ready_addresses[name] = f'127.0.0.1:{ready}'
+    state.links[f'callers/{name}'] = link_state.LinkState(
+        make_pass_record(state)
+    )
     add_link(state, f'callers/{name}', callers_link, callers)
     add_link(state, f'store/{name}', store_link, store)
     gateway_cluster.spawn_gateway(state.cluster, name)
 
 
+def make_pass_record(
+    state: soak_state.SoakState,
+) -> Callable[[bytes], None]:
+    """Return a function that notes when a request was passed on."""
+
+    def record(data: bytes) -> None:
+        for found in REQUEST_ID.findall(data):
+            state.passed_ms[found.decode()] = state.clock.now_ms()
+
+    return record
+
+
 def add_link(
     state: soak_state.SoakState, name: str, port: int, target: int
 ) -> None:
