Write interim and final responses in one order

Cause: found on reading the change again. Responses are written to the socket at once, but 100 Continue still went through the transport, which writes at the next poll. A refusal that is made in the same turn went out before it, and a caller takes what follows a final response for the next one.

Change: both kinds of connections write everything through one SocketWriter, which keeps the order. It replaces the same lines in each of them.

--- a/packages/node/src/gypsumbridge_node/gateway/client_connection.py
+++ b/packages/node/src/gypsumbridge_node/gateway/client_connection.py
@@ -11,8 +11,8 @@
 
 from gypsumbridge_node.gateway import headers
 from gypsumbridge_node.gateway import http_reply
-from gypsumbridge_node.gateway import immediate_write
 from gypsumbridge_node.gateway import socket_options
+from gypsumbridge_node.gateway import socket_writer
 
 # Response bodies above this are not read.
 MAX_BODY_BYTES = 8 * 1_048_576
@@ -48,11 +48,10 @@
         self.reusable = True
         self.keep_alive_ms: int | None = None
         self.idle_since_ms = 0
-        # Set once the transport may hold bytes that are not written yet.
-        self.buffered = False
 
     def connectionMade(self) -> None:
         """Prepare the socket."""
+        self.writer = socket_writer.SocketWriter(self.transport)
         socket_options.detect_lost_peer(
             self.transport.getHandle(), self.logger
         )
@@ -62,10 +61,7 @@
     ) -> None:
         """Send a request whose response `accept` recognises."""
         self.accept = accept
-        if self.buffered:
-            self.transport.write(data)
-            return
-        self.buffered = not immediate_write.write(self.transport, data)
+        self.writer.write(data)
 
     def is_usable(self, now_ms: int) -> bool:
         """Return whether the server still keeps this idle connection."""
--- a/packages/node/src/gypsumbridge_node/gateway/server_connection.py
+++ b/packages/node/src/gypsumbridge_node/gateway/server_connection.py
@@ -13,9 +13,9 @@
 from gypsumbridge_decisions import forwarding
 from gypsumbridge_node.gateway import headers
 from gypsumbridge_node.gateway import http_head
-from gypsumbridge_node.gateway import immediate_write
 from gypsumbridge_node.gateway import parsed_request
 from gypsumbridge_node.gateway import socket_options
+from gypsumbridge_node.gateway import socket_writer
 
 STATUS_BAD_REQUEST = 400
 STATUS_TIMEOUT = 408
@@ -54,8 +54,6 @@
         self.in_progress = False
         self.keep_alive = True
         self.ended = False
-        # Set once the transport may hold bytes that are not written yet.
-        self.buffered = False
         self.reading = False
         self.requests = 0
         self._reset_message()
@@ -63,6 +61,7 @@
     def connectionMade(self) -> None:
         """Start the idle time."""
         self.transport.setTcpNoDelay(True)
+        self.writer = socket_writer.SocketWriter(self.transport)
         self.factory.connections.add(self)
         self._arm(self.limits().idle_timeout_ms)
 
@@ -109,11 +108,9 @@
             return
         close = not self.keep_alive or self.closing()
         self.in_progress = False
-        data = http_head.encode_response(status, headers, body, close)
-        if self.buffered:
-            self.transport.write(data)
-        else:
-            self.buffered = not immediate_write.write(self.transport, data)
+        self.writer.write(
+            http_head.encode_response(status, headers, body, close)
+        )
         if close:
             self.close()
             return
@@ -156,7 +153,7 @@
         self.headers.append((name.decode('latin-1'), value.decode('latin-1')))
         self._add_header_bytes(len(name) + len(value) + 4)
         if name.lower() == b'expect' and value.lower() == b'100-continue':
-            self.transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+            self.writer.write(b'HTTP/1.1 100 Continue\r\n\r\n')
 
     def on_headers_complete(self) -> None:
         """Give the body as long as an idle connection."""
@@ -207,9 +204,7 @@
         if self.ended:
             return
         if not self.in_progress:
-            self.transport.write(
-                http_head.encode_response(status, (), b'', True)
-            )
+            self.writer.write(http_head.encode_response(status, (), b'', True))
         self.close()
 
     def _reset_message(self) -> None:
--- a/tests/node/gateway/test_new_connections.py
+++ b/tests/node/gateway/test_new_connections.py
@@ -35,8 +35,9 @@
         self.idle = client_connection.ClientConnection(
             lambda *reply: None, lambda *reason: None, None
         )
-        self.idle.transport = socket_transport.SocketTransport()
-        self.idle.transport.protocol = self.idle
+        transport = socket_transport.SocketTransport()
+        transport.protocol = self.idle
+        self.idle.makeConnection(transport)
         self.pool.idle.append(self.idle)
 
     def send(self, new_connection):
--- a/tests/node/gateway/test_server_connection.py
+++ b/tests/node/gateway/test_server_connection.py
@@ -54,6 +54,19 @@
         head = b'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n'
         self.assertEqual(head + b'A' + head + b'B', self.written())
 
+    def test_an_interim_response_comes_before_the_final_one(self):
+        """Guards against a refusal that overtakes a 100 Continue.
+
+        A caller takes what follows a final response for the next one.
+        """
+        self.receive(
+            b'POST /a HTTP/1.1\r\nExpect: 100-continue\r\n'
+            b'Content-Length: 1\r\n\r\nx'
+        )
+        self.connection.respond(503, (), b'')
+        self.assertTrue(self.written().startswith(b'HTTP/1.1 100 Continue'))
+        self.assertEqual(b'', self.transport.value())
+
     def test_a_chunked_body_is_read_in_full(self):
         """Guards against a body that is passed on in part."""
         self.receive(
--- a/tests/node/gateway/test_store_client.py
+++ b/tests/node/gateway/test_store_client.py
@@ -32,8 +32,9 @@
         connection = client_connection.ClientConnection(
             lambda *reply: None, lambda *reason: None, None
         )
-        connection.transport = socket_transport.SocketTransport()
-        connection.transport.protocol = connection
+        transport = socket_transport.SocketTransport()
+        transport.protocol = connection
+        connection.makeConnection(transport)
         self.client.idle.append(connection)
         return connection
 
