Share one exchange, restart and proxy forwarding in the fault soak

Found on reading the change again: three callers sent requests and listed the errors of a missing response each for itself, kill and stop differed in a signal only, one module held three protocols, and the process tests built a request that the stand-in can send.

--- a/packages/standins/src/gypsumbridge_standins/fault_soak/callers.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/callers.py
@@ -1,19 +1,16 @@
 """Callers that send requests and keep their connections open."""
 
 import random
-from typing import Any
 
-from twisted.internet import defer
-from twisted.internet import error
 from twisted.internet import task
 from twisted.web import client
 from twisted.web import http_headers
 
-from gypsumbridge_node import bytes_producer
 from gypsumbridge_platform import header_names
 from gypsumbridge_standins.fault_soak import answer_checks
 from gypsumbridge_standins.fault_soak import contact
 from gypsumbridge_standins.fault_soak import deployment
+from gypsumbridge_standins.fault_soak import http_exchange
 from gypsumbridge_standins.fault_soak import outcome as outcomes
 from gypsumbridge_standins.fault_soak import sent_request
 from gypsumbridge_standins.fault_soak import soak_state
@@ -27,17 +24,6 @@
 GIVE_UP_MS = (5, 300)
 KINDS = {'all': 10, 'one': 3, 'once': 5, 'new': 1, 'dropped': 1}
 BODY = b'x' * 20_000
-FAILURES = (
-    error.ConnectError,
-    error.ConnectingCancelledError,
-    error.ConnectionLost,
-    error.ConnectionDone,
-    error.DNSLookupError,
-    client.ResponseFailed,
-    client.PartialDownloadError,
-    defer.CancelledError,
-    defer.TimeoutError,
-)
 
 
 async def run_caller(state: soak_state.SoakState, number: int) -> None:
@@ -109,35 +95,21 @@
             NAMES.deadline_ms: [str(DEADLINE_MS)],
         }
     )
-    method, body = b'GET', None
-    if request.kind == 'once':
-        method, body = b'POST', bytes_producer.BytesProducer(BODY)
-    uri = f'http://{address}{request.target}'.encode()
-    sending = defer.ensureDeferred(exchange(agent, method, uri, headers, body))
-    sending.addTimeout(left_ms / 1_000, state.reactor)
+    once = request.kind == 'once'
     try:
-        status, found, data = await sending
-    except FAILURES:
+        status, found, data = await http_exchange.exchange(
+            state.reactor,
+            agent,
+            left_ms / 1_000,
+            b'POST' if once else b'GET',
+            f'http://{address}{request.target}',
+            headers,
+            BODY if once else None,
+        )
+    except http_exchange.FAILURES:
         now_ms = state.clock.now_ms()
         gave_up = now_ms >= request.gives_up_ms
         return outcomes.Outcome(request, now_ms, 0, {}, b'', gave_up)
     return outcomes.Outcome(
         request, state.clock.now_ms(), status, found, data, False
     )
-
-
-async def exchange(
-    agent: client.Agent,
-    method: bytes,
-    uri: bytes,
-    headers: http_headers.Headers,
-    body: Any,
-) -> tuple[int, dict[str, str], bytes]:
-    """Return status, headers and body of a complete response."""
-    response = await agent.request(method, uri, headers, body)
-    data = await client.readBody(response)
-    found = {
-        name.decode().lower(): b', '.join(values).decode()
-        for name, values in response.headers.getAllRawHeaders()
-    }
-    return response.code, found, data
--- a/packages/standins/src/gypsumbridge_standins/fault_soak/gateway_faults.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/gateway_faults.py
@@ -14,7 +14,6 @@
 POLL_S = 0.05
 # As in the gateways' settings.
 GRACE_S = 6.0
-EXIT_KILLED = -signal.SIGKILL
 
 
 def choose_node(state: soak_state.SoakState, fault: faults.Fault) -> str:
@@ -45,14 +44,20 @@
     return injected
 
 
-async def kill(
-    state: soak_state.SoakState, fault: faults.Fault, node: str
-) -> None:
-    """Kill a gateway and start it again."""
-    end = disturbance.begin(state, state.unplanned, node)
-    state.cluster.signal(node, signal.SIGKILL)
-    await restart(state, node, EXIT_KILLED)
-    end()
+def make_restart(number: signal.Signals, planned: bool) -> Callable:
+    """Return a fault that ends a gateway by a signal and starts it again."""
+    expected = 0 if planned else -number
+
+    async def inject(
+        state: soak_state.SoakState, fault: faults.Fault, node: str
+    ) -> None:
+        table = state.planned if planned else state.unplanned
+        end = disturbance.begin(state, table, node)
+        state.cluster.signal(node, number)
+        await restart(state, node, expected)
+        end()
+
+    return inject
 
 
 async def pause(
@@ -66,16 +71,6 @@
     end()
 
 
-async def stop(
-    state: soak_state.SoakState, fault: faults.Fault, node: str
-) -> None:
-    """Stop a gateway as planned work does, and start it again."""
-    end = disturbance.begin(state, state.planned, node)
-    state.cluster.signal(node, signal.SIGTERM)
-    await restart(state, node, 0)
-    end()
-
-
 async def reload(
     state: soak_state.SoakState, fault: faults.Fault, node: str
 ) -> None:
@@ -101,3 +96,7 @@
         state.breaches.append(f'{node} ended with {process.returncode}')
     gateway_cluster.spawn_gateway(state.cluster, node)
     await readiness.wait_ready(state, node)
+
+
+kill = make_restart(signal.SIGKILL, planned=False)
+stop = make_restart(signal.SIGTERM, planned=True)
--- a/packages/standins/src/gypsumbridge_standins/fault_soak/readiness.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/readiness.py
@@ -1,14 +1,14 @@
 """Waits for gateways."""
 
-from twisted.internet import defer
-from twisted.internet import error
 from twisted.internet import task
 from twisted.web import client
 
 from gypsumbridge_platform import platform_adapter
+from gypsumbridge_standins.fault_soak import http_exchange
 from gypsumbridge_standins.fault_soak import soak_state
 
 POLL_S = 0.1
+ANSWER_S = 1.0
 TIMEOUT_S = 60.0
 
 
@@ -27,14 +27,13 @@
 
 async def is_ready(state: soak_state.SoakState, node: str) -> bool:
     """Ask a gateway whether it is ready."""
-    agent = client.Agent(state.reactor, connectTimeout=1.0)
+    agent = client.Agent(state.reactor, connectTimeout=ANSWER_S)
     address = state.ready_addresses[node]
-    uri = f'http://{address}{platform_adapter.READY_PATH}'.encode()
+    uri = f'http://{address}{platform_adapter.READY_PATH}'
     try:
-        response = await agent.request(b'GET', uri).addTimeout(
-            1.0, state.reactor
+        status, _, _ = await http_exchange.exchange(
+            state.reactor, agent, ANSWER_S, b'GET', uri
         )
-        await client.readBody(response)
-    except (error.ConnectError, client.ResponseFailed, defer.TimeoutError):
+    except http_exchange.FAILURES:
         return False
-    return bool(response.code == 200)
+    return status == 200
--- a/packages/standins/src/gypsumbridge_standins/fault_soak/soak_state.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/soak_state.py
@@ -1,6 +1,5 @@
 """State of a run."""
 
-import random
 from typing import Any
 
 from gypsumbridge_decisions import clock as clocks
@@ -34,7 +33,6 @@
         self.cluster = cluster
         self.clock = clock
         self.reactor = reactor
-        self.random = random.Random(plan.seed)
         self.links: dict[str, link_state.LinkState] = {}
         self.outcomes: list[outcomes.Outcome] = []
         self.unplanned: dict[str, list[span.Span]] = {}
--- a/packages/standins/src/gypsumbridge_standins/users_platform/operator_config.py
+++ b/packages/standins/src/gypsumbridge_standins/users_platform/operator_config.py
@@ -68,14 +68,9 @@
     min_coverage: float,
 ) -> route_body.RouteBody:
     """Return a route that merges the parts of several services."""
-    return route_body.RouteBody(
-        name=f'r{prefix}',
-        hostname=HOST,
-        prefix=prefix,
-        route_type='safe',
-        timeout_ms=timeout_ms,
-        target_latency_ms=objective_ms,
-        max_attempts=ATTEMPTS,
+    return msgspec.structs.replace(
+        make_route(prefix, '', timeout_ms, objective_ms),
+        backend=None,
         gather=list(services),
         top_k=top_k,
         min_coverage=min_coverage,
--- a/packages/standins/src/gypsumbridge_standins/users_platform/plain_request.py
+++ b/packages/standins/src/gypsumbridge_standins/users_platform/plain_request.py
@@ -14,6 +14,7 @@
     request_id: str,
     target: str,
     body: bytes | None = None,
+    deadline_ms: int = DEADLINE_MS,
 ) -> tuple[int, http.client.HTTPMessage, bytes]:
     """Send a GET, or a POST if there is a body; return what came back.
 
@@ -23,7 +24,7 @@
     headers = {
         'Host': operator_config.HOST,
         NAMES.request_id: request_id,
-        NAMES.deadline_ms: str(DEADLINE_MS),
+        NAMES.deadline_ms: str(deadline_ms),
     }
     method = 'GET' if body is None else 'POST'
     connection.request(method, target, body, headers)
--- a/tests/decisions/forwarding/gateway_case.py
+++ b/tests/decisions/forwarding/gateway_case.py
@@ -1,5 +1,6 @@
 """A forwarding state with routes and searchers, driven by messages."""
 
+import dataclasses
 import unittest
 
 from gypsumbridge_decisions import forwarding
@@ -33,16 +34,8 @@
     rank=2,
     max_attempts=2,
 )
-UNSAFE = forwarding.Route(
-    'unsafe',
-    'a.example',
-    '/once/',
-    False,
-    (forwarding.WeightedService('s1'),),
-    timeout_ms=2_000,
-    objective_ms=800,
-    rank=2,
-    max_attempts=2,
+UNSAFE = dataclasses.replace(
+    SAFE, name='unsafe', prefix='/once/', idempotent=False
 )
 
 
--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -9,6 +9,7 @@
 from gypsumbridge_standins.cluster import cluster as clusters
 from gypsumbridge_standins.users_platform import gateway_cluster
 from gypsumbridge_standins.users_platform import operator_config
+from gypsumbridge_standins.users_platform import plain_request
 from gypsumbridge_standins.users_platform import searcher_site
 
 NAMES = header_names.HEADERS
@@ -17,6 +18,7 @@
 # Longer than any run of a test, so that its end depends on no clock.
 DEADLINE_MS = 20_000
 OBJECTIVE_MS = 10_000
+CONTENT = b'x' * 50_000
 
 
 def make_config(version=1, timeout_ms=DEADLINE_MS):
@@ -61,42 +63,32 @@
         self.control(faults={searcher: fault})
         self.addCleanup(self.control, faults={searcher: ''})
 
-    def send(self, connection, target, method='GET', body=None):
+    def ask(self, target, node='gateway-0', body=None):
         type(self).requests += 1
         request_id = f'q{self.requests}'
-        headers = {
-            'Host': 'a.example',
-            NAMES.request_id: request_id,
-            NAMES.deadline_ms: str(DEADLINE_MS),
-        }
-        connection.request(method, target, body, headers)
-        response = connection.getresponse()
-        return request_id, response, response.read()
-
-    def ask(self, target, node='gateway-0', method='GET'):
-        address = self.cluster.nodes[node].http
-        connection = http.client.HTTPConnection(address, timeout=30)
+        connection = http.client.HTTPConnection(
+            self.cluster.nodes[node].http, timeout=30
+        )
         try:
-            body = b'x' * 50_000 if method == 'POST' else None
-            request_id, response, data = self.send(
-                connection, target, method, body
+            status, headers, data = plain_request.send(
+                connection, request_id, target, body, DEADLINE_MS
             )
-            return response.status, request_id, response, data
         finally:
             connection.close()
+        return status, request_id, headers, data
 
     def check_gathered(self, target, found):
         """Check that the body is the merge of exactly the named parts."""
-        status, request_id, response, body = found
+        status, request_id, headers, body = found
         self.assertEqual(200, status)
-        signatures = response.headers[NAMES.part_signatures].split(', ')
+        signatures = headers[NAMES.part_signatures].split(', ')
         services = []
         for signature in signatures:
             searcher, _, signed_id = signature.partition('.')
             self.assertEqual(request_id, signed_id)
             services.append(searcher.partition('-')[0])
         self.assertEqual(len(services), len(set(services)))
-        missing = int(response.headers[NAMES.missing_parts])
+        missing = int(headers[NAMES.missing_parts])
         self.assertEqual(len(SERVICES), len(services) + missing)
         records = []
         for service in services:
@@ -126,7 +118,7 @@
         """Guards against a second run after a lost answer."""
         self.set_fault('s2-d1', 'truncate')
         self.set_fault('s2-d2', 'truncate')
-        status, request_id, _, _ = self.ask('/once/x', method='POST')
+        status, request_id, _, _ = self.ask('/once/x', body=CONTENT)
         self.assertEqual(502, status)
         self.assertEqual(1, len(self.control()['runs'][request_id]))
 
@@ -134,17 +126,17 @@
         """Guards against 503 for a request that has run."""
         self.set_fault('s2-d1', 'shed')
         self.set_fault('s2-d2', 'shed')
-        status, request_id, response, _ = self.ask('/once/x', method='POST')
+        status, request_id, headers, _ = self.ask('/once/x', body=CONTENT)
         self.assertEqual(503, status)
-        self.assertIn('Retry-After', response.headers)
+        self.assertIn('Retry-After', headers)
         self.assertNotIn(request_id, self.control()['runs'])
 
     def test_a_relayed_answer_is_the_searchers_own(self):
         """Guards against a body or signature that was changed."""
-        status, request_id, response, body = self.ask('/one/x?a=1')
+        status, request_id, headers, body = self.ask('/one/x?a=1')
         self.assertEqual(200, status)
         self.assertEqual(searcher_site.records_of('s1', '/one/x?a=1'), body)
-        signature = response.headers[NAMES.signature]
+        signature = headers[NAMES.signature]
         self.assertEqual(request_id, signature.partition('.')[2])
 
     def test_a_draining_searcher_gets_nothing_more(self):
@@ -234,13 +226,11 @@
 
     def one(self, address):
         connection = http.client.HTTPConnection(address, timeout=30)
-        headers = {
-            'Host': 'a.example',
-            NAMES.request_id: f'stop{id(connection)}',
-            NAMES.deadline_ms: str(DEADLINE_MS),
-        }
+        request_id = f'stop{id(connection)}'
         try:
-            connection.request('POST', '/once/x', b'x', headers)
-            return connection.getresponse().status
+            status, _, _ = plain_request.send(
+                connection, request_id, '/once/x', b'x', DEADLINE_MS
+            )
+            return status
         finally:
             connection.close()
