--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
@@ -59,6 +59,12 @@
 from gypsumbridge_decisions.forwarding.extra_budget import (
     fixed_share as fixed_share,
 )
+from gypsumbridge_decisions.forwarding.final_response import failure as failure
+from gypsumbridge_decisions.forwarding.final_response import (
+    may_have_run as may_have_run,
+)
+from gypsumbridge_decisions.forwarding.final_response import relay as relay
+from gypsumbridge_decisions.forwarding.final_response import success as success
 from gypsumbridge_decisions.forwarding.finishing import (
     cancel_all as cancel_all,
 )
@@ -68,21 +74,13 @@
 )
 from gypsumbridge_decisions.forwarding.finishing import drop as drop
 from gypsumbridge_decisions.forwarding.finishing import expire as expire
-from gypsumbridge_decisions.forwarding.finishing import failure as failure
 from gypsumbridge_decisions.forwarding.finishing import finish as finish
-from gypsumbridge_decisions.forwarding.finishing import (
-    may_have_run as may_have_run,
-)
 from gypsumbridge_decisions.forwarding.finishing import (
     measure_delay as measure_delay,
 )
 from gypsumbridge_decisions.forwarding.finishing import (
     pass_objective as pass_objective,
 )
-from gypsumbridge_decisions.forwarding.finishing import refuse as refuse
-from gypsumbridge_decisions.forwarding.finishing import reject as reject
-from gypsumbridge_decisions.forwarding.finishing import relay as relay
-from gypsumbridge_decisions.forwarding.finishing import success as success
 from gypsumbridge_decisions.forwarding.fleet_size_changed import (
     FleetSizeChanged as FleetSizeChanged,
 )
@@ -125,6 +123,8 @@
 from gypsumbridge_decisions.forwarding.policy import (
     ForwardingPolicy as ForwardingPolicy,
 )
+from gypsumbridge_decisions.forwarding.refusing import refuse as refuse
+from gypsumbridge_decisions.forwarding.refusing import reject as reject
 from gypsumbridge_decisions.forwarding.response_written import (
     ResponseWritten as ResponseWritten,
 )
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/arrival.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/arrival.py
@@ -10,6 +10,7 @@
 from gypsumbridge_decisions.forwarding import hedge_timer
 from gypsumbridge_decisions.forwarding import hedging
 from gypsumbridge_decisions.forwarding import objective_timer
+from gypsumbridge_decisions.forwarding import refusing
 from gypsumbridge_decisions.forwarding import route as routes
 from gypsumbridge_decisions.forwarding import route_table
 from gypsumbridge_decisions.forwarding import sending
@@ -35,18 +36,18 @@
 ) -> list[command.Command]:
     """Refuse the request, or send it to its searchers."""
     if state.draining:
-        return finishing.refuse(request, 'draining')
+        return refusing.refuse(request, 'draining')
     if state.table is None:
-        return finishing.refuse(request, 'no_routes_yet')
+        return refusing.refuse(request, 'no_routes_yet')
     path = request.target.partition('?')[0]
     route = route_table.find_route(state.table, request.host, path)
     if route is None:
-        return finishing.reject(request, STATUS_NO_ROUTE, 'no_route')
+        return refusing.reject(request, STATUS_NO_ROUTE, 'no_route')
     expires_ms = request.arrived_ms + min(
         request.deadline_ms, route.timeout_ms
     )
     if expires_ms <= now_ms:
-        return finishing.refuse(request, 'deadline_passed')
+        return refusing.refuse(request, 'deadline_passed')
     exchange = exchanges.Exchange(
         request,
         route,
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/final_response.py
@@ -0,0 +1,70 @@
+"""The content of the final response to a caller."""
+
+from gypsumbridge_decisions.forwarding import attempt_ended
+from gypsumbridge_decisions.forwarding import caller_response
+from gypsumbridge_decisions.forwarding import exchange as exchanges
+from gypsumbridge_decisions.forwarding import merge
+from gypsumbridge_decisions.forwarding import part_state
+from gypsumbridge_decisions.forwarding import refusing
+
+STATUS_OK = 200
+STATUS_BAD_GATEWAY = 502
+STATUS_TIMEOUT = 504
+
+
+def success(exchange: exchanges.Exchange) -> caller_response.CallerResponse:
+    """Return the merged parts, or the searcher's own response."""
+    call_id = exchange.request.call_id
+    answers = [p.answer for p in exchange.parts if p.answer is not None]
+    rule = exchange.route.gather
+    if rule is None:
+        return relay(call_id, answers[0])
+    return caller_response.CallerResponse(
+        call_id,
+        STATUS_OK,
+        body=merge.greatest_records((a.body for a in answers), rule.top_k),
+        part_signatures=tuple(a.signature for a in answers),
+        missing_parts=len(exchange.parts) - len(answers),
+    )
+
+
+def relay(
+    call_id: int, answer: attempt_ended.AttemptEnded
+) -> caller_response.CallerResponse:
+    """Return a searcher's response unchanged."""
+    return caller_response.CallerResponse(
+        call_id, answer.status, answer.headers, answer.body
+    )
+
+
+def failure(
+    exchange: exchanges.Exchange, now_ms: int
+) -> caller_response.CallerResponse:
+    """Return why the request was not served.
+
+    Only a request that no searcher can have run is refused with 503, which
+    promises just that. A searcher's own server error is relayed when the
+    route has a single target and the status promises nothing.
+    """
+    call_id = exchange.request.call_id
+    if not any(may_have_run(part) for part in exchange.parts):
+        return caller_response.CallerResponse(
+            call_id,
+            refusing.STATUS_UNAVAILABLE,
+            retry_after_ms=refusing.RETRY_AFTER_MS,
+        )
+    failed = exchange.parts[0].failure
+    if exchange.route.gather is None and failed is not None:
+        if (
+            failed.status != refusing.STATUS_UNAVAILABLE
+            and failed.status >= 500
+        ):
+            return relay(call_id, failed)
+    if now_ms >= exchange.expires_ms:
+        return caller_response.CallerResponse(call_id, STATUS_TIMEOUT)
+    return caller_response.CallerResponse(call_id, STATUS_BAD_GATEWAY)
+
+
+def may_have_run(part: part_state.PartState) -> bool:
+    """Return whether some searcher may have run the part."""
+    return part.answer is not None or part.runs > 0
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/finishing.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/finishing.py
@@ -3,24 +3,14 @@
 import dataclasses
 
 from gypsumbridge_decisions import messages
-from gypsumbridge_decisions.forwarding import attempt_ended
-from gypsumbridge_decisions.forwarding import caller_request
-from gypsumbridge_decisions.forwarding import caller_response
 from gypsumbridge_decisions.forwarding import cancel_attempt
 from gypsumbridge_decisions.forwarding import command
 from gypsumbridge_decisions.forwarding import exchange as exchanges
-from gypsumbridge_decisions.forwarding import merge
+from gypsumbridge_decisions.forwarding import final_response
 from gypsumbridge_decisions.forwarding import objective_timer
-from gypsumbridge_decisions.forwarding import part_state
 from gypsumbridge_decisions.forwarding import response_written
 from gypsumbridge_decisions.forwarding import state as states
 
-STATUS_OK = 200
-STATUS_BAD_GATEWAY = 502
-STATUS_UNAVAILABLE = 503
-STATUS_TIMEOUT = 504
-# How soon a caller may try again after a refusal, at another node.
-RETRY_AFTER_MS = 50
 # The weight of the last timer in the average lag.
 LAG_WEIGHT = 0.1
 # A response that is no longer needed is read for this long, which keeps the
@@ -28,42 +18,6 @@
 LINGER_MS = 350
 
 
-def refuse(
-    request: caller_request.CallerRequest, reason: str
-) -> list[command.Command]:
-    """Refuse a request of which nothing was sent to any searcher."""
-    return [
-        caller_response.CallerResponse(
-            request.call_id,
-            STATUS_UNAVAILABLE,
-            retry_after_ms=RETRY_AFTER_MS,
-        ),
-        messages.Decision(
-            'request_refused', reason, {'request_id': request.request_id}
-        ),
-        messages.Count(f'forwarding.refused.{reason}'),
-    ]
-
-
-def reject(
-    request: caller_request.CallerRequest, status: int, reason: str
-) -> list[command.Command]:
-    """Reject a request that should not be repeated as it is."""
-    return [
-        caller_response.CallerResponse(request.call_id, status),
-        messages.Decision(
-            'request_rejected',
-            reason,
-            {
-                'request_id': request.request_id,
-                'host': request.host,
-                'target': request.target,
-            },
-        ),
-        messages.Count(f'forwarding.rejected.{reason}'),
-    ]
-
-
 def coverage(exchange: exchanges.Exchange) -> float:
     """Return the share of the parts that are in, from 0 to 1."""
     answered = sum(1 for part in exchange.parts if part.answer is not None)
@@ -147,9 +101,9 @@
     """
     del state.exchanges[exchange.request.call_id]
     if covers_enough(exchange):
-        response = success(exchange)
+        response = final_response.success(exchange)
     else:
-        response = failure(exchange, now_ms)
+        response = final_response.failure(exchange, now_ms)
     if due_ms is not None:
         response = dataclasses.replace(
             response, objective_route=exchange.route.name, due_ms=due_ms
@@ -184,59 +138,6 @@
     ]
 
 
-def success(exchange: exchanges.Exchange) -> caller_response.CallerResponse:
-    """Return the merged parts, or the searcher's own response."""
-    call_id = exchange.request.call_id
-    answers = [p.answer for p in exchange.parts if p.answer is not None]
-    rule = exchange.route.gather
-    if rule is None:
-        return relay(call_id, answers[0])
-    return caller_response.CallerResponse(
-        call_id,
-        STATUS_OK,
-        body=merge.greatest_records((a.body for a in answers), rule.top_k),
-        part_signatures=tuple(a.signature for a in answers),
-        missing_parts=len(exchange.parts) - len(answers),
-    )
-
-
-def relay(
-    call_id: int, answer: attempt_ended.AttemptEnded
-) -> caller_response.CallerResponse:
-    """Return a searcher's response unchanged."""
-    return caller_response.CallerResponse(
-        call_id, answer.status, answer.headers, answer.body
-    )
-
-
-def failure(
-    exchange: exchanges.Exchange, now_ms: int
-) -> caller_response.CallerResponse:
-    """Return why the request was not served.
-
-    Only a request that no searcher can have run is refused with 503, which
-    promises just that. A searcher's own server error is relayed when the
-    route has a single target and the status promises nothing.
-    """
-    call_id = exchange.request.call_id
-    if not any(may_have_run(part) for part in exchange.parts):
-        return caller_response.CallerResponse(
-            call_id, STATUS_UNAVAILABLE, retry_after_ms=RETRY_AFTER_MS
-        )
-    failed = exchange.parts[0].failure
-    if exchange.route.gather is None and failed is not None:
-        if failed.status != STATUS_UNAVAILABLE and failed.status >= 500:
-            return relay(call_id, failed)
-    if now_ms >= exchange.expires_ms:
-        return caller_response.CallerResponse(call_id, STATUS_TIMEOUT)
-    return caller_response.CallerResponse(call_id, STATUS_BAD_GATEWAY)
-
-
-def may_have_run(part: part_state.PartState) -> bool:
-    """Return whether some searcher may have run the part."""
-    return part.answer is not None or part.runs > 0
-
-
 def cancel_all(
     state: states.ForwardingState,
     exchange: exchanges.Exchange,
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/refusing.py
@@ -0,0 +1,46 @@
+"""Responses to requests that are sent to no searcher."""
+
+from gypsumbridge_decisions import messages
+from gypsumbridge_decisions.forwarding import caller_request
+from gypsumbridge_decisions.forwarding import caller_response
+from gypsumbridge_decisions.forwarding import command
+
+STATUS_UNAVAILABLE = 503
+# How soon a caller may try again after a refusal, at another node.
+RETRY_AFTER_MS = 50
+
+
+def refuse(
+    request: caller_request.CallerRequest, reason: str
+) -> list[command.Command]:
+    """Refuse a request of which nothing was sent to any searcher."""
+    return [
+        caller_response.CallerResponse(
+            request.call_id,
+            STATUS_UNAVAILABLE,
+            retry_after_ms=RETRY_AFTER_MS,
+        ),
+        messages.Decision(
+            'request_refused', reason, {'request_id': request.request_id}
+        ),
+        messages.Count(f'forwarding.refused.{reason}'),
+    ]
+
+
+def reject(
+    request: caller_request.CallerRequest, status: int, reason: str
+) -> list[command.Command]:
+    """Reject a request that should not be repeated as it is."""
+    return [
+        caller_response.CallerResponse(request.call_id, status),
+        messages.Decision(
+            'request_rejected',
+            reason,
+            {
+                'request_id': request.request_id,
+                'host': request.host,
+                'target': request.target,
+            },
+        ),
+        messages.Count(f'forwarding.rejected.{reason}'),
+    ]
--- a/packages/node/src/gypsumbridge_node/daemon.py
+++ b/packages/node/src/gypsumbridge_node/daemon.py
@@ -35,15 +35,7 @@
     from twisted.internet import reactor
 
     json_lines.install_handler(settings.log.level)
-    runtime = runtime_factory.make_runtime(
-        runtimes.Runtime,
-        mailboxes.Mailboxes,
-        reactor,
-        settings,
-        metrics.make_metrics(
-            settings.metrics.statsd_address, settings.metrics.prefix
-        ),
-    )
+    runtime = make_runtime(reactor, settings)
     factory = txzmq.ZmqFactory()
     root = path_resource.PathResource()
     channels: set[http_channel.JsonChannel] = set()
@@ -106,3 +98,18 @@
     )
     host, port = address.split_address(settings.node.http_address)
     return runtime.reactor.listenTCP(port, site, interface=host)
+
+
+def make_runtime(
+    reactor: Any, settings: all_settings.Settings
+) -> runtimes.Runtime:
+    """Return what the tasks of a node share."""
+    return runtime_factory.make_runtime(
+        runtimes.Runtime,
+        mailboxes.Mailboxes,
+        reactor,
+        settings,
+        metrics.make_metrics(
+            settings.metrics.statsd_address, settings.metrics.prefix
+        ),
+    )
--- a/packages/node/src/gypsumbridge_node/gateway/client_connection.py
+++ b/packages/node/src/gypsumbridge_node/gateway/client_connection.py
@@ -99,8 +99,10 @@
         """Report the end; a clean end completes an unframed response."""
         self.reusable = False
         clean = reason.check(net_errors.ConnectionDone) is not None
-        if clean and self.has_headers and not self._is_framed():
-            self._complete(framed=False)
+        if clean and self.has_headers:
+            found = headers.make_headers(self.headers)
+            if not self._is_framed(found):
+                self._complete(found, framed=False)
         name = 'closed' if clean else 'reset'
         self.on_closed(self, name)
 
@@ -131,23 +133,23 @@
         """Report the response, unless it is an interim one."""
         if self.parser.get_status_code() < 200:
             return
-        self._complete(framed=self._is_framed())
+        found = headers.make_headers(self.headers)
+        self._complete(found, self._is_framed(found))
 
-    def _is_framed(self) -> bool:
+    def _is_framed(self, found: headers.Headers) -> bool:
         status = self.parser.get_status_code()
         if status in (204, 304):
             return True
-        return any(
-            key.lower() in ('content-length', 'transfer-encoding')
-            for key, _ in self.headers
+        return 'content-length' in found.first or (
+            'transfer-encoding' in found.first
         )
 
-    def _complete(self, framed: bool) -> None:
+    def _complete(self, found: headers.Headers, framed: bool) -> None:
         self.receiving = False
         self.has_headers = False
         reply = http_reply.HttpReply(
             self.parser.get_status_code(),
-            headers.make_headers(self.headers),
+            found,
             b''.join(self.body),
             framed,
         )
--- a/packages/node/src/gypsumbridge_node/gateway/lending.py
+++ b/packages/node/src/gypsumbridge_node/gateway/lending.py
@@ -75,8 +75,8 @@
     """
     pool.waiting.append(job)
     limit = context.state.limit_for(pool.searcher.service)
-    if pool.size() >= limit and pool.idle:
-        pool.idle.pop(0).close()
+    if pool.size() >= limit:
+        pool.idle.close_oldest()
     if pool.size() < limit:
         open_connection(context, pool)
 
@@ -120,8 +120,6 @@
     connection: client_connection.ClientConnection,
 ) -> None:
     """Lend a free connection to the next attempt, or keep it idle."""
-    now_ms = context.runtime.clock.now_ms()
-    connection.idle_since_ms = now_ms
     if (
         context.state.pools.get(searchers_state.pool_key(pool.searcher))
         is not pool
@@ -129,7 +127,7 @@
     ):
         connection.close()
         return
-    pool.idle.append(connection)
+    pool.idle.keep(connection, context.runtime.clock.now_ms())
     serve_waiting(context, pool)
 
 
@@ -140,7 +138,7 @@
     """Lend idle connections to waiting attempts, and open more."""
     now_ms = context.runtime.clock.now_ms()
     while pool.waiting:
-        found = pool.take_idle(now_ms, None)
+        found = pool.idle.take(now_ms)
         if found is None:
             break
         transmit(context, pool, pool.waiting.popleft(), found)
@@ -237,8 +235,7 @@
     reason: str,
 ) -> None:
     """Report the attempt that ended with its connection."""
-    if connection in pool.idle:
-        pool.idle.remove(connection)
+    pool.idle.discard(connection)
     job = pool.busy.pop(connection, None)
     if job is not None:
         report(
--- a/packages/node/src/gypsumbridge_node/gateway/store_client.py
+++ b/packages/node/src/gypsumbridge_node/gateway/store_client.py
@@ -34,14 +34,11 @@
     call.timer = client.runtime.reactor.callLater(
         timeout_ms / 1000, expire, client, call
     )
-    now_ms = client.runtime.clock.now_ms()
-    while client.idle:
-        found = client.idle.pop()
-        if found.is_usable(now_ms):
-            send(client, call, found)
-            return
-        found.close()
-    connect(client, call)
+    found = client.idle.take(client.runtime.clock.now_ms())
+    if found is None:
+        connect(client, call)
+        return
+    send(client, call, found)
 
 
 def connect(
@@ -88,8 +85,7 @@
     """End a call with its response."""
     call = client.running.pop(connection)
     if connection.reusable:
-        connection.idle_since_ms = client.runtime.clock.now_ms()
-        client.idle.append(connection)
+        client.idle.keep(connection, client.runtime.clock.now_ms())
     else:
         connection.close()
     if reply.status != STATUS_OK or not reply.framed:
@@ -111,8 +107,7 @@
     reason: str,
 ) -> None:
     """End the call of a connection that was lost."""
-    if connection in client.idle:
-        client.idle.remove(connection)
+    client.idle.discard(connection)
     call = client.running.pop(connection, None)
     if call is not None:
         end(client, call, f'connection_{reason}')
@@ -126,9 +121,7 @@
     What silenced its connection may have silenced the idle ones, too.
     """
     call.timer = None
-    idle, client.idle = client.idle, []
-    for connection in idle:
-        connection.close()
+    client.idle.close_all()
     if call.connection is not None:
         client.running.pop(call.connection, None)
         call.connection.close()
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/searchers.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/searchers.py
@@ -64,7 +64,7 @@
         lending.open_for(context, pool, job)
         return
     max_idle_ms = None if order.idempotent else MAX_IDLE_UNSAFE_MS
-    found = pool.take_idle(now_ms, max_idle_ms)
+    found = pool.idle.take(now_ms, max_idle_ms)
     if found is not None:
         lending.transmit(context, pool, job, found)
         return
@@ -129,8 +129,7 @@
         if pool.busy or pool.waiting:
             continue
         del context.state.pools[key]
-        for connection in list(pool.idle):
-            connection.close()
+        pool.idle.close_all()
     for found in news.searchers:
         if not found.draining:
             lending.pool_for(context, found)
--- a/tests/node/gateway/test_new_connections.py
+++ b/tests/node/gateway/test_new_connections.py
@@ -1,44 +1,28 @@
-import types
 import unittest
 
-from twisted.internet import testing
-
-from gypsumbridge_decisions import clock as clocks
 from gypsumbridge_decisions import forwarding
-from gypsumbridge_node.gateway import client_connection
 from gypsumbridge_node.gateway import lending
 from gypsumbridge_node.gateway import searchers_context
 from gypsumbridge_node.gateway import searchers_state
 from gypsumbridge_node.gateway.tasks import searchers
 from gypsumbridge_platform import header_names
 from tests.decisions.forwarding import gateway_case
-from tests.node.gateway import socket_transport
+from tests.node.gateway import bare_runtime
 
 
 class NewConnectionsTest(unittest.TestCase):
     def setUp(self):
-        self.reactor = testing.MemoryReactorClock()
-        runtime = types.SimpleNamespace(
-            reactor=self.reactor,
-            clock=clocks.ManualTime(1_000).clock(),
-            metrics=types.SimpleNamespace(count=lambda name: None),
-            logger=None,
-        )
         state = searchers_state.SearchersState()
         state.nodes = 26
         state.table = gateway_case.make_table()
+        runtime = bare_runtime.make_runtime()
+        self.reactor = runtime.reactor
         self.context = searchers_context.SearchersContext(
             runtime, state, header_names.HEADERS
         )
         self.searcher = gateway_case.make_searcher('s1-d1', 's1')
         self.pool = lending.pool_for(self.context, self.searcher)
-        self.idle = client_connection.ClientConnection(
-            lambda *reply: None, lambda *reason: None, None
-        )
-        transport = socket_transport.SocketTransport()
-        transport.protocol = self.idle
-        self.idle.makeConnection(transport)
-        self.pool.idle.append(self.idle)
+        self.idle = bare_runtime.add_idle(self.pool.idle)
 
     def send(self, new_connection):
         request = forwarding.CallerRequest(
--- a/tests/node/gateway/test_store_client.py
+++ b/tests/node/gateway/test_store_client.py
@@ -1,43 +1,23 @@
 import types
 import unittest
 
-from twisted.internet import testing
-
-from gypsumbridge_decisions import clock as clocks
-from gypsumbridge_node.gateway import client_connection
 from gypsumbridge_node.gateway import http_request
 from gypsumbridge_node.gateway import store_client
 from gypsumbridge_node.gateway import store_client_state
-from tests.node.gateway import socket_transport
+from tests.node.gateway import bare_runtime
 
 TIMEOUT_MS = 2_000
 
 
 class StoreClientTest(unittest.TestCase):
     def setUp(self):
-        self.reactor = testing.MemoryReactorClock()
-        runtime = types.SimpleNamespace(
-            reactor=self.reactor,
-            clock=clocks.ManualTime(1_000).clock(),
-            metrics=types.SimpleNamespace(count=lambda name: None),
-            logger=None,
-            settings=types.SimpleNamespace(
-                discovery=types.SimpleNamespace(store_address='10.0.0.1:80')
-            ),
+        runtime = bare_runtime.make_runtime(
+            discovery=types.SimpleNamespace(store_address='10.0.0.1:80')
         )
+        self.reactor = runtime.reactor
         self.client = store_client_state.StoreClientState(runtime)
         self.failures = []
 
-    def add_idle(self):
-        connection = client_connection.ClientConnection(
-            lambda *reply: None, lambda *reason: None, None
-        )
-        transport = socket_transport.SocketTransport()
-        transport.protocol = connection
-        connection.makeConnection(transport)
-        self.client.idle.append(connection)
-        return connection
-
     def call(self):
         store_client.send_call(
             self.client,
@@ -54,12 +34,12 @@
         sent over connections that had lost their bytes, and a version of
         the configuration came into force 6 s late.
         """
-        self.add_idle()
-        silent = self.add_idle()
+        bare_runtime.add_idle(self.client.idle)
+        silent = bare_runtime.add_idle(self.client.idle)
         self.call()
         self.assertIn(silent, self.client.running)
         self.reactor.advance(TIMEOUT_MS / 1000)
         self.assertEqual(['timeout'], self.failures)
-        self.assertEqual([], self.client.idle)
+        self.assertEqual([], self.client.idle.connections)
         self.call()
         self.assertEqual(1, len(self.reactor.tcpClients))
