Pass the store's changes on from node to node in larger fleets

Ruled out: longer waits and pauses, which the nodes had (up to 25 s and 1 s) and which let a node find out late that it lost the store; pyzmq for the polls, which adds 10 MB and 0.2 s to the start of each process.

Change: in fleets of more than ten nodes the first node of each failure domain, by capacity and rendezvous hash, watches the store; the others poll it, the second or the third, and watch the store themselves when none of the three can be used. Nodes write their address for other nodes into their keys. The watches that grew with the fleet are gone.

--- a/packages/decisions/src/gypsumbridge_decisions/discovery/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/__init__.py
@@ -1,5 +1,6 @@
 """Decisions that keep routes, searchers and nodes in step with the store."""
 
+from gypsumbridge_decisions.discovery.applying import apply_node as apply_node
 from gypsumbridge_decisions.discovery.applying import (
     apply_records as apply_records,
 )
@@ -23,6 +24,9 @@
 from gypsumbridge_decisions.discovery.discovery_ready import (
     DiscoveryReady as DiscoveryReady,
 )
+from gypsumbridge_decisions.discovery.following import apply_news as apply_news
+from gypsumbridge_decisions.discovery.following import lose_peer as lose_peer
+from gypsumbridge_decisions.discovery.following import take_news as take_news
 from gypsumbridge_decisions.discovery.handler import handle as handle
 from gypsumbridge_decisions.discovery.history_lost import (
     HistoryLost as HistoryLost,
@@ -56,17 +60,19 @@
 from gypsumbridge_decisions.discovery.store_listed import (
     StoreListed as StoreListed,
 )
-from gypsumbridge_decisions.discovery.store_record import (
-    StoreRecord as StoreRecord,
-)
 from gypsumbridge_decisions.discovery.syncing import announce as announce
+from gypsumbridge_decisions.discovery.syncing import apply as apply
+from gypsumbridge_decisions.discovery.syncing import (
+    apply_changes as apply_changes,
+)
+from gypsumbridge_decisions.discovery.syncing import apply_list as apply_list
 from gypsumbridge_decisions.discovery.syncing import fail as fail
 from gypsumbridge_decisions.discovery.syncing import (
     lose_history as lose_history,
 )
+from gypsumbridge_decisions.discovery.syncing import note_source as note_source
 from gypsumbridge_decisions.discovery.syncing import regain as regain
 from gypsumbridge_decisions.discovery.syncing import resume as resume
-from gypsumbridge_decisions.discovery.syncing import scale as scale
 from gypsumbridge_decisions.discovery.syncing import (
     take_changes as take_changes,
 )
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/applying.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/applying.py
@@ -3,15 +3,15 @@
 from gypsumbridge_decisions import errors
 from gypsumbridge_decisions import forwarding
 from gypsumbridge_decisions import messages
+from gypsumbridge_decisions import relaying
 from gypsumbridge_decisions.discovery import command
 from gypsumbridge_decisions.discovery import removal_timer
 from gypsumbridge_decisions.discovery import state as states
-from gypsumbridge_decisions.discovery import store_record
 
 
 def apply_records(
     state: states.DiscoveryState,
-    records: tuple[store_record.StoreRecord, ...],
+    records: tuple[relaying.StoreRecord, ...],
     now_ms: int,
 ) -> list[command.Command]:
     """Apply records in order and publish what changed."""
@@ -23,7 +23,7 @@
             commands += apply_routes(state, record)
             continue
         if record.key.startswith(state.schema.node_prefix):
-            state.nodes.add(record.key)
+            commands += apply_node(state, record)
             continue
         if record.key.startswith(state.schema.searcher_prefix):
             changed, more = apply_searcher(state, record, now_ms)
@@ -46,7 +46,7 @@
 
 
 def apply_routes(
-    state: states.DiscoveryState, record: store_record.StoreRecord
+    state: states.DiscoveryState, record: relaying.StoreRecord
 ) -> list[command.Command]:
     """Publish newer routes; routes that are removed or bad stay in force."""
     if record.value is None:
@@ -62,9 +62,29 @@
     return [forwarding.RoutesChanged(table)]
 
 
+def apply_node(
+    state: states.DiscoveryState, record: relaying.StoreRecord
+) -> list[command.Command]:
+    """Count a node, and keep it as a possible source of news.
+
+    A node that is gone stays counted, which makes shares smaller and is
+    safe; as a source it is left out once it does not answer.
+    """
+    state.nodes.add(record.key)
+    if record.value is None:
+        return []
+    node_id = record.key.removeprefix(state.schema.node_prefix)
+    try:
+        found = state.schema.decode_node(node_id, record.value)
+    except errors.FrameError as error:
+        return [skip(record, str(error))]
+    state.relay.peers[node_id] = found
+    return []
+
+
 def apply_searcher(
     state: states.DiscoveryState,
-    record: store_record.StoreRecord,
+    record: relaying.StoreRecord,
     now_ms: int,
 ) -> tuple[bool, list[command.Command]]:
     """Add, change or schedule the removal of a searcher.
@@ -118,7 +138,7 @@
     ]
 
 
-def skip(record: store_record.StoreRecord, error: str) -> command.Command:
+def skip(record: relaying.StoreRecord, error: str) -> command.Command:
     """Return the log line of a record that is left out."""
     return messages.Decision(
         'store_record_skipped',
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/command.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/command.py
@@ -2,6 +2,7 @@
 
 from gypsumbridge_decisions import forwarding
 from gypsumbridge_decisions import messages
+from gypsumbridge_decisions import relaying
 from gypsumbridge_decisions.discovery import discovery_ready
 from gypsumbridge_decisions.discovery import list_store
 from gypsumbridge_decisions.discovery import watch_store
@@ -15,6 +16,8 @@
     | forwarding.SearchersChanged
     | forwarding.FleetSizeChanged
     | discovery_ready.DiscoveryReady
+    | relaying.WatchPeer
+    | relaying.AnswerPoll
     | messages.Timer
     | messages.Decision
     | messages.Count
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/handler.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/handler.py
@@ -2,8 +2,10 @@
 
 from typing import Any
 
+from gypsumbridge_decisions import relaying
 from gypsumbridge_decisions.discovery import applying
 from gypsumbridge_decisions.discovery import command
+from gypsumbridge_decisions.discovery import following
 from gypsumbridge_decisions.discovery import history_lost
 from gypsumbridge_decisions.discovery import node_written
 from gypsumbridge_decisions.discovery import removal_timer
@@ -21,19 +23,42 @@
     """Return the commands that follow from a message."""
     match message:
         case resume_timer.ResumeTimer():
-            return syncing.resume(state)
+            return syncing.resume(state, now_ms)
         case store_listed.StoreListed():
             return syncing.take_list(state, message, now_ms)
         case store_changed.StoreChanged():
             return syncing.take_changes(state, message, now_ms)
         case history_lost.HistoryLost():
-            return syncing.lose_history(state)
+            return syncing.lose_history(state, now_ms)
         case store_failed.StoreFailed():
             return syncing.fail(state, message.reason)
+        case relaying.PeerAnswered():
+            return following.take_news(state, message, now_ms)
+        case relaying.PeerFailed():
+            return following.lose_peer(state, message, now_ms)
+        case relaying.PollArrived():
+            return [
+                *relaying.receive(
+                    state.relay, message, state.revision, state.in_touch()
+                )
+            ]
+        case relaying.PollTimer():
+            return [
+                *relaying.expire(
+                    state.relay,
+                    message.poll_id,
+                    state.revision,
+                    state.in_touch(),
+                )
+            ]
+        case relaying.PollGone():
+            state.relay.polls.pop(message.poll_id, None)
+            return []
         case removal_timer.RemovalTimer():
             return applying.remove_held(state, now_ms)
         case node_written.NodeWritten():
             state.writing_node = False
+            state.node_written = message.done
             return []
         case _:
             raise TypeError(f'discovery takes no {type(message).__name__}')
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/list_store.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/list_store.py
@@ -5,4 +5,9 @@
 
 @dataclasses.dataclass(frozen=True)
 class ListStore:
-    """Answered by StoreListed or StoreFailed."""
+    """Answered by StoreListed or StoreFailed.
+
+    With `stale_ok` the list may be some seconds old, which costs less.
+    """
+
+    stale_ok: bool
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/schema.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/schema.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from gypsumbridge_decisions import forwarding
+from gypsumbridge_decisions import relaying
 
 
 @dataclasses.dataclass(frozen=True)
@@ -11,7 +12,8 @@
     """Key names and decoders of a deployment's store.
 
     The decoders raise FrameError for a value that they cannot use.
-    `decode_searcher` gets the id, which is the key without its prefix.
+    `decode_searcher` and `decode_node` get the id, which is the key without
+    its prefix.
     """
 
     routes_key: str
@@ -19,3 +21,4 @@
     node_prefix: str
     decode_routes: Callable[[bytes], forwarding.RouteTable]
     decode_searcher: Callable[[str, bytes], forwarding.Searcher]
+    decode_node: Callable[[str, bytes], relaying.PeerNode]
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/store_changed.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/store_changed.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from gypsumbridge_decisions.discovery import store_record
+from gypsumbridge_decisions import relaying
 
 
 @dataclasses.dataclass(frozen=True)
@@ -10,4 +10,4 @@
     """Changes up to and including `revision`; none when a watch ended."""
 
     revision: int
-    records: tuple[store_record.StoreRecord, ...]
+    records: tuple[relaying.StoreRecord, ...]
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/store_listed.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/store_listed.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from gypsumbridge_decisions.discovery import store_record
+from gypsumbridge_decisions import relaying
 
 
 @dataclasses.dataclass(frozen=True)
@@ -10,4 +10,4 @@
     """All keys; changes after `revision` are not included for certain."""
 
     revision: int
-    records: tuple[store_record.StoreRecord, ...]
+    records: tuple[relaying.StoreRecord, ...]
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/syncing.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/syncing.py
@@ -1,6 +1,7 @@
-"""The loop of listing and watching the store."""
+"""The loop of listing and watching the store, or another node."""
 
 from gypsumbridge_decisions import messages
+from gypsumbridge_decisions import relaying
 from gypsumbridge_decisions.discovery import applying
 from gypsumbridge_decisions.discovery import command
 from gypsumbridge_decisions.discovery import discovery_ready
@@ -9,39 +10,65 @@
 from gypsumbridge_decisions.discovery import state as states
 from gypsumbridge_decisions.discovery import store_changed
 from gypsumbridge_decisions.discovery import store_listed
-from gypsumbridge_decisions.discovery import store_record
 from gypsumbridge_decisions.discovery import watch_store
 from gypsumbridge_decisions.discovery import write_node
 
 # A waiting watch is a call that is paid for; one on a connection that went
-# silent, with its probes unanswered, is given up at its end. The more nodes
-# share the price, the longer each one waits.
+# silent, with its probes unanswered, is given up at its end.
 WATCH_MS = 3_000
-MAX_WATCH_MS = 25_000
+# Of a node that relays. Others wait for it, and have to find out within the
+# same time that it lost the store.
+RELAYING_WATCH_MS = 1_500
+# Asking another node costs no call to the store. One that is frozen is left
+# out after this wait.
+PEER_WAIT_MS = 1_500
 # Changes that come within this time of each other are read in one call.
 COALESCE_MS = 300
-MAX_COALESCE_MS = 1_000
+RELAYING_COALESCE_MS = 500
 # The store sends some 500 changes in one response. A node that missed more
 # than that does not wait between responses, or it would fall further behind.
 MANY_CHANGES = 250
-# The fleet for which the times above are meant; larger ones scale them.
-SMALL_FLEET = 10
 FIRST_RETRY_MS = 100
 MAX_RETRY_MS = 800
-
-
-def resume(state: states.DiscoveryState) -> list[command.Command]:
-    """Make the next call to the store."""
+# Refused calls are paid for, and a node that can't use its peers finds out
+# from them for free when the store is back.
+MAX_FOLLOWER_RETRY_MS = 3_000
+# All nodes of a new fleet start together; after this time most have written
+# their keys, and can be asked.
+SETTLE_MS = 1_500
+
+
+def resume(state: states.DiscoveryState, now_ms: int) -> list[command.Command]:
+    """Make the next call to a peer or to the store."""
+    nodes = len(state.nodes)
+    source = relaying.choose_source(state.relay, nodes, now_ms)
+    commands = note_source(state, source)
+    if source is not None:
+        after = 0 if state.list_needed else state.revision
+        return [*commands, relaying.WatchPeer(source, after, PEER_WAIT_MS)]
     if state.list_needed:
-        return [list_store.ListStore()]
-    wait_ms = scale(state, WATCH_MS, MAX_WATCH_MS)
-    return [watch_store.WatchStore(state.revision, wait_ms)]
+        stale_ok = not state.exact_list_needed
+        return [*commands, list_store.ListStore(stale_ok)]
+    relayed = relaying.is_relayed(state.relay, nodes)
+    wait_ms = RELAYING_WATCH_MS if relayed else WATCH_MS
+    return [*commands, watch_store.WatchStore(state.revision, wait_ms)]
 
 
-def scale(state: states.DiscoveryState, time_ms: int, most_ms: int) -> int:
-    """Return a time in proportion to the fleet, within bounds."""
-    nodes = max(SMALL_FLEET, len(state.nodes))
-    return min(most_ms, time_ms * nodes // SMALL_FLEET)
+def note_source(
+    state: states.DiscoveryState, source: relaying.PeerNode | None
+) -> list[command.Command]:
+    """Remember where news come from, and log a change."""
+    name = source.node_id if source is not None else ''
+    if name == state.relay.source:
+        return []
+    fields: dict[str, str | int | float] = {
+        'source': name or 'store',
+        'before': state.relay.source or 'store',
+        'nodes': len(state.nodes),
+        'revision': state.revision,
+    }
+    state.relay.source = name
+    return [messages.Decision('news_source_changed', 'rank', fields)]
 
 
 def take_list(
@@ -49,20 +76,38 @@
     listed: store_listed.StoreListed,
     now_ms: int,
 ) -> list[command.Command]:
-    """Replace what is known by a list of the store."""
+    """Replace what is known by a list of the store, and go on."""
+    commands = regain(state)
+    state.list_needed = False
+    if listed.revision >= state.revision:
+        commands += apply_list(state, listed, now_ms)
+    if state.writing_node and state.relay.own.address and not state.settled:
+        # Without the other nodes' keys each node would watch the store.
+        state.settled = True
+        state.list_needed = True
+        timer = messages.Timer(SETTLE_MS, resume_timer.ResumeTimer())
+        return [*commands, timer]
+    return [*commands, *resume(state, now_ms)]
+
+
+def apply_list(
+    state: states.DiscoveryState,
+    listed: store_listed.StoreListed,
+    now_ms: int,
+) -> list[command.Command]:
+    """Replace what is known by all records of a revision."""
     state.revision = listed.revision
     state.list_needed = False
+    state.exact_list_needed = False
+    state.relay.log.replace(listed.records, listed.revision)
     present = {record.key for record in listed.records}
     prefix = state.schema.searcher_prefix
     gone = tuple(
-        store_record.StoreRecord(prefix + name, listed.revision, None)
+        relaying.StoreRecord(prefix + name, listed.revision, None)
         for name in state.searchers
         if prefix + name not in present
     )
-    commands = regain(state)
-    commands += applying.apply_records(state, listed.records + gone, now_ms)
-    commands += announce(state)
-    return [*commands, *resume(state)]
+    return apply(state, listed.records + gone, now_ms)
 
 
 def take_changes(
@@ -71,40 +116,74 @@
     now_ms: int,
 ) -> list[command.Command]:
     """Apply changes and watch again, after a pause if there were some."""
-    state.revision = max(state.revision, changed.revision)
     commands = regain(state)
-    commands += applying.apply_records(state, changed.records, now_ms)
-    commands += announce(state)
+    commands += apply_changes(state, changed, now_ms)
     if not 0 < len(changed.records) < MANY_CHANGES:
-        return [*commands, *resume(state)]
-    pause_ms = scale(state, COALESCE_MS, MAX_COALESCE_MS)
+        return [*commands, *resume(state, now_ms)]
+    relayed = relaying.is_relayed(state.relay, len(state.nodes))
+    pause_ms = RELAYING_COALESCE_MS if relayed else COALESCE_MS
     timer = messages.Timer(pause_ms, resume_timer.ResumeTimer())
     return [*commands, timer]
 
 
-def lose_history(state: states.DiscoveryState) -> list[command.Command]:
+def apply_changes(
+    state: states.DiscoveryState,
+    changed: store_changed.StoreChanged,
+    now_ms: int,
+) -> list[command.Command]:
+    """Apply the records that changed up to a revision."""
+    state.revision = max(state.revision, changed.revision)
+    state.relay.log.add(changed.records)
+    return apply(state, changed.records, now_ms)
+
+
+def apply(
+    state: states.DiscoveryState,
+    records: tuple[relaying.StoreRecord, ...],
+    now_ms: int,
+) -> list[command.Command]:
+    """Apply records, and pass them on to the nodes that wait for them."""
+    return [
+        *applying.apply_records(state, records, now_ms),
+        *relaying.answer_waiting(
+            state.relay, state.revision, state.in_touch()
+        ),
+        *announce(state),
+    ]
+
+
+def lose_history(
+    state: states.DiscoveryState, now_ms: int
+) -> list[command.Command]:
     """List the store again."""
     state.list_needed = True
+    # An old list would be followed by a watch of the lost history again.
+    state.exact_list_needed = True
     decision = messages.Decision(
         'store_history_lost', 'compacted', {'revision': state.revision}
     )
-    return [decision, *resume(state)]
+    return [decision, *resume(state, now_ms)]
 
 
 def fail(state: states.DiscoveryState, reason: str) -> list[command.Command]:
     """Try again later; what is known stays in force."""
     state.failures += 1
-    delay_ms = min(FIRST_RETRY_MS << min(state.failures - 1, 8), MAX_RETRY_MS)
+    follower = relaying.is_relayed(state.relay, len(state.nodes))
+    follower = follower and not relaying.is_first(state.relay)
+    most_ms = MAX_FOLLOWER_RETRY_MS if follower else MAX_RETRY_MS
+    delay_ms = min(FIRST_RETRY_MS << min(state.failures - 1, 8), most_ms)
     commands: list[command.Command] = []
     if state.failures == 1:
         fields: dict[str, str | int | float] = {'revision': state.revision}
         commands.append(messages.Decision('store_lost', reason, fields))
+    # Nodes that wait for news of this one have to ask elsewhere.
+    commands += relaying.answer_waiting(state.relay, state.revision, False)
     commands.append(messages.Timer(delay_ms, resume_timer.ResumeTimer()))
     return commands
 
 
 def regain(state: states.DiscoveryState) -> list[command.Command]:
-    """Note that the store answers again."""
+    """Note that the store's news arrive again."""
     if not state.failures:
         return []
     fields: dict[str, str | int | float] = {
@@ -118,15 +197,17 @@
 def announce(state: states.DiscoveryState) -> list[command.Command]:
     """Report readiness once, and write this node's key if it is missing.
 
-    The key has no lease: it only counts the nodes that share the limits,
-    and counting one that is gone is safe.
+    The key has no lease: it counts the nodes that share the limits and
+    names those that can be asked for news. One that is gone does no harm
+    in either.
     """
     commands: list[command.Command] = []
     if not state.listed and state.routes_version is not None:
         state.listed = True
         commands.append(discovery_ready.DiscoveryReady())
-    own_key = state.schema.node_prefix + state.node_id
-    if own_key not in state.nodes and not state.writing_node:
+    own = state.relay.own
+    known = state.node_written or state.relay.peers.get(own.node_id) == own
+    if not known and not state.writing_node:
         state.writing_node = True
-        commands.append(write_node.WriteNode())
+        commands.append(write_node.WriteNode(own))
     return commands
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/write_node.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/write_node.py
@@ -2,7 +2,11 @@
 
 import dataclasses
 
+from gypsumbridge_decisions import relaying
+
 
 @dataclasses.dataclass(frozen=True)
 class WriteNode:
     """Answered by NodeWritten."""
+
+    node: relaying.PeerNode
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/relaying/peer_answered.py
@@ -0,0 +1,13 @@
+"""News from another node."""
+
+import dataclasses
+
+from gypsumbridge_decisions.relaying import relayed_news
+
+
+@dataclasses.dataclass(frozen=True)
+class PeerAnswered:
+    """The answer of a node that was asked."""
+
+    node_id: str
+    news: relayed_news.RelayedNews
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/relaying/record_log.py
@@ -0,0 +1,58 @@
+"""The last change of every key, to be passed on."""
+
+from collections.abc import Iterable
+
+from gypsumbridge_decisions.relaying import store_record
+
+# Deletions that are remembered. Asked for older ones, a node sends all.
+MAX_DELETIONS = 1_000
+
+
+class RecordLog:
+    """The newest record of each key, deletions among them.
+
+    Deletions are known after `horizon`, the revision at which all keys were
+    last listed, or that of the last deletion that was forgotten.
+    """
+
+    def __init__(self) -> None:
+        self.records: dict[str, store_record.StoreRecord] = {}
+        self.deletions: dict[str, int] = {}
+        self.horizon = 0
+
+    def replace(
+        self, records: Iterable[store_record.StoreRecord], revision: int
+    ) -> None:
+        """Start over from a list of all keys at a revision."""
+        self.records = {}
+        self.deletions = {}
+        self.horizon = revision
+        self.add(records)
+
+    def add(self, records: Iterable[store_record.StoreRecord]) -> None:
+        """Add changes; an older one than that of its key is left out."""
+        for record in records:
+            known = self.records.get(record.key)
+            if known is not None and known.revision >= record.revision:
+                continue
+            self.records[record.key] = record
+            self.deletions.pop(record.key, None)
+            if record.value is None:
+                self.deletions[record.key] = record.revision
+        while len(self.deletions) > MAX_DELETIONS:
+            oldest = min(self.deletions, key=self.deletions.__getitem__)
+            self.horizon = max(self.horizon, self.deletions.pop(oldest))
+            del self.records[oldest]
+
+    def is_complete_after(self, revision: int) -> bool:
+        """Return whether every change after a revision is known."""
+        return revision >= self.horizon
+
+    def after(self, revision: int) -> tuple[store_record.StoreRecord, ...]:
+        """Return the records that changed after a revision, oldest first."""
+        found = [r for r in self.records.values() if r.revision > revision]
+        return tuple(sorted(found, key=lambda record: record.revision))
+
+    def present(self) -> tuple[store_record.StoreRecord, ...]:
+        """Return the records of all keys that exist."""
+        return tuple(r for r in self.records.values() if r.value is not None)
--- a/packages/node/src/gypsumbridge_node/gateway/store_client.py
+++ b/packages/node/src/gypsumbridge_node/gateway/api_client.py
@@ -1,4 +1,4 @@
-"""Calls to the store over kept connections."""
+"""Calls to the store, or to another node, over kept connections."""
 
 from collections.abc import Callable
 
@@ -6,19 +6,19 @@
 
 from gypsumbridge_decisions import errors
 from gypsumbridge_node import address
+from gypsumbridge_node.gateway import api_client_state
 from gypsumbridge_node.gateway import client_connection
 from gypsumbridge_node.gateway import http_head
 from gypsumbridge_node.gateway import http_reply
 from gypsumbridge_node.gateway import http_request
 from gypsumbridge_node.gateway import pending_call
-from gypsumbridge_node.gateway import store_client_state
 
 CONNECT_TIMEOUT_S = 0.5
 STATUS_OK = 200
 
 
 def send_call(
-    client: store_client_state.StoreClientState,
+    client: api_client_state.ApiClientState,
     request: http_request.HttpRequest,
     timeout_ms: int,
     on_success: Callable[[http_reply.HttpReply], None],
@@ -29,7 +29,7 @@
     `on_success` may raise FrameError for a body that it cannot read,
     which counts as a failure.
     """
-    client.runtime.metrics.count('store.calls')
+    client.runtime.metrics.count(f'{client.name}.calls')
     call = pending_call.PendingCall(request, on_success, on_failure)
     call.timer = client.runtime.reactor.callLater(
         timeout_ms / 1000, expire, client, call
@@ -42,7 +42,7 @@
 
 
 def connect(
-    client: store_client_state.StoreClientState, call: pending_call.PendingCall
+    client: api_client_state.ApiClientState, call: pending_call.PendingCall
 ) -> None:
     """Open a connection for a call."""
 
@@ -57,7 +57,7 @@
 
     client_connection.connect(
         client.runtime.reactor,
-        address.split_address(client.store_address),
+        address.split_address(client.address),
         CONNECT_TIMEOUT_S,
         lambda *reply: take_reply(client, *reply),
         lambda *lost: lose(client, *lost),
@@ -66,19 +66,19 @@
 
 
 def send(
-    client: store_client_state.StoreClientState,
+    client: api_client_state.ApiClientState,
     call: pending_call.PendingCall,
     connection: client_connection.ClientConnection,
 ) -> None:
     """Write a call to a free connection."""
     call.connection = connection
     client.running[connection] = call
-    data = http_head.encode_request(call.request, client.store_address)
+    data = http_head.encode_request(call.request, client.address)
     connection.send(data, lambda reply: True)
 
 
 def take_reply(
-    client: store_client_state.StoreClientState,
+    client: api_client_state.ApiClientState,
     connection: client_connection.ClientConnection,
     reply: http_reply.HttpReply,
 ) -> None:
@@ -96,13 +96,13 @@
         call.on_success(reply)
     except errors.FrameError as error:
         client.runtime.logger.error(
-            'store response rejected', extra={'error': str(error)}
+            f'{client.name} response rejected', extra={'error': str(error)}
         )
         call.on_failure('unreadable')
 
 
 def lose(
-    client: store_client_state.StoreClientState,
+    client: api_client_state.ApiClientState,
     connection: client_connection.ClientConnection,
     reason: str,
 ) -> None:
@@ -114,7 +114,7 @@
 
 
 def expire(
-    client: store_client_state.StoreClientState, call: pending_call.PendingCall
+    client: api_client_state.ApiClientState, call: pending_call.PendingCall
 ) -> None:
     """End a call that had no response in time.
 
@@ -129,7 +129,7 @@
 
 
 def end(
-    client: store_client_state.StoreClientState,
+    client: api_client_state.ApiClientState,
     call: pending_call.PendingCall,
     reason: str,
 ) -> None:
@@ -137,5 +137,5 @@
     if call.ended:
         return
     call.finish()
-    client.runtime.metrics.count(f'store.failures.{reason}')
+    client.runtime.metrics.count(f'{client.name}.failures.{reason}')
     call.on_failure(reason)
--- a/packages/node/src/gypsumbridge_node/gateway/boxes.py
+++ b/packages/node/src/gypsumbridge_node/gateway/boxes.py
@@ -14,4 +14,6 @@
     searchers: mailbox.Mailbox
     discovery: mailbox.Mailbox
     store: mailbox.Mailbox
+    peers: mailbox.Mailbox
+    relay: mailbox.Mailbox
     lifecycle: mailbox.Mailbox
--- a/packages/node/src/gypsumbridge_node/gateway/daemon.py
+++ b/packages/node/src/gypsumbridge_node/gateway/daemon.py
@@ -18,6 +18,8 @@
 from gypsumbridge_node.gateway.tasks import forwarding_task
 from gypsumbridge_node.gateway.tasks import ingress
 from gypsumbridge_node.gateway.tasks import lifecycle_task
+from gypsumbridge_node.gateway.tasks import peers
+from gypsumbridge_node.gateway.tasks import relay
 from gypsumbridge_node.gateway.tasks import searchers
 from gypsumbridge_node.gateway.tasks import status_http
 from gypsumbridge_node.gateway.tasks import store
@@ -71,6 +73,8 @@
     )
     status_http.start_status_http_task(runtime, is_ready)
     store.start_store_task(runtime)
+    peers.start_peers_task(runtime)
+    relay.start_relay_task(runtime)
     discovery_task.start_discovery_task(runtime)
     # What is there now stays; without this each full collection scans it.
     gc.freeze()
--- a/packages/node/src/gypsumbridge_node/gateway/settings/gateway_node_settings.py
+++ b/packages/node/src/gypsumbridge_node/gateway/settings/gateway_node_settings.py
@@ -5,7 +5,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class GatewayNodeSettings:
-    """The node's name and the failure domain of its host."""
+    """The node's name and the failure domain of its host.
+
+    Nodes on hosts with a higher `capacity`, in any unit, are the first to
+    pass the store's changes on.
+    """
 
     node_id: str
     failure_domain: str
+    capacity: float = 1.0
--- a/packages/node/src/gypsumbridge_node/gateway/store_page.py
+++ b/packages/node/src/gypsumbridge_node/gateway/store_page.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from gypsumbridge_decisions import discovery
+from gypsumbridge_decisions import relaying
 
 
 @dataclasses.dataclass(frozen=True)
@@ -10,5 +10,5 @@
     """`next_after` is the key that the next page follows, or empty."""
 
     revision: int
-    records: tuple[discovery.StoreRecord, ...]
+    records: tuple[relaying.StoreRecord, ...]
     next_after: str
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/discovery_task.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/discovery_task.py
@@ -5,6 +5,7 @@
 from gypsumbridge_decisions import discovery
 from gypsumbridge_decisions import forwarding
 from gypsumbridge_decisions import messages
+from gypsumbridge_decisions import relaying
 from gypsumbridge_node import execute as executors
 from gypsumbridge_node.gateway import runtime as runtimes
 
@@ -13,8 +14,14 @@
     """Run the discovery decisions on their mailbox."""
     boxes = runtime.boxes
     settings = runtime.settings
-    state = discovery.make_discovery_state(
+    own = relaying.PeerNode(
         settings.node.node_id,
+        settings.listen.advertised_peers or settings.listen.peers,
+        settings.node.failure_domain,
+        settings.node.capacity,
+    )
+    state = discovery.make_discovery_state(
+        relaying.make_relay_state(own, settings.discovery.direct_nodes),
         runtime.adapter.schema,
         discovery.removal_hold_ms(settings.discovery.drain_ms),
     )
@@ -41,6 +48,8 @@
             discovery.WatchStore: boxes.store.put,
             discovery.WriteNode: boxes.store.put,
             discovery.DiscoveryReady: report_ready,
+            relaying.WatchPeer: boxes.peers.put,
+            relaying.AnswerPoll: boxes.relay.put,
             forwarding.RoutesChanged: publish_routes,
             forwarding.SearchersChanged: publish,
             forwarding.FleetSizeChanged: publish,
--- /dev/null
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/peers.py
@@ -0,0 +1,48 @@
+"""The task that asks other nodes for the store's changes."""
+
+from typing import Any
+
+from gypsumbridge_decisions import relaying
+from gypsumbridge_node.gateway import api_client
+from gypsumbridge_node.gateway import api_client_state
+from gypsumbridge_node.gateway import http_reply
+from gypsumbridge_node.gateway import http_request
+from gypsumbridge_node.gateway import runtime as runtimes
+from gypsumbridge_wire import relay
+
+# An answer without news comes this soon after its wait, even if both nodes
+# are busy with requests of many parts.
+ANSWER_MARGIN_MS = 600
+
+
+def start_peers_task(runtime: runtimes.GatewayRuntime) -> None:
+    """Ask one node at a time; each answer goes to the discovery task."""
+    box = runtime.boxes.discovery
+    client = api_client_state.ApiClientState(runtime, 'peers', '')
+
+    def watch(command: relaying.WatchPeer) -> None:
+        nonlocal client
+        if client.address != command.peer.address:
+            client.idle.close_all()
+            client = api_client_state.ApiClientState(
+                runtime, 'peers', command.peer.address
+            )
+        node_id = command.peer.node_id
+
+        def take_news(reply: http_reply.HttpReply) -> None:
+            news = relay.decode_news(reply.body)
+            box.put(relaying.PeerAnswered(node_id, news))
+
+        target = relay.encode_target(command.after_revision, command.wait_ms)
+        api_client.send_call(
+            client,
+            http_request.HttpRequest('GET', target),
+            command.wait_ms + ANSWER_MARGIN_MS,
+            take_news,
+            lambda reason: box.put(relaying.PeerFailed(node_id, reason)),
+        )
+
+    def handle(message: Any) -> None:
+        watch(message)
+
+    runtime.boxes.peers.start(handle)
--- /dev/null
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/relay.py
@@ -0,0 +1,60 @@
+"""The task that answers other nodes with the store's changes."""
+
+from gypsumbridge_decisions import forwarding
+from gypsumbridge_decisions import relaying
+from gypsumbridge_node import address
+from gypsumbridge_node.gateway import parsed_request
+from gypsumbridge_node.gateway import runtime as runtimes
+from gypsumbridge_node.gateway import server_connection
+from gypsumbridge_wire import relay
+
+STATUS_OK = 200
+STATUS_NOT_FOUND = 404
+
+
+def start_relay_task(runtime: runtimes.GatewayRuntime) -> None:
+    """Hand polls to the discovery task and send its answers."""
+    box = runtime.boxes.discovery
+    waiting: dict[int, server_connection.ServerConnection] = {}
+    last_poll_id = 0
+    # Nodes that know the same get the same bytes.
+    last_news: tuple[relaying.RelayedNews | None, bytes] = (None, b'')
+
+    def take_poll(
+        connection: server_connection.ServerConnection,
+        request: parsed_request.ParsedRequest,
+    ) -> None:
+        nonlocal last_poll_id
+        found = relay.decode_target(request.target)
+        if found is None:
+            connection.respond(STATUS_NOT_FOUND, (), b'')
+            return
+        last_poll_id += 1
+        waiting[last_poll_id] = connection
+        box.put(relaying.PollArrived(last_poll_id, *found))
+
+    def drop_poll(connection: server_connection.ServerConnection) -> None:
+        gone = [poll for poll, found in waiting.items() if found is connection]
+        for poll_id in gone:
+            del waiting[poll_id]
+            box.put(relaying.PollGone(poll_id))
+
+    def answer(command: relaying.AnswerPoll) -> None:
+        nonlocal last_news
+        connection = waiting.pop(command.poll_id, None)
+        if connection is None:
+            return
+        if last_news[0] != command.news:
+            last_news = (command.news, relay.encode_news(command.news))
+        runtime.metrics.count('relay.answers')
+        connection.respond(STATUS_OK, (), last_news[1])
+
+    runtime.boxes.relay.start(answer)
+    if not runtime.settings.listen.peers:
+        return
+    limits = forwarding.IngressLimits()
+    factory = server_connection.make_factory(
+        take_poll, drop_poll, lambda: limits, lambda: False
+    )
+    host, port = address.split_address(runtime.settings.listen.peers)
+    runtime.reactor.listenTCP(port, factory, interface=host)
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/store.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/store.py
@@ -4,11 +4,12 @@
 from typing import Any
 
 from gypsumbridge_decisions import discovery
+from gypsumbridge_node.gateway import api_client
+from gypsumbridge_node.gateway import api_client_state
 from gypsumbridge_node.gateway import http_reply
 from gypsumbridge_node.gateway import runtime as runtimes
-from gypsumbridge_node.gateway import store_client
-from gypsumbridge_node.gateway import store_client_state
 from gypsumbridge_node.gateway import store_page
+from gypsumbridge_wire import relay
 
 STATUS_GONE = 410
 # A watch without changes is answered this soon after its wait. Together
@@ -19,7 +20,9 @@
 
 def start_store_task(runtime: runtimes.GatewayRuntime) -> None:
     """List, watch and write; each call is answered to the discovery task."""
-    client = store_client_state.StoreClientState(runtime)
+    client = api_client_state.ApiClientState(
+        runtime, 'store', runtime.settings.discovery.store_address
+    )
     table: dict[type, Callable[[Any], None]] = {
         discovery.ListStore: make_lister(runtime, client),
         discovery.WatchStore: make_watcher(runtime, client),
@@ -49,21 +52,24 @@
 
 def make_lister(
     runtime: runtimes.GatewayRuntime,
-    client: store_client_state.StoreClientState,
+    client: api_client_state.ApiClientState,
 ) -> Callable[[discovery.ListStore], None]:
     """Return a function that reads all pages of the store."""
     adapter = runtime.adapter
     timeout_ms = runtime.settings.discovery.timeout_ms
     report_failure = make_failure_report(runtime)
     pages: list[store_page.StorePage] = []
+    stale_ok = False
 
     def list_page(after: str) -> None:
-        request = adapter.encode_list(after)
-        store_client.send_call(
+        request = adapter.encode_list(after, stale_ok)
+        api_client.send_call(
             client, request, timeout_ms, take_page, report_failure
         )
 
     def start_list(command: discovery.ListStore) -> None:
+        nonlocal stale_ok
+        stale_ok = command.stale_ok
         pages.clear()
         list_page('')
 
@@ -85,7 +91,7 @@
 
 def make_watcher(
     runtime: runtimes.GatewayRuntime,
-    client: store_client_state.StoreClientState,
+    client: api_client_state.ApiClientState,
 ) -> Callable[[discovery.WatchStore], None]:
     """Return a function that waits for changes of the store."""
     adapter = runtime.adapter
@@ -98,7 +104,7 @@
 
     def watch(command: discovery.WatchStore) -> None:
         request = adapter.encode_watch(command.after_revision, command.wait_ms)
-        store_client.send_call(
+        api_client.send_call(
             client,
             request,
             command.wait_ms + margin_ms,
@@ -111,7 +117,7 @@
 
 def make_node_writer(
     runtime: runtimes.GatewayRuntime,
-    client: store_client_state.StoreClientState,
+    client: api_client_state.ApiClientState,
 ) -> Callable[[discovery.WriteNode], None]:
     """Return a function that writes this node's own key."""
     settings = runtime.settings
@@ -119,10 +125,10 @@
     box = runtime.boxes.discovery
 
     def write(command: discovery.WriteNode) -> None:
-        key = adapter.schema.node_prefix + settings.node.node_id
-        store_client.send_call(
+        key = adapter.schema.node_prefix + command.node.node_id
+        api_client.send_call(
             client,
-            adapter.encode_put(key, settings.listen.callers.encode()),
+            adapter.encode_put(key, relay.encode_node(command.node)),
             settings.discovery.timeout_ms,
             lambda reply: box.put(discovery.NodeWritten(True)),
             lambda reason: box.put(discovery.NodeWritten(False)),
--- a/packages/standins/src/gypsumbridge_standins/fault_soak/fault_kinds.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/fault_kinds.py
@@ -8,7 +8,7 @@
 from gypsumbridge_standins.fault_soak import searcher_faults
 from gypsumbridge_standins.fault_soak import store_faults
 
-LINK_GROUPS = ('callers', 'store', 'searchers')
+LINK_GROUPS = ('callers', 'store', 'peers', 'searchers')
 ANSWERS = ('silent', 'truncate', 'garbage', 'extra', 'error', 'shed', 'stray')
 
 INJECT: dict[str, Callable] = {
--- a/packages/standins/src/gypsumbridge_standins/fault_soak/fault_plan.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/fault_plan.py
@@ -21,6 +21,11 @@
     'store_silence': 1,
     'store_cut_requests': 1,
     'store_cut_responses': 1,
+    'peers_delay': 1,
+    'peers_reset': 1,
+    'peers_silence': 1,
+    'peers_cut_requests': 1,
+    'peers_cut_responses': 1,
     'searchers_delay': 1,
     'searchers_reset': 1,
     'searchers_silence': 1,
@@ -52,6 +57,8 @@
     'configure',
 )
 PLANNED_SEED = 3
+# Other seeds play a fleet that is small enough to watch the store itself.
+RELAYED_SEEDS = (0, 2, 3)
 MEAN_GAP_MS = 500
 MEAN_LENGTH_MS = 1_500
 MOST_LENGTH_MS = 6_000
@@ -88,4 +95,6 @@
                 )
             )
     found.sort(key=lambda fault: fault.at_ms)
-    return soak_plan.SoakPlan(seed, seconds, gateways, tuple(found))
+    return soak_plan.SoakPlan(
+        seed, seconds, gateways, tuple(found), seed % 4 in RELAYED_SEEDS
+    )
--- a/packages/standins/src/gypsumbridge_standins/fault_soak/link_faults.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/link_faults.py
@@ -22,6 +22,9 @@
             name, touched = deployment.DOMAINS[number], 'searchers'
         else:
             name = touched = gateway_faults.choose_node(state, fault)
+            if group == 'peers':
+                # Gateways stay in touch with the store without each other.
+                touched = 'peers'
         link = state.links[f'{group}/{name}']
         if link.mode is not link_mode.LinkMode.PASS:
             disturbance.note(state, f'{fault.kind} left out, {name} is busy')
--- a/packages/standins/src/gypsumbridge_standins/fault_soak/processes.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/processes.py
@@ -20,7 +20,7 @@
 REQUEST_ID = re.compile(
     header_names.HEADERS.request_id.encode() + rb': (\S+)', re.IGNORECASE
 )
-PORTS_OF_GATEWAY = 5
+PORTS_OF_GATEWAY = 7
 
 
 def start(state: soak_state.SoakState) -> None:
@@ -77,8 +77,8 @@
 def start_gateway(
     state: soak_state.SoakState, number: int, listen: list[int], store: int
 ) -> None:
-    """Start a gateway behind links to its callers and to the store."""
-    callers, ready, metrics, callers_link, store_link = listen
+    """Start a gateway behind links to callers, store and other gateways."""
+    callers, ready, metrics, callers_link, store_link, *peers = listen
     name = gateway_cluster.write_settings(
         state.cluster,
         number,
@@ -86,6 +86,7 @@
         store_link,
         deployment.BUDGET_RATIO,
         deployment.ALLOWANCE,
+        (peers[0], peers[1]) if state.plan.relayed else None,
     )
     node = state.cluster.nodes[name]
     state.cluster.nodes[name] = dataclasses.replace(
@@ -97,6 +98,7 @@
     )
     add_link(state, f'callers/{name}', callers_link, callers)
     add_link(state, f'store/{name}', store_link, store)
+    add_link(state, f'peers/{name}', peers[1], peers[0])
     gateway_cluster.spawn_gateway(state.cluster, name)
 
 
--- a/packages/standins/src/gypsumbridge_standins/fault_soak/soak_state.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/soak_state.py
@@ -13,9 +13,9 @@
 class SoakState:
     """The processes of a run, its links and what was seen.
 
-    `links` has the names `callers/NODE`, `store/NODE` and
+    `links` has the names `callers/NODE`, `store/NODE`, `peers/NODE` and
     `searchers/DOMAIN`. `unplanned` and `planned` hold the spans of faults
-    and of planned work by node, or under `store` and `searchers`.
+    and of planned work by node, or under `store`, `peers` and `searchers`.
     `versions` and `draining` hold when the store took a version of the
     configuration or a searcher's announcement. `passed_ms` holds when the
     link to a gateway passed a request on, which it cannot while no process
--- a/packages/standins/src/gypsumbridge_standins/users_platform/gateway_cluster.py
+++ b/packages/standins/src/gypsumbridge_standins/users_platform/gateway_cluster.py
@@ -12,6 +12,8 @@
 MODULE = 'gypsumbridge_standins.users_platform'
 GATEWAY = 'gypsumbridge_platform'
 DOMAINS = ('d1', 'd2')
+# For callers, readiness and metrics.
+GATEWAY_PORTS = 3
 
 SETTINGS = """\
 [node]
@@ -22,9 +24,10 @@
 callers = 127.0.0.1:{callers}
 ready = 127.0.0.1:{ready}
 metrics = 127.0.0.1:{metrics}
-
+{peers}
 [discovery]
 store_address = 127.0.0.1:{store}
+direct_nodes = 1
 
 [retry]
 ratio = {ratio}
@@ -37,6 +40,10 @@
 [log]
 decision_lines_per_second = 5000
 """
+PEERS = """\
+peers = 127.0.0.1:{port}
+advertised_peers = 127.0.0.1:{advertised}
+"""
 
 
 def start_gateway_cluster(
@@ -44,13 +51,16 @@
     config: dict[str, Any],
     services: tuple[str, ...],
     nodes: int,
+    relayed: bool = False,
 ) -> None:
     """Start two searchers for each service and some gateways.
 
     A searcher's id is its service and failure domain, joined by a dash.
-    `cluster.controls` holds the stand-in's control address.
+    `cluster.controls` holds the stand-in's control address. With `relayed`,
+    one gateway of each failure domain watches the store for the others.
     """
-    chosen = ports.free_ports(2 + len(services) * len(DOMAINS) + 3 * nodes)
+    each = GATEWAY_PORTS + relayed
+    chosen = ports.free_ports(2 + len(services) * len(DOMAINS) + each * nodes)
     store, control = chosen.pop(), chosen.pop()
     searchers = {
         f'{service}-{domain}': {
@@ -73,7 +83,7 @@
     cluster.store = f'127.0.0.1:{store}'
     cluster.controls = [f'127.0.0.1:{control}']
     for number in range(nodes):
-        start_gateway(cluster, number, [chosen.pop() for _ in range(3)])
+        start_gateway(cluster, number, [chosen.pop() for _ in range(each)])
 
 
 def start_gateway(
@@ -81,10 +91,14 @@
 ) -> None:
     """Start one gateway and wait until it is ready.
 
-    `listen` holds the ports for callers, readiness and metrics.
+    `listen` holds the ports for callers, readiness and metrics, and one for
+    other gateways if this one passes the store's changes on.
     """
     store = int(cluster.store.rpartition(':')[2])
-    name = write_settings(cluster, number, listen, store)
+    peers = (listen[3], listen[3]) if len(listen) > GATEWAY_PORTS else None
+    name = write_settings(
+        cluster, number, listen[:GATEWAY_PORTS], store, peers=peers
+    )
     spawn_gateway(cluster, name)
     clusters.wait_until(
         lambda: clusters.answers(
@@ -108,12 +122,14 @@
     store: int,
     ratio: float = 0.2,
     allowance: float = 50,
+    peers: tuple[int, int] | None = None,
 ) -> str:
     """Write a gateway's settings file and return the gateway's name.
 
     `listen` holds the ports for callers, readiness and metrics, `store` is
     the port at which the gateway finds the store, `ratio` and `allowance`
-    its retry budget.
+    its retry budget. With `peers`, its port for other gateways and the one
+    at which they find it, it passes the store's changes on.
     """
     name = f'gateway-{number}'
     domain = DOMAINS[number % len(DOMAINS)]
@@ -127,6 +143,9 @@
         store=store,
         ratio=ratio,
         allowance=allowance,
+        peers=''
+        if peers is None
+        else PEERS.format(port=peers[0], advertised=peers[1]),
     )
     path = cluster.folder / f'{name}.ini'
     path.write_text(settings)
--- a/tests/decisions/discovery/test_discovery.py
+++ b/tests/decisions/discovery/test_discovery.py
@@ -4,6 +4,7 @@
 from gypsumbridge_decisions import errors
 from gypsumbridge_decisions import forwarding
 from gypsumbridge_decisions import messages
+from gypsumbridge_decisions import relaying
 
 
 def decode_routes(value):
@@ -22,8 +23,20 @@
     )
 
 
+def decode_node(node_id, value):
+    if value == b'bad':
+        raise errors.FrameError('bad', 'write it again')
+    domain, _, address = value.decode().partition(' ')
+    return relaying.PeerNode(node_id, address, domain, 1.0)
+
+
 SCHEMA = discovery.StoreSchema(
-    'routes', 'searchers/', 'nodes/', decode_routes, decode_searcher
+    'routes',
+    'searchers/',
+    'nodes/',
+    decode_routes,
+    decode_searcher,
+    decode_node,
 )
 HOLD_MS = 2_000
 
@@ -31,7 +44,10 @@
 class DiscoveryTest(unittest.TestCase):
     def setUp(self):
         self.now_ms = 0
-        self.state = discovery.make_discovery_state('n1', SCHEMA, HOLD_MS)
+        self.own = relaying.PeerNode('n1', '', 'd1', 1.0)
+        self.state = discovery.make_discovery_state(
+            relaying.make_relay_state(self.own, 10), SCHEMA, HOLD_MS
+        )
         self.revision = 0
 
     def handle(self, message):
@@ -41,7 +57,7 @@
         found = []
         for key, value in values.items():
             self.revision += 1
-            found.append(discovery.StoreRecord(key, self.revision, value))
+            found.append(relaying.StoreRecord(key, self.revision, value))
         return tuple(found)
 
     def list(self, **values):
@@ -118,7 +134,7 @@
         """Guards against searchers that stay after lost history."""
         self.list(searchers_a=b'ready', searchers_b=b'ready')
         commands = self.handle(discovery.HistoryLost())
-        self.assertIn(discovery.ListStore(), commands)
+        self.assertIn(discovery.ListStore(stale_ok=False), commands)
         self.list(searchers_b=b'ready')
         self.now_ms += HOLD_MS
         commands = self.handle(discovery.RemovalTimer())
@@ -180,10 +196,18 @@
     def test_the_own_key_is_written_once(self):
         """Guards against writes at each restart, and a missing node."""
         commands = self.list(routes=b'1')
-        self.assertIn(discovery.WriteNode(), commands)
+        self.assertIn(discovery.WriteNode(self.own), commands)
         self.handle(discovery.NodeWritten(False))
-        self.assertIn(discovery.WriteNode(), self.change(routes=b'2'))
+        self.assertIn(discovery.WriteNode(self.own), self.change(routes=b'2'))
         self.handle(discovery.NodeWritten(True))
-        commands = self.change(nodes_n1=b'x')
+        commands = self.change(nodes_n1=b'd1')
         self.assertIn(forwarding.FleetSizeChanged(1), commands)
-        self.assertNotIn(discovery.WriteNode(), commands)
+        self.assertNotIn(discovery.WriteNode(self.own), commands)
+
+    def test_an_entry_of_an_older_release_is_replaced_once(self):
+        """Guards against a write that leads to the next one."""
+        commands = self.list(routes=b'1', nodes_n1=b'bad')
+        self.assertIn(discovery.WriteNode(self.own), commands)
+        self.handle(discovery.NodeWritten(True))
+        commands = self.change(nodes_n1=b'bad')
+        self.assertNotIn(discovery.WriteNode(self.own), commands)
--- a/tests/node/gateway/test_store_client.py
+++ b/tests/node/gateway/test_api_client.py
@@ -1,25 +1,24 @@
-import types
 import unittest
 
+from gypsumbridge_node.gateway import api_client
+from gypsumbridge_node.gateway import api_client_state
 from gypsumbridge_node.gateway import http_request
-from gypsumbridge_node.gateway import store_client
-from gypsumbridge_node.gateway import store_client_state
 from tests.node.gateway import bare_runtime
 
 TIMEOUT_MS = 2_000
 
 
-class StoreClientTest(unittest.TestCase):
+class ApiClientTest(unittest.TestCase):
     def setUp(self):
-        runtime = bare_runtime.make_runtime(
-            discovery=types.SimpleNamespace(store_address='10.0.0.1:80')
-        )
+        runtime = bare_runtime.make_runtime()
         self.reactor = runtime.reactor
-        self.client = store_client_state.StoreClientState(runtime)
+        self.client = api_client_state.ApiClientState(
+            runtime, 'store', '10.0.0.1:80'
+        )
         self.failures = []
 
     def call(self):
-        store_client.send_call(
+        api_client.send_call(
             self.client,
             http_request.HttpRequest('GET', '/'),
             TIMEOUT_MS,
--- a/tests/platform_adapter/test_decoding.py
+++ b/tests/platform_adapter/test_decoding.py
@@ -4,6 +4,7 @@
 
 from gypsumbridge_decisions import discovery
 from gypsumbridge_decisions import errors
+from gypsumbridge_decisions import relaying
 from gypsumbridge_platform import routes
 from gypsumbridge_platform import searchers
 from gypsumbridge_platform import store_calls
@@ -152,7 +153,7 @@
         page = store_calls.decode_list(encode(body))
         self.assertEqual((9, 'a/c'), (page.revision, page.next_after))
         self.assertEqual([b'x', b''], [r.value for r in page.records])
-        request = store_calls.encode_list('a/c&d')
+        request = store_calls.encode_list('a/c&d', False)
         self.assertIn('after=a%2Fc%26d', request.target)
 
     def test_a_watch_tells_deletions_from_writes(self):
@@ -174,8 +175,8 @@
             discovery.StoreChanged(
                 6,
                 (
-                    discovery.StoreRecord('a', 5, b'v'),
-                    discovery.StoreRecord('b', 6, None),
+                    relaying.StoreRecord('a', 5, b'v'),
+                    relaying.StoreRecord('b', 6, None),
                 ),
             ),
             store_calls.decode_watch(encode(body)),
--- a/tests/processes/test_fault_soak.py
+++ b/tests/processes/test_fault_soak.py
@@ -16,8 +16,9 @@
     # over connections that had lost their bytes; routes were 6 s late.
     'silent_store_connections',
 )
-# The last one plays planned work only.
-FIXED_SEEDS = ('101', '103')
+# The last one plays planned work only. In the last two, one gateway of each
+# failure domain watches the store for the others.
+FIXED_SEEDS = ('101', '104', '103')
 
 
 class FaultSoakTest(unittest.TestCase):
