Count the retry budget in a sliding window, merge parts as they arrive

A node's share of the fixed allowance, two attempts in ten seconds, was half saved up and half earned evenly, so after one hedge of a service the next one came 6.6 s later, while the fleet used a tenth of its budget. Most of the other half had been hedged 20 ms before the response: hedges that are put off while most parts are out waited twice the usual latency.

Change: attempts are counted over a sliding window, and the whole share may be used at any moment; a process has one attempt of the fixed share in its first window, as before. Hedges are put off until a median latency is left at most. A gather keeps its greatest records as parts arrive, so the last step has little to do, and the garbage collector runs less often.

--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
@@ -104,9 +104,6 @@
 from gypsumbridge_decisions.forwarding.latency_window import (
     LatencyWindow as LatencyWindow,
 )
-from gypsumbridge_decisions.forwarding.merge import (
-    greatest_records as greatest_records,
-)
 from gypsumbridge_decisions.forwarding.news import (
     change_fleet_size as change_fleet_size,
 )
@@ -166,6 +163,9 @@
 from gypsumbridge_decisions.forwarding.stop_taking import (
     StopTaking as StopTaking,
 )
+from gypsumbridge_decisions.forwarding.top_records import (
+    TopRecords as TopRecords,
+)
 from gypsumbridge_decisions.forwarding.warming import (
     is_kept_warm as is_kept_warm,
 )
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/arrival.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/arrival.py
@@ -58,7 +58,7 @@
     state.exchanges[request.call_id] = exchange
     commands: list[command.Command] = []
     for part in exchange.parts:
-        sending.budget_for(state, part.service, now_ms).earn(now_ms)
+        sending.budget_for(state, part.service).count_request(now_ms)
         commands += sending.send_first(state, exchange, part, now_ms)
     if not exchange.open_services:
         return commands + finishing.finish(state, exchange, now_ms)
@@ -95,11 +95,11 @@
             messages.Timer(delay_ms, hedge_timer.HedgeTimer(call_id))
         )
     if exchange.route.gather is not None:
-        due_ms = exchange.request.arrived_ms + answer_ms
+        exchange.answer_ms = exchange.request.arrived_ms + answer_ms
         commands.append(
             messages.Timer(
-                max(0, due_ms - now_ms),
-                objective_timer.ObjectiveTimer(call_id, due_ms),
+                max(0, exchange.answer_ms - now_ms),
+                objective_timer.ObjectiveTimer(call_id, exchange.answer_ms),
             )
         )
     return commands
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/ending.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/ending.py
@@ -42,6 +42,8 @@
         return []
     if is_answer(exchange, ended):
         part.answer = ended
+        if exchange.top is not None:
+            exchange.top.add(ended.body)
         commands = cancel_running(state, part)
     else:
         commands = fail(state, exchange, part, attempt, ended, now_ms)
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/exchange.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/exchange.py
@@ -3,14 +3,17 @@
 from gypsumbridge_decisions.forwarding import caller_request
 from gypsumbridge_decisions.forwarding import part_state
 from gypsumbridge_decisions.forwarding import route as routes
+from gypsumbridge_decisions.forwarding import top_records
 
 
 class Exchange:
     """A request, the route that it is pinned to, and its parts.
 
     `expires_ms` is when the final response is due on the node's clock,
+    `answer_ms` when a gather is answered without its last parts.
     `open_services` names the parts whose answer may still arrive,
-    `hedge_put_off` says that hedges wait for a second time.
+    `hedge_put_off` says that hedges wait for a second time. `top` holds the
+    merged records of a gather.
     """
 
     def __init__(
@@ -25,6 +28,10 @@
         self.route = route
         self.version = version
         self.expires_ms = expires_ms
+        self.answer_ms = expires_ms
+        self.top: top_records.TopRecords | None = None
+        if route.gather is not None:
+            self.top = top_records.TopRecords(route.gather.top_k)
         self.parts = [part_state.PartState(name) for name in services]
         self.by_service = {part.service: part for part in self.parts}
         self.open_services: set[str] = set()
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/extra_budget.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/extra_budget.py
@@ -3,53 +3,64 @@
 # A share of the fixed allowance is left unused, so that nodes which joined
 # and are not yet counted do not take the fleet over the limit.
 FIXED_SHARE = 0.8
-
-
-# This much of the fixed share may be saved up; the rest is earned evenly
-# over the window.
-SAVED_SHARE = 0.4
+# A window is counted in so many slots. Extra attempts are counted over one
+# slot more than requests, so that no span of a window's length holds more.
+SLOTS = 10
+# The process before a restarted one may have spent its share in the same
+# window, so a new one has this much of its fixed share in its first window.
+FIRST_SHARE = 1.0
 
 
 class ExtraBudget:
-    """Tokens for attempts beyond the first of each request.
-
-    Each request earns `ratio` tokens. `fixed` is the node's share of the
-    allowance that does not depend on traffic, for each window of
-    `window_ms`: a part of it can be saved, the rest is earned evenly over
-    time, so that no window sees more than `ratio` times its requests plus
-    `fixed`. A restarted node begins with one token at most, since the one
-    before may have spent its share in this window.
+    """Counts requests, and attempts beyond the first of each.
+
+    In each window of `window_ms` this node sends at most `ratio` times its
+    requests plus `fixed`, its share of the allowance that does not depend
+    on traffic. The whole share may be used at any moment: in a large fleet
+    it is two or three attempts, and a rate would leave a part without a
+    hedge whenever the one before came a little sooner than usual.
+    `started_ms` is when the process started.
     """
 
     def __init__(
-        self, ratio: float, fixed: float, window_ms: int, now_ms: int
+        self, ratio: float, fixed: float, window_ms: int, started_ms: int
     ) -> None:
         self.ratio = ratio
         self.fixed = fixed
         self.window_ms = window_ms
-        self.earned_ms = now_ms
-        self.tokens = min(1.0, self.most_saved())
-
-    def most_saved(self) -> float:
-        """Return how many tokens can be kept for later."""
-        return max(1.0, self.fixed * SAVED_SHARE)
-
-    def earn(self, now_ms: int) -> None:
-        """Count a first attempt, and the time since the last one."""
-        passed_ms = now_ms - self.earned_ms
-        self.earned_ms = now_ms
-        evenly = max(0.0, self.fixed - self.most_saved())
-        self.tokens += self.ratio + evenly * passed_ms / self.window_ms
-        self.tokens = min(self.most_saved(), self.tokens)
-
-    def spend(self) -> bool:
-        """Take a token for one extra attempt, if there is one."""
-        if self.tokens < 1.0:
+        self.started_ms = started_ms
+        self.slot = 0
+        self.requests = [0] * SLOTS
+        self.extras = [0] * (SLOTS + 1)
+
+    def count_request(self, now_ms: int) -> None:
+        """Count a first attempt."""
+        self._move_to(now_ms)
+        self.requests[self.slot % len(self.requests)] += 1
+
+    def spend(self, now_ms: int) -> bool:
+        """Count one extra attempt, if there is room for it."""
+        self._move_to(now_ms)
+        fixed = self.fixed
+        if now_ms - self.started_ms < self.window_ms:
+            fixed = min(fixed, FIRST_SHARE)
+        allowed = fixed + self.ratio * sum(self.requests)
+        if sum(self.extras) + 1 > allowed:
             return False
-        self.tokens -= 1.0
+        self.extras[self.slot % len(self.extras)] += 1
         return True
 
+    def _move_to(self, now_ms: int) -> None:
+        """Clear the slots that have begun since the last call."""
+        slot = now_ms * SLOTS // self.window_ms
+        if slot - self.slot > SLOTS:
+            self.slot = slot - SLOTS - 1
+        while self.slot < slot:
+            self.slot += 1
+            self.requests[self.slot % len(self.requests)] = 0
+            self.extras[self.slot % len(self.extras)] = 0
+
 
 def fixed_share(allowance: float, nodes: int) -> float:
-    """Return one node's part of the fixed allowance, in tokens."""
+    """Return one node's part of the fixed allowance, in attempts."""
     return max(1.0, allowance * FIXED_SHARE / max(1, nodes))
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/final_response.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/final_response.py
@@ -3,7 +3,6 @@
 from gypsumbridge_decisions.forwarding import attempt_ended
 from gypsumbridge_decisions.forwarding import caller_response
 from gypsumbridge_decisions.forwarding import exchange as exchanges
-from gypsumbridge_decisions.forwarding import merge
 from gypsumbridge_decisions.forwarding import part_state
 from gypsumbridge_decisions.forwarding import refusing
 
@@ -16,13 +15,12 @@
     """Return the merged parts, or the searcher's own response."""
     call_id = exchange.request.call_id
     answers = [p.answer for p in exchange.parts if p.answer is not None]
-    rule = exchange.route.gather
-    if rule is None:
+    if exchange.top is None:
         return relay(call_id, answers[0])
     return caller_response.CallerResponse(
         call_id,
         STATUS_OK,
-        body=merge.greatest_records((a.body for a in answers), rule.top_k),
+        body=exchange.top.body(),
         part_signatures=tuple(a.signature for a in answers),
         missing_parts=len(exchange.parts) - len(answers),
     )
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/hedging.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/hedging.py
@@ -55,7 +55,8 @@
 ) -> list[command.Command]:
     """Send every part that is still out to another searcher.
 
-    While most of them are out, this waits once for as long again.
+    While most of them are out, this waits once for as long again, but not
+    until hedges come too late.
     """
     exchange = state.exchanges.get(call_id)
     if exchange is None:
@@ -67,7 +68,12 @@
     most_open = len(exchange.open_services) * 2 > len(exchange.parts)
     if most_open and len(exchange.parts) > 1 and not exchange.hedge_put_off:
         exchange.hedge_put_off = True
-        delay_ms = max(MIN_DELAY_MS, now_ms - exchange.request.arrived_ms)
+        window = latencies_of(state, exchange.route)
+        delay_ms = min(
+            now_ms - exchange.request.arrived_ms,
+            exchange.answer_ms - int(window.median_ms) - now_ms,
+        )
+        delay_ms = max(MIN_DELAY_MS, delay_ms)
         timer = hedge_timer.HedgeTimer(call_id)
         return [
             messages.Count('forwarding.hedges_put_off'),
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/news.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/news.py
@@ -77,6 +77,5 @@
     fixed = extra_budget.fixed_share(state.policy.extra_allowance, state.nodes)
     for budget in state.budgets.values():
         budget.fixed = fixed
-        budget.tokens = min(budget.tokens, budget.most_saved())
     fields = {'nodes': news.nodes}
     return [messages.Decision('fleet_size_changed', 'store', fields)]
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/sending.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/sending.py
@@ -22,7 +22,7 @@
 
 
 def budget_for(
-    state: states.ForwardingState, service: str, now_ms: int
+    state: states.ForwardingState, service: str
 ) -> extra_budget.ExtraBudget:
     """Return the retry budget of a service, made on first use."""
     found = state.budgets.get(service)
@@ -30,7 +30,7 @@
         policy = state.policy
         fixed = extra_budget.fixed_share(policy.extra_allowance, state.nodes)
         found = extra_budget.ExtraBudget(
-            policy.extra_ratio, fixed, policy.window_ms, now_ms
+            policy.extra_ratio, fixed, policy.window_ms, state.started_ms
         )
         state.budgets[service] = found
     return found
@@ -72,7 +72,7 @@
     chosen = choose(state, part, now_ms)
     if chosen is None:
         return []
-    if charged and not budget_for(state, part.service, now_ms).spend():
+    if charged and not budget_for(state, part.service).spend(now_ms):
         return []
     return [send(state, exchange, part, chosen, now_ms, max_idle_ms)]
 
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/state.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/state.py
@@ -23,8 +23,11 @@
     how late timers are handled, as a moving average.
     """
 
-    def __init__(self, policy: policies.ForwardingPolicy) -> None:
+    def __init__(
+        self, policy: policies.ForwardingPolicy, started_ms: int
+    ) -> None:
         self.policy = policy
+        self.started_ms = started_ms
         self.nodes = ASSUMED_NODES
         self.table: route_table.RouteTable | None = None
         self.searchers: dict[str, list[searcher.Searcher]] = {}
@@ -41,7 +44,7 @@
 
 
 def make_forwarding_state(
-    policy: policies.ForwardingPolicy,
+    policy: policies.ForwardingPolicy, started_ms: int
 ) -> ForwardingState:
-    """Return the state of a node that has just started."""
-    return ForwardingState(policy)
+    """Return the state of a node whose process started at `started_ms`."""
+    return ForwardingState(policy, started_ms)
--- a/packages/node/src/gypsumbridge_node/gateway/daemon.py
+++ b/packages/node/src/gypsumbridge_node/gateway/daemon.py
@@ -26,6 +26,10 @@
 from gypsumbridge_node.settings import load
 
 EXIT_SETTINGS = 2
+# A gather of 90 parts makes some thousand objects that its end frees without
+# the collector. Python's 700 and 10 cost a tenth of a gather's time.
+GC_OBJECTS = 10_000
+GC_GENERATIONS = 20
 
 
 def load_settings(path: pathlib.Path) -> gateway_settings.GatewaySettings:
@@ -78,6 +82,7 @@
     discovery_task.start_discovery_task(runtime)
     # What is there now stays; without this each full collection scans it.
     gc.freeze()
+    gc.set_threshold(GC_OBJECTS, GC_GENERATIONS, GC_GENERATIONS)
     runtime.logger.info(
         'gateway started', extra={'callers': settings.listen.callers}
     )
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/forwarding_task.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/forwarding_task.py
@@ -18,7 +18,8 @@
             settings.retry.ratio,
             settings.retry.allowance,
             int(settings.retry.window_s * 1000),
-        )
+        ),
+        runtime.clock.now_ms(),
     )
     boxes = runtime.boxes
     execute = executors.make_executor(
--- a/tests/decisions/forwarding/gateway_case.py
+++ b/tests/decisions/forwarding/gateway_case.py
@@ -39,6 +39,10 @@
 )
 
 
+# Longer ago than the window of the budget.
+STARTED_MS = -20_000
+
+
 def make_table(version=1, routes=(GATHER, SAFE, UNSAFE)):
     by_prefix = {route.prefix: route for route in routes}
     return forwarding.RouteTable(
@@ -60,9 +64,10 @@
         self.now_ms = 1_000
         self.last_call_id = 0
         self.state = forwarding.make_forwarding_state(
-            forwarding.ForwardingPolicy('n1', 'd1', 0.2, 54.0, 10_000)
+            forwarding.ForwardingPolicy('n1', 'd1', 0.2, 54.0, 10_000),
+            STARTED_MS,
         )
-        # A node alone has tokens for hedges from the start.
+        # A node alone has all of the fixed allowance.
         self.handle(forwarding.FleetSizeChanged(1))
         self.handle(forwarding.RoutesChanged(make_table()))
         self.publish(
--- a/tests/decisions/forwarding/test_silence.py
+++ b/tests/decisions/forwarding/test_silence.py
@@ -6,8 +6,6 @@
 
 class SilenceTest(gateway_case.GatewayCase):
     def hedge(self, answered):
-        for service in ('s1', 's2', 's3', 's4'):
-            forwarding.budget_for(self.state, service, self.now_ms).tokens = 9
         first = gateway_case.sends(self.arrive())
         for sent in first[:answered]:
             self.answer(sent)
@@ -23,6 +21,21 @@
         self.assertEqual([], self.hedge(answered=1))
         self.assertEqual(3, len(self.hedge_again()))
 
+    def test_hedges_are_not_put_off_until_they_come_too_late(self):
+        """Guards against hedges that arrive after the partial response.
+
+        On abl-gypsum-grown scale-1 hedges that were put off were sent 20 ms
+        before it, and most of their parts were left out.
+        """
+        window = forwarding.latencies_of(self.state, gateway_case.GATHER)
+        window.median_ms = 30
+        self.arrive()
+        answer_ms = self.state.exchanges[self.last_call_id].answer_ms
+        self.now_ms += 45
+        commands = self.handle(forwarding.HedgeTimer(self.last_call_id))
+        (timer,) = gateway_case.timers(commands)
+        self.assertEqual(answer_ms - 30, self.now_ms + timer.delay_ms)
+
     def test_hedges_leave_connections_on_which_nothing_arrives(self):
         """Guards against a second attempt into a silent connection.
 
@@ -52,6 +65,5 @@
         """Guards against a retry into a connection that is lost, too."""
         (sent,) = gateway_case.sends(self.arrive('/one/x', 2_000))
         self.assertIsNone(sent.max_idle_ms)
-        forwarding.budget_for(self.state, 's1', self.now_ms).tokens = 9
         (retry,) = gateway_case.sends(self.end(sent, Outcome.LOST))
         self.assertEqual(0, retry.max_idle_ms)
--- a/tests/decisions/forwarding/test_timing.py
+++ b/tests/decisions/forwarding/test_timing.py
@@ -69,7 +69,6 @@
         window = forwarding.latencies_of(self.state, gateway_case.SAFE)
         for _ in range(10):
             (sent,) = gateway_case.sends(self.arrive('/one/x', 2_000))
-            self.state.budgets['s1'].tokens = 1.0
             hedged = gateway_case.sends(
                 self.handle(forwarding.HedgeTimer(self.last_call_id))
             )
@@ -118,12 +117,45 @@
             if now_ms > restart_ms and node not in restarted:
                 restarted.add(node)
                 budgets[node] = make_budget(now_ms)
-            budgets[node].earn(now_ms)
+            budgets[node].count_request(now_ms)
             requests.append(now_ms)
-            while budgets[node].spend():
+            while budgets[node].spend(now_ms):
                 extras.append(now_ms)
         for end in extras:
             begin = end - self.WINDOW_MS
             spent = sum(begin < t <= end for t in extras)
             asked = sum(begin < t <= end for t in requests)
             self.assertLessEqual(spent, self.RATIO * asked + allowance)
+
+    def test_a_large_fleets_node_hedges_two_requests_in_a_row(self):
+        """Guards against parts without a hedge while budget is unused.
+
+        On abl-gypsum-grown scale-1 half of the missing parts had no hedge:
+        a node had saved one attempt, and the next one came 6.6 s later.
+        """
+        fixed = forwarding.fixed_share(206.0, 83)
+        budget = forwarding.ExtraBudget(
+            self.RATIO, fixed, self.WINDOW_MS, -self.WINDOW_MS
+        )
+        hedged = 0
+        for now_ms in (1_000, 4_000):
+            budget.count_request(now_ms)
+            hedged += budget.spend(now_ms)
+        self.assertEqual(2, hedged)
+
+    def test_a_restarted_node_begins_with_one_attempt(self):
+        """Guards against a share that is used up twice in a window."""
+        budget = forwarding.ExtraBudget(0.0, 5.2, self.WINDOW_MS, 50_000)
+        spent = sum(budget.spend(59_000) for _ in range(9))
+        self.assertEqual(1, spent)
+
+    def test_extras_count_for_a_whole_window(self):
+        """Guards against a share that is used again too soon."""
+        budget = forwarding.ExtraBudget(0.0, 3.0, self.WINDOW_MS, -60_000)
+        times = [
+            now_ms for now_ms in range(0, 40_000, 7) if budget.spend(now_ms)
+        ]
+        for index, begin in enumerate(times):
+            within = [t for t in times[index:] if t - begin < self.WINDOW_MS]
+            self.assertLessEqual(len(within), 3)
+        self.assertGreaterEqual(len(times), 9)
