--- a/packages/node/src/gypsumbridge_node/gateway/lending.py
+++ b/packages/node/src/gypsumbridge_node/gateway/lending.py
@@ -142,6 +142,8 @@
         if found is None:
             break
         transmit(context, pool, pool.waiting.popleft(), found)
+    if not pool.waiting:
+        return
     limit = context.state.limit_for(pool.searcher.service)
     wanted = len(pool.waiting) - pool.opening
     while wanted > 0 and pool.size() < limit:
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/discovery_task.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/discovery_task.py
@@ -13,18 +13,7 @@
 def start_discovery_task(runtime: runtimes.GatewayRuntime) -> None:
     """Run the discovery decisions on their mailbox."""
     boxes = runtime.boxes
-    settings = runtime.settings
-    own = relaying.PeerNode(
-        settings.node.node_id,
-        settings.listen.advertised_peers or settings.listen.peers,
-        settings.node.failure_domain,
-        settings.node.capacity,
-    )
-    state = discovery.make_discovery_state(
-        relaying.make_relay_state(own, settings.discovery.direct_nodes),
-        runtime.adapter.schema,
-        discovery.removal_hold_ms(settings.discovery.drain_ms),
-    )
+    state = make_state(runtime)
 
     def publish(news: Any) -> None:
         boxes.forwarding.put(news)
@@ -61,3 +50,19 @@
 
     boxes.discovery.start(handle)
     boxes.discovery.put(discovery.ResumeTimer())
+
+
+def make_state(runtime: runtimes.GatewayRuntime) -> discovery.DiscoveryState:
+    """Return the state of a node with the runtime's settings."""
+    settings = runtime.settings
+    own = relaying.PeerNode(
+        settings.node.node_id,
+        settings.listen.advertised_peers or settings.listen.peers,
+        settings.node.failure_domain,
+        settings.node.capacity,
+    )
+    return discovery.make_discovery_state(
+        relaying.make_relay_state(own, settings.discovery.direct_nodes),
+        runtime.adapter.schema,
+        discovery.removal_hold_ms(settings.discovery.drain_ms),
+    )
--- a/tests/decisions/discovery/test_relaying.py
+++ b/tests/decisions/discovery/test_relaying.py
@@ -88,6 +88,15 @@
             name, discovery.StoreChanged(revision, (record,))
         )
 
+    def remove_at_first(self):
+        """Let two nodes know a searcher, and one of its removal."""
+        fleet = self.fleet
+        for name in (fleet.first, fleet.last):
+            fleet.list(name)
+            self.change(name, 5, 'searchers/a', b'ready')
+        fleet.handle(fleet.last, discovery.ResumeTimer())
+        self.change(fleet.first, 6, 'searchers/a', None)
+
     def test_one_node_of_a_failure_domain_watches_the_store(self):
         """Guards against a call of every node for each change."""
         sources = {}
@@ -122,11 +131,7 @@
     def test_a_deletion_is_passed_on(self):
         """Guards against searchers that stay in use at some nodes."""
         fleet = self.fleet
-        for name in (fleet.first, fleet.last):
-            fleet.list(name)
-            self.change(name, 5, 'searchers/a', b'ready')
-        fleet.handle(fleet.last, discovery.ResumeTimer())
-        self.change(fleet.first, 6, 'searchers/a', None)
+        self.remove_at_first()
         (answer,) = fleet.poll(fleet.last)
         fleet.deliver(fleet.last, fleet.first, answer)
         self.assertIn('a', fleet.states[fleet.last].removals)
@@ -134,11 +139,7 @@
     def test_a_node_that_missed_forgotten_deletions_gets_all_keys(self):
         """Guards against a searcher that a late node never removes."""
         fleet = self.fleet
-        for name in (fleet.first, fleet.last):
-            fleet.list(name)
-            self.change(name, 5, 'searchers/a', b'ready')
-        fleet.handle(fleet.last, discovery.ResumeTimer())
-        self.change(fleet.first, 6, 'searchers/a', None)
+        self.remove_at_first()
         fleet.states[fleet.first].relay.log.replace(fleet.records, 7)
         fleet.states[fleet.first].revision = 7
         (answer,) = fleet.poll(fleet.last)
