Refuse entries of nodes whose address cannot be read

Found on reading the change again: a poll to such an address raises in the peers task, no answer follows, and the node asks for no news any more. The entry is now skipped and logged like any other that cannot be used; the test fails without the check. The check of addresses has a module of its own, since peer_rules imports every message, which delays the start.

--- a/packages/wire/src/gypsumbridge_wire/peer_rules.py
+++ b/packages/wire/src/gypsumbridge_wire/peer_rules.py
@@ -5,11 +5,11 @@
 """
 
 from collections.abc import Callable
-import ipaddress
 from typing import Any
 
 from gypsumbridge_decisions import errors
 from gypsumbridge_decisions import messages
+from gypsumbridge_wire import addresses
 from gypsumbridge_wire import numbers
 
 MAX_REMAINING_MS = 86_400_000
@@ -22,7 +22,6 @@
 MAX_ENTRIES = 1_024
 # Admission keys and levels; a level of 64 admits everything.
 MAX_ADMISSION = 64.0
-MAX_PORT = 65_535
 LEAVING_SOURCES = frozenset({'host_list', 'reply', 'operator'})
 
 Rule = Callable[[Any], bool]
@@ -60,18 +59,6 @@
     return _is_text(value) and value.isascii() and value.isprintable()
 
 
-def is_address(value: str) -> bool:
-    """Say whether a text is `ip:port`."""
-    host, _, port = value.rpartition(':')
-    if not (port.isascii() and port.isdigit() and len(port) <= 5):
-        return False
-    try:
-        ipaddress.ip_address(host.strip('[]'))
-    except ValueError:
-        return False
-    return 0 < int(port) <= MAX_PORT
-
-
 def _between(low: float, high: float) -> Rule:
     # Not a number compares false with both ends.
     return lambda value: low <= value <= high
@@ -153,11 +140,11 @@
     ),
     messages.Introduction: (
         *_fields(_is_id, 'sender'),
-        *_fields(is_address, 'peer_address'),
+        *_fields(addresses.is_address, 'peer_address'),
     ),
     messages.Member: (
         *_fields(_is_id, 'node_id', 'failure_domain'),
-        *_fields(is_address, 'peer_address', 'http_address'),
+        *_fields(addresses.is_address, 'peer_address', 'http_address'),
         *_fields(_number, 'incarnation'),
     ),
     messages.Probe: (
--- a/packages/wire/src/gypsumbridge_wire/relay.py
+++ b/packages/wire/src/gypsumbridge_wire/relay.py
@@ -12,6 +12,7 @@
 
 from gypsumbridge_decisions import errors
 from gypsumbridge_decisions import relaying
+from gypsumbridge_wire import addresses
 from gypsumbridge_wire import decode_errors
 
 PATH = '/v1/news'
@@ -83,4 +84,9 @@
         raise errors.FrameError(
             f'the entry of node {node_id} names {found.node_id!r}', _REMEDY
         )
+    if found.address and not addresses.is_address(found.address):
+        raise errors.FrameError(
+            f'the entry of node {node_id} has the address {found.address!r}',
+            'set peers or advertised_peers of that node to ip:port',
+        )
     return found
--- a/tests/wire/test_relay.py
+++ b/tests/wire/test_relay.py
@@ -1,3 +1,4 @@
+import dataclasses
 import unittest
 import zlib
 
@@ -63,11 +64,22 @@
         value = relay.encode_node(NODE)
         self.assertEqual(NODE, relay.decode_node('n1', value))
 
+    def test_a_node_that_answers_no_polls_has_no_address(self):
+        """Guards against a node that is not counted."""
+        node = dataclasses.replace(NODE, address='')
+        value = relay.encode_node(node)
+        self.assertEqual(node, relay.decode_node('n1', value))
+
     def test_foreign_entries_of_nodes_are_refused(self):
-        """Guards against a source that is no node of this fleet."""
+        """Guards against a source that is no node of this fleet.
+
+        A poll to an address that cannot be read would never end, and the
+        node would ask for no news again.
+        """
         for node_id, value in (
             ('n2', relay.encode_node(NODE)),
             ('n1', b'10.0.0.1:7380'),
+            ('n1', relay.encode_node(dataclasses.replace(NODE, address='x'))),
             ('n1', b'\xff'),
         ):
             with self.subTest(value=value):
