--- a/tests/processes/test_fault_soak.py
+++ b/tests/processes/test_fault_soak.py
@@ -15,6 +15,12 @@
     # Seed 102. A watch of the store and the call after its time-out went
     # over connections that had lost their bytes; routes were 6 s late.
     'silent_store_connections',
+    # Seed 716. A gateway heard 2.2 s late of a removed searcher, since its
+    # relay had lost the store, and used it for 2 s more.
+    'late_removal',
+    # Seed 714. A searcher that was frozen read requests 3.2 s after they
+    # had been sent; the soak took them for work sent into a drain.
+    'frozen_searcher',
 )
 # The last one plays planned work only. In the last two, one gateway of each
 # failure domain watches the store for the others.
