--- a/packages/standins/src/gypsumbridge_standins/fault_soak/store_faults.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/store_faults.py
@@ -10,6 +10,7 @@
 from gypsumbridge_standins.fault_soak import soak_state
 
 PREFIX = platform_adapter.make_adapter().schema.searcher_prefix
+NESTING_DEPTH = 20_000
 UNREADABLE = (
     '',
     '\x00\x01',
@@ -20,6 +21,11 @@
     ' "state": "ready"}',
     '{"backend": "s1", "address": "127.0.0.1:1", "zone": "d1", "slots": 2,'
     ' "state": "unheard-of"}',
+    '{"backend": "s1", "address": "127.0.0.1:99999", "zone": "d1", "slots": 2,'
+    ' "state": "ready"}',
+    '{"backend": "s1", "address": "127.0.0.1:1", "zone": "d1", "slots": 1e999,'
+    ' "state": "ready"}',
+    '{"extra": ' + '[' * NESTING_DEPTH + ']' * NESTING_DEPTH + '}',
 )
 
 
--- a/tests/platform_adapter/test_decoding.py
+++ b/tests/platform_adapter/test_decoding.py
@@ -9,6 +9,7 @@
 from gypsumbridge_platform import searchers
 from gypsumbridge_platform import store_calls
 
+DEPTH = 50_000
 ENTRY = {
     'backend': 's1',
     'address': '10.1.2.3:8080',
@@ -102,6 +103,12 @@
             {'address': '10.1.2.3:x'},
             {'slots': 'two'},
             {'slots': 0},
+            {'slots': 10**30},
+            {'address': '10.1.2.3:99999'},
+            {'address': '10.1.2.3:' + '9' * 5_000},
+            {'address': '10.1.2.3:8_0'},
+            {'born': -1},
+            {'born': 10**400},
             {'zone': None},
         )
         for changes in cases:
@@ -113,6 +120,24 @@
                 with self.assertRaises(errors.FrameError):
                     searchers.decode_searcher('i-1', value)
 
+    def test_deeply_nested_values_are_refused(self):
+        """Guards against an exception that ends the loop over the store."""
+        nested = (b'[' * DEPTH + b']' * DEPTH, b'{"a":' * DEPTH, b'[' * DEPTH)
+        for value in nested:
+            entry = encode(ENTRY)[:-1] + b', "extra": ' + value + b'}'
+            with self.subTest(value=value[:10], size=len(value)):
+                with self.assertRaises(errors.FrameError):
+                    searchers.decode_searcher('i-1', entry)
+                with self.assertRaises(errors.FrameError):
+                    routes.decode_routes(b'{"extra": ' + value + b'}')
+
+    def test_an_id_that_no_header_can_carry_is_refused(self):
+        """Guards against a searcher to which no request can be encoded."""
+        for searcher_id in ('', 'i 1', 'i\r\nX: y', 'i-\u0434', 'i-\x7f'):
+            with self.subTest(searcher_id=searcher_id):
+                with self.assertRaises(errors.FrameError):
+                    searchers.decode_searcher(searcher_id, encode(ENTRY))
+
 
 class RoutesTest(unittest.TestCase):
     def test_a_configuration_decodes_to_a_route_table(self):
