Limit heads, framing and parts that a searcher sends without end

Cause: a head, interim responses and chunk framing had no limit, and a body of 8 MiB was accepted for each of the 20 to 130 parts of a request. A searcher in trouble that sends bytes until the caller closes could fill the memory of a gateway. A body that went over the limit in its last packet was reported as complete. Change: everything but the awaited body is limited to 64 KiB, a part to 1 MiB; a stated length over the limit is refused at once. An aborted connection reports no response. Headers are converted once for each response, when the head is complete.

--- a/packages/node/src/gypsumbridge_node/gateway/client_connection.py
+++ b/packages/node/src/gypsumbridge_node/gateway/client_connection.py
@@ -16,6 +16,11 @@
 
 # A longer response body closes the connection.
 MAX_BODY_BYTES = 8 * 1_048_576
+# The same for everything else that is received before the response is
+# complete: heads, interim and late responses. The framing of chunks may take
+# `MAX_FRAMING_SHARE` times the size of the body besides.
+MAX_HEAD_BYTES = 64 * 1_024
+MAX_FRAMING_SHARE = 8
 # A server may close an idle connection slightly before the time that it
 # states.
 IDLE_MARGIN_MS = 300
@@ -27,7 +32,8 @@
     `on_reply` gets each complete response that `expects` returns true for;
     any other belongs to an earlier request and is discarded. `on_close`
     gets the reason of the close. After bytes that belong to no request the
-    connection is not reused.
+    connection is not reused. A server that exceeds the limits on heads and
+    bodies is disconnected.
     """
 
     def __init__(
@@ -44,8 +50,11 @@
         self.headers: list[tuple[str, str]] = []
         self.body: list[bytes] = []
         self.body_bytes = 0
+        self.max_body_bytes = MAX_BODY_BYTES
+        self.received_bytes = 0
         self.receiving = False
-        self.has_headers = False
+        self.found: headers.Headers | None = None
+        self.aborted = False
         self.reusable = True
         self.keep_alive_ms: int | None = None
         self.idle_since_ms = 0
@@ -58,10 +67,15 @@
         )
 
     def send(
-        self, data: bytes, expects: Callable[[http_reply.HttpReply], bool]
+        self,
+        data: bytes,
+        expects: Callable[[http_reply.HttpReply], bool],
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> None:
         """Send a request; `expects` recognizes the response to it."""
         self.expects = expects
+        self.max_body_bytes = max_body_bytes
+        self.received_bytes = 0
         self.writer.write(data)
 
     def is_usable(self, now_ms: int) -> bool:
@@ -79,6 +93,7 @@
     def close(self) -> None:
         """Abort the connection and any response in progress."""
         self.reusable = False
+        self.aborted = True
         self.transport.abortConnection()
 
     def dataReceived(self, data: bytes) -> None:
@@ -95,25 +110,31 @@
         ):
             self.close()
             return
-        if self.expects is None and self.receiving:
-            # There are bytes after the response.
+        self.received_bytes += len(data)
+        if self.expects is None:
+            if self.receiving:
+                # There are bytes after the response.
+                self.close()
+            return
+        framing_bytes = self.received_bytes - self.body_bytes
+        limit_bytes = MAX_HEAD_BYTES + MAX_FRAMING_SHARE * self.body_bytes
+        if framing_bytes > limit_bytes:
             self.close()
 
     def connectionLost(self, reason: failure.Failure) -> None:
         """Report the close; a clean close completes an unframed response."""
         self.reusable = False
         clean = reason.check(net_errors.ConnectionDone) is not None
-        if clean and self.has_headers:
-            found = headers.make_headers(self.headers)
-            if not self._is_framed(found):
-                self._complete(found, framed=False)
+        if clean and self.found is not None and not self.aborted:
+            if not self._is_framed(self.found):
+                self._complete(self.found, framed=False)
         name = 'closed' if clean else 'reset'
         self.on_close(self, name)
 
     def on_message_begin(self) -> None:
         """Start a response."""
         self.receiving = True
-        self.has_headers = False
+        self.found = None
         self.headers = []
         self.body = []
         self.body_bytes = 0
@@ -123,22 +144,26 @@
         self.headers.append((name.decode('latin-1'), value.decode('latin-1')))
 
     def on_headers_complete(self) -> None:
-        """Record that all headers were received."""
-        self.has_headers = True
+        """Close the connection if the stated length is over the limit."""
+        self.found = headers.make_headers(self.headers)
+        length = self.found.first.get('content-length', '')
+        if length.isdecimal() and int(length) > self.max_body_bytes:
+            self.close()
 
     def on_body(self, body: bytes) -> None:
         """Store a chunk of the body."""
         self.body.append(body)
         self.body_bytes += len(body)
-        if self.body_bytes > MAX_BODY_BYTES:
+        if self.body_bytes > self.max_body_bytes:
             self.close()
 
     def on_message_complete(self) -> None:
         """Report the response unless it is an interim one (1xx)."""
+        if self.aborted or self.found is None:
+            return
         if self.parser.get_status_code() < 200:
             return
-        found = headers.make_headers(self.headers)
-        self._complete(found, self._is_framed(found))
+        self._complete(self.found, self._is_framed(self.found))
 
     def _is_framed(self, found: headers.Headers) -> bool:
         status = self.parser.get_status_code()
@@ -150,7 +175,7 @@
 
     def _complete(self, found: headers.Headers, framed: bool) -> None:
         self.receiving = False
-        self.has_headers = False
+        self.found = None
         reply = http_reply.HttpReply(
             self.parser.get_status_code(),
             found,
--- a/packages/node/src/gypsumbridge_node/gateway/pool_checkout.py
+++ b/packages/node/src/gypsumbridge_node/gateway/pool_checkout.py
@@ -14,6 +14,9 @@
 # Limits the wait for a host that does not respond; opening a connection
 # normally takes a few milliseconds.
 CONNECT_TIMEOUT_S = 0.2
+# Limits the memory that the parts of one request can take, since all of them
+# may be received at once.
+MAX_PART_BYTES = 1_048_576
 
 Outcome = forwarding.AttemptOutcome
 Ended = forwarding.AttemptEnded
@@ -199,7 +202,10 @@
         job.command,
         remaining_ms,
     )
-    connection.send(data, expects)
+    max_body_bytes = client_connection.MAX_BODY_BYTES
+    if job.command.framed_only:
+        max_body_bytes = MAX_PART_BYTES
+    connection.send(data, expects, max_body_bytes)
 
 
 def shared_head(
--- a/tests/node/gateway/test_client_connection.py
+++ b/tests/node/gateway/test_client_connection.py
@@ -7,6 +7,8 @@
 from gypsumbridge_node.gateway import client_connection
 from tests.node.gateway import socket_transport
 
+HEAD_LIMIT_BYTES = 64 * 1_024
+BODY_LIMIT_BYTES = client_connection.MAX_BODY_BYTES
 CLEAN = failure.Failure(net_errors.ConnectionDone())
 RESET = failure.Failure(net_errors.ConnectionLost())
 
@@ -117,6 +119,61 @@
         self.assertEqual([], self.replies)
         self.assertEqual(1, len(self.closed))
 
+    def test_a_head_without_end_closes_the_connection(self):
+        """Guards against a server that fills the memory with a head."""
+        line = b'X-Fill: ' + b'y' * 1_000 + b'\r\n'
+        endless = (line, b'z' * 1_000)
+        for piece in endless:
+            with self.subTest(piece=piece[:6]):
+                self.setUp()
+                self.send()
+                self.connection.dataReceived(b'HTTP/1.1 200 OK\r\nX-A: ')
+                self.receive_until_closed(piece, HEAD_LIMIT_BYTES)
+
+    def test_interim_responses_without_end_close_the_connection(self):
+        """Guards against a server that never sends its final response."""
+        self.send()
+        interim = b'HTTP/1.1 100 Continue\r\nX-Fill: y\r\n\r\n'
+        self.receive_until_closed(interim, HEAD_LIMIT_BYTES)
+
+    def test_a_body_without_end_closes_the_connection(self):
+        """Guards against a server that fills the memory with a body."""
+        framings = (b'Transfer-Encoding: chunked\r\n', b'')
+        for framing in framings:
+            with self.subTest(framing=framing):
+                self.setUp()
+                self.send()
+                self.connection.dataReceived(
+                    b'HTTP/1.1 200 OK\r\nX-Id: r1\r\n' + framing + b'\r\n'
+                )
+                chunk = b'8000\r\n' + b'y' * 0x8000 + b'\r\n'
+                self.receive_until_closed(chunk, BODY_LIMIT_BYTES)
+
+    def test_a_stated_length_over_the_limit_closes_the_connection(self):
+        """Guards against reading a body that is discarded in the end."""
+        self.send()
+        self.receive(length=BODY_LIMIT_BYTES + 1)
+        self.assertEqual(['closed'], self.closed)
+
+    def test_a_complete_body_over_the_limit_is_not_reported(self):
+        """Guards against a part that exceeds its limit in one packet."""
+        self.connection.send(b'GET / HTTP/1.1\r\n\r\n', lambda r: True, 10)
+        # Twisted reports an aborted connection in a later iteration.
+        self.transport.abortConnection = lambda: None
+        self.connection.dataReceived(
+            b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+            b'b\r\nabcdefghijk\r\n0\r\n\r\n'
+        )
+        self.assertEqual([], self.replies)
+
+    def receive_until_closed(self, piece, limit_bytes):
+        for _ in range(2 * limit_bytes // len(piece)):
+            self.connection.dataReceived(piece)
+            if self.closed:
+                break
+        self.assertEqual(1, len(self.closed))
+        self.assertEqual([], self.replies)
+
     def test_a_connection_near_its_stated_timeout_is_not_used(self):
         """Guards against a request sent while the server closes."""
         self.send()
