--- a/packages/standins/src/gypsumbridge_standins/cluster/cluster.py
+++ b/packages/standins/src/gypsumbridge_standins/cluster/cluster.py
@@ -1,14 +1,15 @@
 """The processes of one deployment on loopback."""
 
-import json
 import os
 import pathlib
 import subprocess
 import sys
 import tempfile
 import time
+from typing import Any
 
 from gypsumbridge_standins import json_http
+from gypsumbridge_standins.cluster import log_lines
 from gypsumbridge_standins.cluster import node_address
 
 START_TIMEOUT_S = 60.0
@@ -53,9 +54,14 @@
 
     def read_decisions(self, name: str) -> list[str]:
         """Return the lines of a node's log as `message reason`."""
-        lines = (self.folder / f'{name}.log').read_text().splitlines()
-        records = [json.loads(line) for line in lines if line[:1] == '{']
-        return [f'{r["message"]} {r.get("reason", "")}' for r in records]
+        return [
+            f'{record["message"]} {record.get("reason", "")}'
+            for record in self.read_log(name)
+        ]
+
+    def read_log(self, name: str) -> list[dict[str, Any]]:
+        """Return the records that a process has logged so far."""
+        return log_lines.read_records(self.folder / f'{name}.log')
 
     def wait(self, name: str, timeout_s: float = STOP_TIMEOUT_S) -> int:
         """Wait until a process exits and return its exit status."""
--- a/packages/standins/src/gypsumbridge_standins/fault_soak/processes.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/processes.py
@@ -7,6 +7,7 @@
 
 from gypsumbridge_platform import header_names
 from gypsumbridge_standins.cluster import cluster as clusters
+from gypsumbridge_standins.cluster import log_lines
 from gypsumbridge_standins.cluster import ports
 from gypsumbridge_standins.fault_soak import deployment
 from gypsumbridge_standins.fault_soak import link_proxy
@@ -129,7 +130,7 @@
     records = []
     for number in range(PLATFORM_COUNT):
         path = state.cluster.folder / RUN_LOG_NAME.format(number=number)
-        for line in path.read_text().splitlines():
+        for line in log_lines.read_complete_lines(path):
             at_ms, request_id, searcher_id = line.split()
             records.append(
                 run_record.RunRecord(int(at_ms), request_id, searcher_id)
--- a/tests/processes/test_bad_input.py
+++ b/tests/processes/test_bad_input.py
@@ -5,6 +5,7 @@
 
 from gypsumbridge_standins import json_http
 from gypsumbridge_standins.cluster import cluster as clusters
+from gypsumbridge_standins.cluster import log_lines
 from gypsumbridge_standins.cluster import small_deployment
 
 VALID_QUERY = {
@@ -27,8 +28,8 @@
 
     def tearDown(self):
         clusters.wait_until(self.is_idle, 'no request is held', 20)
-        lines = (self.cluster.folder / 'node-1.log').read_text().split('\n')
-        for line in filter(None, lines):
+        path = self.cluster.folder / 'node-1.log'
+        for line in filter(None, log_lines.read_complete_lines(path)):
             self.assertIn('message', json.loads(line))
 
     def is_idle(self):
--- a/tests/processes/test_hostile_peers.py
+++ b/tests/processes/test_hostile_peers.py
@@ -1,4 +1,3 @@
-import json
 import pathlib
 import random
 import socket
@@ -116,10 +115,9 @@
         self.wait_for_count(
             'peer.frames.rejected', rejected_before + sent_count
         )
-        log = (self.cluster.folder / 'node-1.log').read_text()
-        lines = [json.loads(x) for x in log.splitlines() if x[:1] == '{']
         logged_count = sum(
-            x['message'] == 'peer frame rejected' for x in lines
+            record['message'] == 'peer frame rejected'
+            for record in self.cluster.read_log('node-1')
         )
         self.assertGreater(logged_count, 0)
         self.assertLess(logged_count, sent_count / 10)
--- a/tests/processes/test_query_path.py
+++ b/tests/processes/test_query_path.py
@@ -3,6 +3,7 @@
 
 from gypsumbridge_standins import json_http
 from gypsumbridge_standins.cluster import cluster as clusters
+from gypsumbridge_standins.cluster import log_lines
 from gypsumbridge_standins.cluster import small_deployment
 
 
@@ -64,6 +65,6 @@
         self.query(self.cluster.nodes['node-1'])
         log_path = self.cluster.folder / 'node-1.log'
         logged_messages = set()
-        for line in log_path.read_text().splitlines():
+        for line in log_lines.read_complete_lines(log_path):
             logged_messages.add(json.loads(line)['message'])
         self.assertIn('send_batch', logged_messages)
--- a/tests/processes/test_relays.py
+++ b/tests/processes/test_relays.py
@@ -1,5 +1,4 @@
 import http.client
-import json
 import signal
 import unittest
 
@@ -46,11 +45,9 @@
 
     def read_update_source(self, node):
         """Return the last update source that a node has logged."""
-        path = self.cluster.folder / f'{node}.log'
-        lines = map(json.loads, path.read_text().splitlines())
         sources = [
             line['source']
-            for line in lines
+            for line in self.cluster.read_log(node)
             if line['message'] == 'update_source_changed'
         ]
         return sources[-1] if sources else 'store'
