--- a/packages/decisions/src/gypsumbridge_decisions/discovery/applying.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/applying.py
@@ -21,12 +21,15 @@
     commands: list[command.Command] = []
     searchers_changed = False
     nodes_before = len(state.nodes)
+    peers_changed = False
     for record in records:
         if record.key == state.schema.routes_key:
             commands += apply_routes(state, record)
             continue
         if record.key.startswith(state.schema.node_prefix):
-            commands += apply_node(state, record)
+            changed, more = apply_node(state, record)
+            peers_changed = peers_changed or changed
+            commands += more
             continue
         if record.key.startswith(state.schema.searcher_prefix):
             changed, more = apply_searcher(state, record, now_ms)
@@ -34,9 +37,14 @@
             commands += more
     if searchers_changed:
         commands.append(publish_searchers(state))
+    # The nodes determine to which searchers connections are opened.
+    fleet: list[command.Command] = []
     if len(state.nodes) != nodes_before:
-        commands.append(forwarding.FleetSizeChanged(len(state.nodes)))
-    return commands
+        fleet.append(forwarding.FleetSizeChanged(len(state.nodes)))
+    if peers_changed:
+        nodes = tuple(state.relay.peers.values())
+        fleet.append(forwarding.NodesChanged(nodes))
+    return fleet + commands
 
 
 def publish_searchers(
@@ -71,7 +79,7 @@
 
 def apply_node(
     state: states.DiscoveryState, record: relaying.StoreRecord
-) -> list[command.Command]:
+) -> tuple[bool, list[command.Command]]:
     """Count a node, and add it to the peers that can be polled.
 
     A removed node stays counted, which makes each node's share of the
@@ -80,14 +88,15 @@
     """
     state.nodes.add(record.key)
     if record.value is None:
-        return []
+        return False, []
     node_id = record.key.removeprefix(state.schema.node_prefix)
     try:
         found = state.schema.decode_node(node_id, record.value)
     except errors.FrameError as error:
-        return [log_skipped_record(record, str(error))]
+        return False, [log_skipped_record(record, str(error))]
+    changed = state.relay.peers.get(node_id) != found
     state.relay.peers[node_id] = found
-    return []
+    return changed, []
 
 
 def apply_searcher(
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/command.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/command.py
@@ -15,6 +15,7 @@
     | forwarding.RoutesChanged
     | forwarding.SearchersChanged
     | forwarding.FleetSizeChanged
+    | forwarding.NodesChanged
     | discovery_ready.DiscoveryReady
     | relaying.WatchPeer
     | relaying.AnswerPoll
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
@@ -1,5 +1,11 @@
 """Decisions about forwarding HTTP requests and gathering their parts."""
 
+from gypsumbridge_decisions.forwarding.accept_delegated import (
+    AcceptDelegated as AcceptDelegated,
+)
+from gypsumbridge_decisions.forwarding.acceptance_timer import (
+    AcceptanceTimer as AcceptanceTimer,
+)
 from gypsumbridge_decisions.forwarding.answer_delay import (
     AnswerDelay as AnswerDelay,
 )
@@ -12,8 +18,11 @@
 from gypsumbridge_decisions.forwarding.arrival import (
     choose_services as choose_services,
 )
-from gypsumbridge_decisions.forwarding.arrival import receive as receive
+from gypsumbridge_decisions.forwarding.arrival import expiry_ms as expiry_ms
 from gypsumbridge_decisions.forwarding.arrival import set_timers as set_timers
+from gypsumbridge_decisions.forwarding.arrival import (
+    start_exchange as start_exchange,
+)
 from gypsumbridge_decisions.forwarding.attempt import Attempt as Attempt
 from gypsumbridge_decisions.forwarding.attempt_ended import (
     AttemptEnded as AttemptEnded,
@@ -33,6 +42,9 @@
 from gypsumbridge_decisions.forwarding.cancel_attempt import (
     CancelAttempt as CancelAttempt,
 )
+from gypsumbridge_decisions.forwarding.cancel_delegation import (
+    CancelDelegation as CancelDelegation,
+)
 from gypsumbridge_decisions.forwarding.choosing import (
     choose_searcher as choose_searcher,
 )
@@ -41,15 +53,96 @@
 )
 from gypsumbridge_decisions.forwarding.choosing import preference as preference
 from gypsumbridge_decisions.forwarding.command import Command as Command
+from gypsumbridge_decisions.forwarding.coordinating import (
+    is_overloaded as is_overloaded,
+)
+from gypsumbridge_decisions.forwarding.coordinating import (
+    receive_delegated as receive_delegated,
+)
+from gypsumbridge_decisions.forwarding.coordinating import (
+    refuse_delegated as refuse_delegated,
+)
+from gypsumbridge_decisions.forwarding.coordination import (
+    Coordination as Coordination,
+)
+from gypsumbridge_decisions.forwarding.coordinator_health import (
+    CoordinatorHealth as CoordinatorHealth,
+)
+from gypsumbridge_decisions.forwarding.coordinator_plan import (
+    CoordinatorPlan as CoordinatorPlan,
+)
+from gypsumbridge_decisions.forwarding.coordinator_plan import (
+    covered_domains as covered_domains,
+)
+from gypsumbridge_decisions.forwarding.coordinator_plan import (
+    plan_coordinators as plan_coordinators,
+)
+from gypsumbridge_decisions.forwarding.delegate_request import (
+    DelegateRequest as DelegateRequest,
+)
+from gypsumbridge_decisions.forwarding.delegated_request import (
+    DelegatedRequest as DelegatedRequest,
+)
+from gypsumbridge_decisions.forwarding.delegating import (
+    acceptance_ms as acceptance_ms,
+)
+from gypsumbridge_decisions.forwarding.delegating import (
+    cancel_delegated as cancel_delegated,
+)
+from gypsumbridge_decisions.forwarding.delegating import (
+    choose_coordinator as choose_coordinator,
+)
+from gypsumbridge_decisions.forwarding.delegating import (
+    expire_delegated as expire_delegated,
+)
+from gypsumbridge_decisions.forwarding.delegating import (
+    handle_acceptance as handle_acceptance,
+)
+from gypsumbridge_decisions.forwarding.delegating import (
+    handle_acceptance_timer as handle_acceptance_timer,
+)
+from gypsumbridge_decisions.forwarding.delegating import (
+    handle_end as handle_end,
+)
+from gypsumbridge_decisions.forwarding.delegating import health_of as health_of
+from gypsumbridge_decisions.forwarding.delegating import log_lost as log_lost
+from gypsumbridge_decisions.forwarding.delegating import (
+    pop_delegation as pop_delegation,
+)
+from gypsumbridge_decisions.forwarding.delegating import receive as receive
+from gypsumbridge_decisions.forwarding.delegating import (
+    relay_response as relay_response,
+)
+from gypsumbridge_decisions.forwarding.delegating import (
+    repeat_request as repeat_request,
+)
+from gypsumbridge_decisions.forwarding.delegating import (
+    start_request as start_request,
+)
+from gypsumbridge_decisions.forwarding.delegation import (
+    Delegation as Delegation,
+)
+from gypsumbridge_decisions.forwarding.delegation_accepted import (
+    DelegationAccepted as DelegationAccepted,
+)
+from gypsumbridge_decisions.forwarding.delegation_ended import (
+    DelegationEnded as DelegationEnded,
+)
 from gypsumbridge_decisions.forwarding.discovery_updates import (
     change_fleet_size as change_fleet_size,
 )
+from gypsumbridge_decisions.forwarding.discovery_updates import (
+    change_nodes as change_nodes,
+)
 from gypsumbridge_decisions.forwarding.discovery_updates import (
     change_routes as change_routes,
 )
 from gypsumbridge_decisions.forwarding.discovery_updates import (
     change_searchers as change_searchers,
 )
+from gypsumbridge_decisions.forwarding.discovery_updates import (
+    refresh_shares as refresh_shares,
+)
 from gypsumbridge_decisions.forwarding.ending import (
     cancel_attempts as cancel_attempts,
 )
@@ -117,6 +210,9 @@
 from gypsumbridge_decisions.forwarding.latency_window import (
     LatencyWindow as LatencyWindow,
 )
+from gypsumbridge_decisions.forwarding.nodes_changed import (
+    NodesChanged as NodesChanged,
+)
 from gypsumbridge_decisions.forwarding.objective_timer import (
     ObjectiveTimer as ObjectiveTimer,
 )
@@ -124,6 +220,9 @@
 from gypsumbridge_decisions.forwarding.policy import (
     ForwardingPolicy as ForwardingPolicy,
 )
+from gypsumbridge_decisions.forwarding.refuse_delegated import (
+    RefuseDelegated as RefuseDelegated,
+)
 from gypsumbridge_decisions.forwarding.refusing import refuse as refuse
 from gypsumbridge_decisions.forwarding.refusing import reject as reject
 from gypsumbridge_decisions.forwarding.response_written import (
@@ -157,6 +256,9 @@
 )
 from gypsumbridge_decisions.forwarding.sending import budget_for as budget_for
 from gypsumbridge_decisions.forwarding.sending import choose as choose
+from gypsumbridge_decisions.forwarding.sending import (
+    fixed_budget as fixed_budget,
+)
 from gypsumbridge_decisions.forwarding.sending import send as send
 from gypsumbridge_decisions.forwarding.sending import (
     send_extra_attempt as send_extra_attempt,
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/arrival.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/arrival.py
@@ -1,4 +1,6 @@
-"""Admission, first attempts and timers of a request that arrives."""
+"""First attempts and timers of a request."""
+
+import dataclasses
 
 from gypsumbridge_decisions import messages
 from gypsumbridge_decisions.forwarding import answer_delay
@@ -10,9 +12,7 @@
 from gypsumbridge_decisions.forwarding import hedge_timer
 from gypsumbridge_decisions.forwarding import hedging
 from gypsumbridge_decisions.forwarding import objective_timer
-from gypsumbridge_decisions.forwarding import refusing
 from gypsumbridge_decisions.forwarding import route as routes
-from gypsumbridge_decisions.forwarding import route_table
 from gypsumbridge_decisions.forwarding import sending
 from gypsumbridge_decisions.forwarding import split
 from gypsumbridge_decisions.forwarding import state as states
@@ -32,36 +32,40 @@
 MAX_OWN_SHARE = 0.3
 
 
-def receive(
+def expiry_ms(
+    request: caller_request.CallerRequest, route: routes.Route
+) -> int:
+    """Return the deadline of the final response on this node's clock."""
+    return request.arrived_ms + min(request.deadline_ms, route.timeout_ms)
+
+
+def start_exchange(
     state: states.ForwardingState,
     request: caller_request.CallerRequest,
+    route: routes.Route,
+    version: int,
     now_ms: int,
+    repeated: bool,
 ) -> list[command.Command]:
-    """Refuse the request, or send its first attempts to searchers."""
-    if state.draining:
-        return refusing.refuse(request, 'draining')
-    if state.table is None:
-        return refusing.refuse(request, 'no_routes_yet')
-    path = request.target.partition('?')[0]
-    route = route_table.find_route(state.table, request.host, path)
-    if route is None:
-        return refusing.reject(request, STATUS_NO_ROUTE, 'no_route')
-    expires_ms = request.arrived_ms + min(
-        request.deadline_ms, route.timeout_ms
-    )
-    if expires_ms <= now_ms:
-        return refusing.refuse(request, 'deadline_passed')
+    """Send the first attempts of a request to searchers.
+
+    If another node may have sent attempts for it, each service gets one
+    attempt less.
+    """
+    if repeated:
+        attempts = max(1, route.max_attempts - 1)
+        route = dataclasses.replace(route, max_attempts=attempts)
     exchange = exchanges.Exchange(
         request,
         route,
-        state.table.version,
+        version,
         choose_services(state, route),
-        expires_ms,
+        expiry_ms(request, route),
+        repeated,
     )
     state.exchanges[request.call_id] = exchange
     commands: list[command.Command] = []
     for part in exchange.parts:
-        sending.budget_for(state, part.service).count_request(now_ms)
         commands += sending.send_first_attempt(state, exchange, part, now_ms)
     if not exchange.open_services:
         return commands + finishing.finish(state, exchange, now_ms)
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/caller_request.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/caller_request.py
@@ -7,7 +7,8 @@
 class CallerRequest:
     """One HTTP request, read in full.
 
-    `request_id` is the caller's id of the request, `call_id` this node's.
+    `request_id` is the caller's id of the request, `call_id` this node's;
+    requests that other nodes delegate have negative ones.
     `target` is the path with its query as received, `headers` the
     end-to-end headers to forward. The caller waits for `deadline_ms` from
     `arrived_ms` on the node's clock. `network_ms` is the part of the
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/delegated_request.py
@@ -0,0 +1,18 @@
+"""A request that another node delegates to this one."""
+
+import dataclasses
+
+from gypsumbridge_decisions.forwarding import caller_request
+
+
+@dataclasses.dataclass(frozen=True)
+class DelegatedRequest:
+    """A request to gather with the routes of `version`.
+
+    `request.network_ms` includes the time since the caller sent it. With
+    `repeated`, another node may have sent attempts for it already.
+    """
+
+    request: caller_request.CallerRequest
+    version: int
+    repeated: bool
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/discovery_updates.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/discovery_updates.py
@@ -5,10 +5,11 @@
 from gypsumbridge_decisions import messages
 from gypsumbridge_decisions.forwarding import command
 from gypsumbridge_decisions.forwarding import fleet_size_changed
-from gypsumbridge_decisions.forwarding import retry_budget
+from gypsumbridge_decisions.forwarding import nodes_changed
 from gypsumbridge_decisions.forwarding import routes_changed
 from gypsumbridge_decisions.forwarding import searcher_health
 from gypsumbridge_decisions.forwarding import searchers_changed
+from gypsumbridge_decisions.forwarding import sending
 from gypsumbridge_decisions.forwarding import state as states
 
 
@@ -19,9 +20,11 @@
     current = state.table
     if current is not None and update.table.version <= current.version:
         return []
+    state.previous_table = current
     state.table = update.table
     # The weights may have changed, so the credit of each target is invalid.
     state.splits.clear()
+    refresh_shares(state)
     return [
         messages.Decision(
             'routes_changed',
@@ -58,6 +61,7 @@
     busy_ids = {a.searcher.searcher_id for a in state.attempts.values()}
     for searcher_id in state.health.keys() - current_ids - busy_ids:
         del state.health[searcher_id]
+    refresh_shares(state)
     draining = sum(1 for found in update.searchers if found.draining)
     fields = {
         'revision': update.revision,
@@ -74,8 +78,22 @@
     if update.nodes == state.nodes:
         return []
     state.nodes = update.nodes
-    fixed = retry_budget.fixed_share(state.policy.retry_allowance, state.nodes)
-    for budget in state.budgets.values():
-        budget.fixed = fixed
+    refresh_shares(state)
     fields = {'nodes': update.nodes}
     return [messages.Decision('fleet_size_changed', 'store', fields)]
+
+
+def change_nodes(
+    state: states.ForwardingState, update: nodes_changed.NodesChanged
+) -> list[command.Command]:
+    """Recompute the coordinators from the nodes of the fleet."""
+    state.coordination.nodes = update.nodes
+    refresh_shares(state)
+    return []
+
+
+def refresh_shares(state: states.ForwardingState) -> None:
+    """Recompute the coordinators and this node's shares of the budgets."""
+    state.coordination.refresh(state.table, state.searchers)
+    for service, budget in state.budgets.items():
+        budget.fixed = sending.fixed_budget(state, service)
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/exchange.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/exchange.py
@@ -13,7 +13,8 @@
     `answer_ms` the time at which a gather is answered without its missing
     parts. `open_services` names the parts whose answer may still arrive.
     `hedge_postponed` is set after hedges were postponed once. `merged_records`
-    is None unless the route gathers.
+    is None unless the route gathers. With `repeated`, another node may have
+    sent attempts for the request.
     """
 
     def __init__(
@@ -23,6 +24,7 @@
         version: int,
         services: tuple[str, ...],
         expires_ms: int,
+        repeated: bool = False,
     ) -> None:
         self.request = request
         self.route = route
@@ -38,6 +40,7 @@
         self.hedges = 0
         self.hedge_postponed = False
         self.objective_passed = False
+        self.repeated = repeated
 
     def part(self, service: str) -> part_state.PartState:
         """Return the part of a service."""
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/final_response.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/final_response.py
@@ -45,7 +45,8 @@
     503 is relayed unless the route gathers.
     """
     call_id = exchange.request.call_id
-    if not any(may_have_run(part) for part in exchange.parts):
+    sent = exchange.repeated or any(may_have_run(p) for p in exchange.parts)
+    if not sent:
         return caller_response.CallerResponse(
             call_id,
             refusing.STATUS_UNAVAILABLE,
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/finishing.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/finishing.py
@@ -44,6 +44,7 @@
     """
     lag_ms = max(0, now_ms - timer.due_ms)
     state.timer_lag_ms += LAG_WEIGHT * (lag_ms - state.timer_lag_ms)
+    state.timer_lag_at_ms = now_ms
     exchange = state.exchanges.get(timer.call_id)
     if exchange is None:
         return []
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/handler.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/handler.py
@@ -2,11 +2,16 @@
 
 from typing import Any
 
-from gypsumbridge_decisions.forwarding import arrival
+from gypsumbridge_decisions.forwarding import acceptance_timer
 from gypsumbridge_decisions.forwarding import attempt_ended
 from gypsumbridge_decisions.forwarding import caller_disconnected
 from gypsumbridge_decisions.forwarding import caller_request
 from gypsumbridge_decisions.forwarding import command
+from gypsumbridge_decisions.forwarding import coordinating
+from gypsumbridge_decisions.forwarding import delegated_request
+from gypsumbridge_decisions.forwarding import delegating
+from gypsumbridge_decisions.forwarding import delegation_accepted
+from gypsumbridge_decisions.forwarding import delegation_ended
 from gypsumbridge_decisions.forwarding import discovery_updates
 from gypsumbridge_decisions.forwarding import ending
 from gypsumbridge_decisions.forwarding import expiry_timer
@@ -14,6 +19,7 @@
 from gypsumbridge_decisions.forwarding import fleet_size_changed
 from gypsumbridge_decisions.forwarding import hedge_timer
 from gypsumbridge_decisions.forwarding import hedging
+from gypsumbridge_decisions.forwarding import nodes_changed
 from gypsumbridge_decisions.forwarding import objective_timer
 from gypsumbridge_decisions.forwarding import response_written
 from gypsumbridge_decisions.forwarding import routes_changed
@@ -28,7 +34,7 @@
     """Return the commands that follow from a message."""
     match message:
         case caller_request.CallerRequest():
-            return arrival.receive(state, message, now_ms)
+            return delegating.receive(state, message, now_ms)
         case attempt_ended.AttemptEnded():
             return ending.handle_attempt_end(state, message, now_ms)
         case hedge_timer.HedgeTimer():
@@ -36,9 +42,23 @@
         case objective_timer.ObjectiveTimer():
             return finishing.handle_objective_timer(state, message, now_ms)
         case expiry_timer.ExpiryTimer():
-            return finishing.expire(state, message.call_id, now_ms)
+            return [
+                *finishing.expire(state, message.call_id, now_ms),
+                *delegating.expire_delegated(state, message.call_id, now_ms),
+            ]
         case caller_disconnected.CallerDisconnected():
-            return finishing.handle_disconnect(state, message.call_id, now_ms)
+            return [
+                *finishing.handle_disconnect(state, message.call_id, now_ms),
+                *delegating.cancel_delegated(state, message.call_id),
+            ]
+        case delegated_request.DelegatedRequest():
+            return coordinating.receive_delegated(state, message, now_ms)
+        case delegation_accepted.DelegationAccepted():
+            return delegating.handle_acceptance(state, message)
+        case acceptance_timer.AcceptanceTimer():
+            return delegating.handle_acceptance_timer(state, message, now_ms)
+        case delegation_ended.DelegationEnded():
+            return delegating.handle_end(state, message, now_ms)
         case response_written.ResponseWritten():
             return finishing.record_answer_delay(state, message)
         case searchers_changed.SearchersChanged():
@@ -47,6 +67,8 @@
             return discovery_updates.change_routes(state, message)
         case fleet_size_changed.FleetSizeChanged():
             return discovery_updates.change_fleet_size(state, message)
+        case nodes_changed.NodesChanged():
+            return discovery_updates.change_nodes(state, message)
         case stop_accepting.StopAccepting():
             state.draining = True
             return []
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/retry_budget.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/retry_budget.py
@@ -62,6 +62,6 @@
             self.extra_attempts[self.slot % len(self.extra_attempts)] = 0
 
 
-def fixed_share(allowance: float, nodes: int) -> float:
+def fixed_share(allowance: float, sharers: float) -> float:
     """Return one node's share of the fixed allowance, in attempts."""
-    return max(1.0, allowance * ALLOWANCE_SHARE / max(1, nodes))
+    return max(1.0, allowance * ALLOWANCE_SHARE / max(1, sharers))
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/route_table.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/route_table.py
@@ -31,6 +31,16 @@
             for target in found.targets
         )
 
+    @functools.cached_property
+    def gathered(self) -> frozenset[tuple[str, ...]]:
+        """The sets of services from which requests are gathered."""
+        return frozenset(
+            tuple(target.service for target in found.targets)
+            for by_prefix in self.routes.values()
+            for found in by_prefix.values()
+            if found.gather is not None
+        )
+
 
 def find_route(table: RouteTable, host: str, path: str) -> route.Route | None:
     """Return the route with the longest prefix of a path, or None.
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/sending.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/sending.py
@@ -11,6 +11,7 @@
 from gypsumbridge_decisions.forwarding import state as states
 
 NO_SEARCHER = 'no_searcher'
+NO_BUDGET = 'no_budget'
 # Attempts that a searcher refused without running them, or that never left
 # this node, do not count as runs; this is their limit for each part.
 MAX_SENDS_NOT_RUN = 2
@@ -28,25 +29,43 @@
     found = state.budgets.get(service)
     if found is None:
         policy = state.policy
-        fixed = retry_budget.fixed_share(policy.retry_allowance, state.nodes)
         found = retry_budget.RetryBudget(
-            policy.retry_ratio, fixed, policy.window_ms, state.started_ms
+            policy.retry_ratio,
+            fixed_budget(state, service),
+            policy.window_ms,
+            state.started_ms,
         )
         state.budgets[service] = found
     return found
 
 
+def fixed_budget(state: states.ForwardingState, service: str) -> float:
+    """Return this node's share of a service's fixed retry allowance."""
+    sharers = state.coordination.count_sharers(service, state.nodes)
+    return retry_budget.fixed_share(state.policy.retry_allowance, sharers)
+
+
 def send_first_attempt(
     state: states.ForwardingState,
     exchange: exchanges.Exchange,
     part: part_state.PartState,
     now_ms: int,
 ) -> list[command.Command]:
-    """Send the first attempt of a part if the service has a searcher."""
+    """Send the first attempt of a part if the service has a searcher.
+
+    If another node may have sent attempts for the request, this one is
+    charged to the retry budget.
+    """
     chosen = choose(state, part, now_ms)
     if chosen is None:
         part.reason = NO_SEARCHER
         return []
+    budget = budget_for(state, part.service)
+    if not exchange.repeated:
+        budget.count_request(now_ms)
+    elif not budget.spend(now_ms):
+        part.reason = NO_BUDGET
+        return []
     return [send(state, exchange, part, chosen, now_ms)]
 
 
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/state.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/state.py
@@ -2,6 +2,9 @@
 
 from gypsumbridge_decisions.forwarding import answer_delay
 from gypsumbridge_decisions.forwarding import attempt
+from gypsumbridge_decisions.forwarding import coordination
+from gypsumbridge_decisions.forwarding import coordinator_health
+from gypsumbridge_decisions.forwarding import delegation
 from gypsumbridge_decisions.forwarding import exchange
 from gypsumbridge_decisions.forwarding import latency_window
 from gypsumbridge_decisions.forwarding import policy as policies
@@ -20,7 +23,10 @@
 
     `searchers` holds the searchers of each service; `latencies`, `splits`
     and `answer_delays` are keyed by the name of the route. `timer_lag_ms`
-    is the moving average of the delay with which timers are handled.
+    is the moving average of the delay with which timers are handled,
+    measured last at `timer_lag_at_ms`.
+    `previous_table` is kept for nodes that delegate with the older version.
+    `coordinators` is keyed by node id, `delegations` by call id.
     """
 
     def __init__(
@@ -30,6 +36,11 @@
         self.started_ms = started_ms
         self.nodes = ASSUMED_NODES
         self.table: route_table.RouteTable | None = None
+        self.previous_table: route_table.RouteTable | None = None
+        self.coordination = coordination.Coordination(policy.node_id)
+        self.coordinators: dict[str, coordinator_health.CoordinatorHealth] = {}
+        self.last_coordinator = 0
+        self.delegations: dict[int, delegation.Delegation] = {}
         self.searchers: dict[str, list[searcher.Searcher]] = {}
         self.health: dict[str, searcher_health.SearcherHealth] = {}
         self.exchanges: dict[int, exchange.Exchange] = {}
@@ -40,8 +51,16 @@
         self.splits: dict[str, split.Split] = {}
         self.draining = False
         self.timer_lag_ms = 0.0
+        self.timer_lag_at_ms = started_ms
         self.answer_delays: dict[str, answer_delay.AnswerDelay] = {}
 
+    def table_of(self, version: int) -> route_table.RouteTable | None:
+        """Return the routes of a version, if it is one of the last two."""
+        for table in (self.table, self.previous_table):
+            if table is not None and table.version == version:
+                return table
+        return None
+
 
 def make_forwarding_state(
     policy: policies.ForwardingPolicy, started_ms: int
--- a/packages/decisions/src/gypsumbridge_decisions/relaying/peer_node.py
+++ b/packages/decisions/src/gypsumbridge_decisions/relaying/peer_node.py
@@ -9,10 +9,12 @@
 
     `address` is the `ip:port` at which it answers polls of other nodes,
     empty if it answers none. Nodes with a higher `capacity` are polled
-    first; only the order of the values matters.
+    first. At `gather_address`, if any, it gathers the parts of requests
+    that other nodes delegate.
     """
 
     node_id: str
     address: str
     failure_domain: str
     capacity: float
+    gather_address: str = ''
--- a/packages/node/src/gypsumbridge_node/gateway/api_client.py
+++ b/packages/node/src/gypsumbridge_node/gateway/api_client.py
@@ -17,28 +17,37 @@
 STATUS_OK = 200
 
 
+def ignore_interim() -> None:
+    """Ignore an interim response."""
+
+
 def send_call(
     client: api_client_state.ApiClientState,
     request: http_request.HttpRequest,
     timeout_ms: int,
     on_success: Callable[[http_reply.HttpReply], None],
     on_failure: Callable[[str], None],
-) -> None:
+    on_interim: Callable[[], None] = ignore_interim,
+) -> pending_call.PendingCall:
     """Send a call and report its result to one of the callbacks.
 
+    `on_interim` is called for each interim response (1xx) before the result.
     If `on_success` raises FrameError for a body that it cannot decode,
     `on_failure` is called as well.
     """
     client.runtime.metrics.count(f'{client.name}.calls')
-    call = pending_call.PendingCall(request, on_success, on_failure)
+    call = pending_call.PendingCall(
+        request, on_success, on_failure, on_interim
+    )
     call.timer = client.runtime.reactor.callLater(
         timeout_ms / 1000, expire, client, call
     )
     found = client.idle.checkout(client.runtime.clock.now_ms())
     if found is None:
         connect(client, call)
-        return
-    send(client, call, found)
+    else:
+        send(client, call, found)
+    return call
 
 
 def connect(
@@ -72,8 +81,10 @@
 ) -> None:
     """Send a call over an idle connection."""
     call.connection = connection
+    call.sent = True
     client.running[connection] = call
     data = http_head.encode_request(call.request, client.address)
+    connection.on_interim = call.on_interim
     connection.send(data, lambda reply: True)
 
 
@@ -113,6 +124,18 @@
         fail_call(client, call, f'connection_{reason}')
 
 
+def cancel_call(
+    client: api_client_state.ApiClientState, call: pending_call.PendingCall
+) -> None:
+    """Close the connection of a call whose result is not needed."""
+    if call.ended:
+        return
+    call.finish()
+    if call.connection is not None:
+        client.running.pop(call.connection, None)
+        call.connection.close()
+
+
 def expire(
     client: api_client_state.ApiClientState, call: pending_call.PendingCall
 ) -> None:
@@ -123,10 +146,8 @@
     """
     call.timer = None
     client.idle.close_all()
-    if call.connection is not None:
-        client.running.pop(call.connection, None)
-        call.connection.close()
-    fail_call(client, call, 'timeout')
+    cancel_call(client, call)
+    report_failure(client, call, 'timeout')
 
 
 def fail_call(
@@ -138,5 +159,14 @@
     if call.ended:
         return
     call.finish()
+    report_failure(client, call, reason)
+
+
+def report_failure(
+    client: api_client_state.ApiClientState,
+    call: pending_call.PendingCall,
+    reason: str,
+) -> None:
+    """Count a failed call and report it to its callback."""
     client.runtime.metrics.count(f'{client.name}.failures.{reason}')
     call.on_failure(reason)
--- a/packages/node/src/gypsumbridge_node/gateway/client_connection.py
+++ b/packages/node/src/gypsumbridge_node/gateway/client_connection.py
@@ -31,7 +31,8 @@
 
     `on_reply` gets each complete response that `expects` returns true for;
     any other belongs to an earlier request and is discarded. `on_close`
-    gets the reason of the close. After bytes that belong to no request the
+    gets the reason of the close. `on_interim` is called for each interim
+    response (1xx). After bytes that belong to no request the
     connection is not reused. A server that exceeds the limits on heads and
     bodies is disconnected.
     """
@@ -47,6 +48,7 @@
         self.logger = logger
         self.parser = httptools.HttpResponseParser(self)
         self.expects: Callable[[http_reply.HttpReply], bool] | None = None
+        self.on_interim: Callable[[], None] = _ignore_interim
         self.headers: list[tuple[str, str]] = []
         self.body: list[bytes] = []
         self.body_bytes = 0
@@ -162,6 +164,7 @@
         if self.aborted or self.found is None:
             return
         if self.parser.get_status_code() < 200:
+            self.on_interim()
             return
         self._complete(self.found, self._is_framed(self.found))
 
@@ -193,6 +196,10 @@
         self.on_reply(self, reply)
 
 
+def _ignore_interim() -> None:
+    pass
+
+
 def _keep_alive_ms(reply: http_reply.HttpReply) -> int | None:
     """Return the server's idle timeout from its Keep-Alive header, if any."""
     value = reply.headers.first.get('keep-alive')
--- a/packages/node/src/gypsumbridge_node/gateway/daemon.py
+++ b/packages/node/src/gypsumbridge_node/gateway/daemon.py
@@ -14,6 +14,8 @@
 from gypsumbridge_node.gateway import runtime as runtimes
 from gypsumbridge_node.gateway.settings import gateway_checks
 from gypsumbridge_node.gateway.settings import gateway_settings
+from gypsumbridge_node.gateway.tasks import coordinators
+from gypsumbridge_node.gateway.tasks import delegated
 from gypsumbridge_node.gateway.tasks import discovery_task
 from gypsumbridge_node.gateway.tasks import forwarding_task
 from gypsumbridge_node.gateway.tasks import ingress
@@ -80,6 +82,8 @@
     store.start_store_task(runtime)
     peers.start_peers_task(runtime)
     relay.start_relay_task(runtime)
+    coordinators.start_coordinators_task(runtime)
+    delegated.start_delegated_task(runtime)
     discovery_task.start_discovery_task(runtime)
     # The objects created so far are permanent; frozen, they are not scanned by
     # full collections.
--- a/packages/node/src/gypsumbridge_node/gateway/gateway_mailboxes.py
+++ b/packages/node/src/gypsumbridge_node/gateway/gateway_mailboxes.py
@@ -16,4 +16,6 @@
     store: mailbox.Mailbox
     peers: mailbox.Mailbox
     relay: mailbox.Mailbox
+    coordinators: mailbox.Mailbox
+    delegated: mailbox.Mailbox
     lifecycle: mailbox.Mailbox
--- a/packages/node/src/gypsumbridge_node/gateway/http_head.py
+++ b/packages/node/src/gypsumbridge_node/gateway/http_head.py
@@ -24,6 +24,11 @@
     return ('\r\n'.join(lines) + '\r\n').encode('latin-1')
 
 
+def encode_interim(status: int) -> bytes:
+    """Return an interim response (1xx), which has no headers."""
+    return f'HTTP/1.1 {status} {_REASONS[status]}\r\n\r\n'.encode('latin-1')
+
+
 def encode_response(
     status: int, headers: Iterable[tuple[str, str]], body: bytes, close: bool
 ) -> bytes:
--- a/packages/node/src/gypsumbridge_node/gateway/pending_call.py
+++ b/packages/node/src/gypsumbridge_node/gateway/pending_call.py
@@ -9,19 +9,25 @@
 
 
 class PendingCall:
-    """A call and the callbacks for its result."""
+    """A call and the callbacks for its result.
+
+    `sent` is set when the call was written to a connection.
+    """
 
     def __init__(
         self,
         request: http_request.HttpRequest,
         on_success: Callable[[http_reply.HttpReply], None],
         on_failure: Callable[[str], None],
+        on_interim: Callable[[], None],
     ) -> None:
         self.request = request
         self.on_success = on_success
         self.on_failure = on_failure
+        self.on_interim = on_interim
         self.connection: client_connection.ClientConnection | None = None
         self.timer: Any = None
+        self.sent = False
         self.ended = False
 
     def finish(self) -> None:
--- a/packages/node/src/gypsumbridge_node/gateway/searchers_state.py
+++ b/packages/node/src/gypsumbridge_node/gateway/searchers_state.py
@@ -14,11 +14,13 @@
 class SearchersState:
     """Pools by searcher, attempts by id, and the inputs of the limits."""
 
-    def __init__(self) -> None:
+    def __init__(self, node_id: str) -> None:
         self.pools: dict[PoolKey, searcher_pool.SearcherPool] = {}
         self.jobs: dict[int, attempt_job.AttemptJob] = {}
         self.table: forwarding.RouteTable | None = None
         self.nodes = forwarding.ASSUMED_NODES
+        self.searchers: dict[str, list[forwarding.Searcher]] = {}
+        self.coordination = forwarding.Coordination(node_id)
         # The id of the call that was sent last, and its encoded head.
         self.last_head: tuple[int, bytes] = (0, b'')
 
@@ -27,7 +29,12 @@
         declared = 0
         if self.table is not None:
             declared = self.table.connection_limits.get(service, 0)
-        return max(1, int(declared * LIMIT_SHARE / self.nodes))
+        sharers = self.coordination.count_sharers(service, self.nodes)
+        return max(1, int(declared * LIMIT_SHARE / sharers))
+
+    def refresh_coordinators(self) -> None:
+        """Recompute the coordinators after a change of their inputs."""
+        self.coordination.refresh(self.table, self.searchers)
 
 
 def pool_key(searcher: forwarding.Searcher) -> PoolKey:
--- a/packages/node/src/gypsumbridge_node/gateway/server_connection.py
+++ b/packages/node/src/gypsumbridge_node/gateway/server_connection.py
@@ -17,6 +17,7 @@
 from gypsumbridge_node.gateway import socket_options
 from gypsumbridge_node.gateway import socket_writer
 
+STATUS_CONTINUE = 100
 STATUS_BAD_REQUEST = 400
 STATUS_TIMEOUT = 408
 STATUS_BODY_TOO_LARGE = 413
@@ -117,6 +118,11 @@
         self._set_timeout_ms(self.limits().idle_timeout_ms)
         self._next()
 
+    def respond_interim(self, status: int) -> None:
+        """Send an interim response (1xx) to the request in progress."""
+        if not self.ended:
+            self.writer.write(http_head.encode_interim(status))
+
     def network_ms(self) -> float:
         """Return the network time of the request in progress.
 
@@ -153,7 +159,7 @@
         self.headers.append((name.decode('latin-1'), value.decode('latin-1')))
         self._add_header_bytes(len(name) + len(value) + 4)
         if name.lower() == b'expect' and value.lower() == b'100-continue':
-            self.writer.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+            self.writer.write(http_head.encode_interim(STATUS_CONTINUE))
 
     def on_headers_complete(self) -> None:
         """Apply the idle timeout to the body."""
--- a/packages/node/src/gypsumbridge_node/gateway/settings/gateway_checks.py
+++ b/packages/node/src/gypsumbridge_node/gateway/settings/gateway_checks.py
@@ -12,6 +12,8 @@
     ('listen', 'metrics'): checks.check_optional_address,
     ('listen', 'peers'): checks.check_optional_address,
     ('listen', 'advertised_peers'): checks.check_optional_address,
+    ('listen', 'gathers'): checks.check_optional_address,
+    ('listen', 'advertised_gathers'): checks.check_optional_address,
     ('discovery', 'store_address'): checks.check_address,
     ('discovery', 'timeout_ms'): checks.in_range(10, 60_000),
     ('discovery', 'drain_ms'): checks.in_range(100, 600_000),
--- /dev/null
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/delegated.py
@@ -0,0 +1,116 @@
+"""The task that owns the connections of nodes that delegate requests."""
+
+from collections.abc import Callable
+import dataclasses
+from typing import Any
+
+from gypsumbridge_decisions import errors
+from gypsumbridge_decisions import forwarding
+from gypsumbridge_decisions import messages
+from gypsumbridge_node import address
+from gypsumbridge_node.gateway import ingress_state
+from gypsumbridge_node.gateway import parsed_request
+from gypsumbridge_node.gateway import runtime as runtimes
+from gypsumbridge_node.gateway import server_connection
+from gypsumbridge_wire import delegated_reply
+from gypsumbridge_wire import delegation
+
+SOURCE = 'delegated'
+STATUS_PROCESSING = 102
+STATUS_OK = 200
+STATUS_BAD_REQUEST = 400
+# A caller's request of the maximum size, with its headers.
+MAX_REQUEST_BYTES = 8 * 1_048_576
+
+
+def start_delegated_task(runtime: runtimes.GatewayRuntime) -> None:
+    """Accept delegated requests, and send the responses."""
+    state = ingress_state.IngressState()
+    mailbox = runtime.mailboxes.forwarding
+
+    def accept(
+        connection: server_connection.ServerConnection,
+        parsed: parsed_request.ParsedRequest,
+    ) -> None:
+        try:
+            delegated = delegation.decode_request(parsed.body)
+        except errors.FrameError as error:
+            runtime.logger.error(
+                'delegated request rejected', extra={'error': str(error)}
+            )
+            connection.respond(STATUS_BAD_REQUEST, (), b'')
+            return
+        # Positive ids are those of callers' requests.
+        state.last_call_id -= 1
+        call_id = state.last_call_id
+        state.connections[call_id] = connection
+        state.call_ids[connection] = call_id
+        request = delegated.request
+        request = dataclasses.replace(
+            request,
+            call_id=call_id,
+            arrived_ms=runtime.clock.now_ms(),
+            network_ms=request.network_ms + connection.network_ms(),
+        )
+        mailbox.put(dataclasses.replace(delegated, request=request))
+
+    def disconnect(connection: server_connection.ServerConnection) -> None:
+        call_id = state.call_ids.pop(connection, None)
+        if call_id is None:
+            return
+        del state.connections[call_id]
+        mailbox.put(forwarding.CallerDisconnected(call_id))
+
+    def reply(call_id: int, content: delegated_reply.DelegatedReply) -> None:
+        connection = state.connections.pop(call_id, None)
+        if connection is None:
+            return
+        del state.call_ids[connection]
+        connection.respond(STATUS_OK, (), delegation.encode_reply(content))
+
+    def respond(response: forwarding.CallerResponse) -> None:
+        reply(
+            response.call_id,
+            delegated_reply.DelegatedReply('', response),
+        )
+        if response.objective_route:
+            late_ms = runtime.clock.now_ms() - response.due_ms
+            mailbox.put(
+                forwarding.ResponseWritten(response.objective_route, late_ms)
+            )
+
+    def confirm(command: forwarding.AcceptDelegated) -> None:
+        connection = state.connections.get(command.call_id)
+        if connection is not None:
+            connection.respond_interim(STATUS_PROCESSING)
+
+    def refuse(command: forwarding.RefuseDelegated) -> None:
+        reply(
+            command.call_id,
+            delegated_reply.DelegatedReply(command.reason, None),
+        )
+
+    def count_in_flight(query: messages.InFlightQuery) -> None:
+        runtime.mailboxes.lifecycle.put(
+            messages.InFlightReport(SOURCE, len(state.connections))
+        )
+
+    handlers: dict[type, Callable[[Any], None]] = {
+        forwarding.CallerResponse: respond,
+        forwarding.AcceptDelegated: confirm,
+        forwarding.RefuseDelegated: refuse,
+        messages.InFlightQuery: count_in_flight,
+    }
+
+    def handle(message: Any) -> None:
+        handlers[type(message)](message)
+
+    runtime.mailboxes.delegated.start(handle)
+    if not runtime.settings.listen.gathers:
+        return
+    limits = forwarding.IngressLimits(max_body_bytes=MAX_REQUEST_BYTES)
+    factory = server_connection.make_factory(
+        accept, disconnect, lambda: limits, lambda: False
+    )
+    host, port = address.split_address(runtime.settings.listen.gathers)
+    runtime.reactor.listenTCP(port, factory, backlog=512, interface=host)
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/discovery_task.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/discovery_task.py
@@ -42,6 +42,7 @@
             forwarding.RoutesChanged: publish_routes,
             forwarding.SearchersChanged: publish,
             forwarding.FleetSizeChanged: publish,
+            forwarding.NodesChanged: publish,
         },
     )
 
@@ -60,6 +61,7 @@
         settings.listen.advertised_peers or settings.listen.peers,
         settings.node.failure_domain,
         settings.node.capacity,
+        settings.listen.advertised_gathers or settings.listen.gathers,
     )
     return discovery.make_discovery_state(
         relaying.make_relay_state(own, settings.discovery.direct_nodes),
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/forwarding_task.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/forwarding_task.py
@@ -22,13 +22,25 @@
         runtime.clock.now_ms(),
     )
     mailboxes = runtime.mailboxes
+
+    def respond(response: forwarding.CallerResponse) -> None:
+        # Requests that other nodes delegate have negative ids.
+        if response.call_id < 0:
+            mailboxes.delegated.put(response)
+            return
+        mailboxes.ingress.put(response)
+
     execute = executors.make_executor(
         runtime,
         mailboxes.forwarding,
         {
             forwarding.SendAttempt: mailboxes.searchers.put,
             forwarding.CancelAttempt: mailboxes.searchers.put,
-            forwarding.CallerResponse: mailboxes.ingress.put,
+            forwarding.CallerResponse: respond,
+            forwarding.DelegateRequest: mailboxes.coordinators.put,
+            forwarding.CancelDelegation: mailboxes.coordinators.put,
+            forwarding.AcceptDelegated: mailboxes.delegated.put,
+            forwarding.RefuseDelegated: mailboxes.delegated.put,
         },
     )
 
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/lifecycle_task.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/lifecycle_task.py
@@ -9,6 +9,7 @@
 from gypsumbridge_node import execute as executors
 from gypsumbridge_node import process_controls
 from gypsumbridge_node.gateway import runtime as runtimes
+from gypsumbridge_node.gateway.tasks import delegated
 from gypsumbridge_node.gateway.tasks import ingress
 from gypsumbridge_node.tasks import lifecycle as node_lifecycle
 
@@ -25,7 +26,7 @@
     state = lifecycle.make_lifecycle_state(
         stop.balancer_lag_ms,
         int(stop.grace_s * 1000) - STOP_MARGIN_MS,
-        frozenset({ingress.SOURCE}),
+        frozenset({ingress.SOURCE, delegated.SOURCE}),
     )
     mailboxes = runtime.mailboxes
 
@@ -39,6 +40,10 @@
     def close_port(command: lifecycle.ClosePort) -> None:
         controls.close_port()
 
+    def query_in_flight(query: messages.InFlightQuery) -> None:
+        mailboxes.ingress.put(query)
+        mailboxes.delegated.put(query)
+
     execute = executors.make_executor(
         runtime,
         mailboxes.lifecycle,
@@ -47,7 +52,7 @@
             messages.EndKeepAlive: mailboxes.ingress.put,
             messages.AnnounceLeaving: announce,
             messages.LeaveFleet: leave,
-            messages.InFlightQuery: mailboxes.ingress.put,
+            messages.InFlightQuery: query_in_flight,
             lifecycle.ClosePort: close_port,
             lifecycle.ExitNode: node_lifecycle.make_exit(runtime, controls),
         },
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/searchers.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/searchers.py
@@ -16,7 +16,7 @@
 
 def start_searchers_task(runtime: runtimes.GatewayRuntime) -> None:
     """Send attempts to searchers and report their results."""
-    state = searchers_state.SearchersState()
+    state = searchers_state.SearchersState(runtime.settings.node.node_id)
     context = searchers_context.SearchersContext(
         runtime, state, runtime.adapter.headers
     )
@@ -26,6 +26,7 @@
         update: forwarding.RoutesChanged,
     ) -> None:
         state.table = update.table
+        state.refresh_coordinators()
         warm_up(context)
 
     def change_fleet_size(
@@ -34,12 +35,21 @@
     ) -> None:
         state.nodes = update.nodes
 
+    def change_nodes(
+        context: searchers_context.SearchersContext,
+        update: forwarding.NodesChanged,
+    ) -> None:
+        state.coordination.nodes = update.nodes
+        state.refresh_coordinators()
+        warm_up(context)
+
     handlers: dict[type, Callable[..., None]] = {
         forwarding.SendAttempt: send,
         forwarding.CancelAttempt: cancel,
         forwarding.SearchersChanged: update_searchers,
         forwarding.RoutesChanged: change_routes,
         forwarding.FleetSizeChanged: change_fleet_size,
+        forwarding.NodesChanged: change_nodes,
     }
 
     def handle(message: Any) -> None:
@@ -121,6 +131,10 @@
             continue
         del context.state.pools[key]
         pool.idle.close_all()
+    context.state.searchers = {}
+    for found in update.searchers:
+        context.state.searchers.setdefault(found.service, []).append(found)
+    context.state.refresh_coordinators()
     for found in update.searchers:
         if not found.draining:
             pool_checkout.pool_for(context, found)
@@ -128,15 +142,27 @@
 
 
 def warm_up(context: searchers_context.SearchersContext) -> None:
-    """Open a connection to each searcher kept warm that has none."""
+    """Open a connection to each searcher kept warm that has none.
+
+    The idle connections of services that only coordinators gather from are
+    closed on other nodes, since they count against the searchers' limits.
+    """
     state = context.state
     if state.table is None:
         return
     own_domain = context.runtime.settings.node.failure_domain
     for pool in list(state.pools.values()):
+        plan = state.coordination.plan_for(pool.searcher.service)
+        if not plan.gathers_itself:
+            pool.idle.close_all()
+            continue
         if pool.size():
             continue
         if forwarding.is_kept_warm(
-            pool.searcher, state.table, state.nodes, own_domain
+            pool.searcher,
+            state.table,
+            state.nodes,
+            own_domain,
+            plan,
         ):
             pool_checkout.open_connection(context, pool)
--- /dev/null
+++ b/tests/decisions/forwarding/test_delegating.py
@@ -0,0 +1,228 @@
+from gypsumbridge_decisions import forwarding
+from gypsumbridge_decisions import messages
+from gypsumbridge_decisions import relaying
+from tests.decisions.forwarding import gateway_case
+
+# A quarter of the objective of the route (100 ms).
+ACCEPTANCE_MS = 25
+RESPONSE = forwarding.CallerResponse(
+    -3, 200, body=b'r', part_signatures=('a',), missing_parts=0
+)
+
+
+def delegated(commands):
+    return [c for c in commands if isinstance(c, forwarding.DelegateRequest)]
+
+
+def cancelled(commands):
+    return [c for c in commands if isinstance(c, forwarding.CancelDelegation)]
+
+
+class DelegatingTest(gateway_case.GatewayCase):
+    def setUp(self):
+        super().setUp()
+        self.set_nodes(('c1', 100.0), ('c2', 100.0), ('n1', 10.0))
+
+    def set_nodes(self, *nodes):
+        self.handle(
+            forwarding.NodesChanged(
+                tuple(
+                    relaying.PeerNode(name, '', 'd1', capacity, '10.0.0.9:1')
+                    for name, capacity in nodes
+                )
+            )
+        )
+
+    def delegate(self):
+        commands = self.arrive()
+        self.assertEqual([], gateway_case.sends(commands))
+        (command,) = delegated(commands)
+        return command
+
+    def accept(self):
+        self.handle(forwarding.DelegationAccepted(self.last_call_id))
+
+    def end(self, **fields):
+        return self.handle(
+            forwarding.DelegationEnded(self.last_call_id, **fields)
+        )
+
+    def expire_acceptance(self, command, late_ms=0):
+        due_ms = self.now_ms + ACCEPTANCE_MS
+        self.now_ms = due_ms + late_ms
+        return self.handle(
+            forwarding.AcceptanceTimer(
+                command.call_id, command.coordinator.node_id, due_ms
+            )
+        )
+
+    def test_a_gather_is_delegated_with_what_is_left_of_its_time(self):
+        """Guards against a coordinator that answers too late."""
+        command = self.delegate()
+        request = command.delegated.request
+        self.assertEqual(600, request.deadline_ms)
+        self.assertEqual(1, command.delegated.version)
+        self.assertGreater(request.network_ms, 0)
+        timers = {
+            type(t.event): t.delay_ms
+            for t in gateway_case.timers(self.arrive())
+        }
+        self.assertEqual(
+            {
+                forwarding.AcceptanceTimer: ACCEPTANCE_MS,
+                forwarding.ExpiryTimer: 600,
+            },
+            timers,
+        )
+
+    def test_requests_to_one_searcher_are_not_delegated(self):
+        """Guards against a hop that saves nothing."""
+        self.assertEqual([], delegated(self.arrive('/one/x', 2_000)))
+
+    def test_gathers_are_spread_over_the_coordinators(self):
+        """Guards against one coordinator that gets all requests."""
+        first = self.delegate().coordinator.node_id
+        self.assertNotEqual(first, self.delegate().coordinator.node_id)
+
+    def test_a_coordinators_response_is_relayed(self):
+        """Guards against an answer that belongs to another request."""
+        self.delegate()
+        self.accept()
+        (response,) = gateway_case.responses(self.end(response=RESPONSE))
+        self.assertEqual(self.last_call_id, response.call_id)
+        self.assertEqual(
+            (b'r', ('a',), 0),
+            (response.body, response.part_signatures, response.missing_parts),
+        )
+        self.assertEqual([], gateway_case.responses(self.end()))
+
+    def test_a_refused_gather_goes_to_another_coordinator(self):
+        """Guards against an error while a coordinator is free."""
+        first = self.delegate()
+        (second,) = delegated(self.end(refusal='draining'))
+        self.assertNotEqual(
+            first.coordinator.node_id, second.coordinator.node_id
+        )
+        self.assertFalse(second.delegated.repeated)
+        # Both have refused, so this node gathers.
+        commands = self.end(refusal='draining')
+        self.assertEqual(4, len(gateway_case.sends(commands)))
+
+    def test_a_gather_that_was_not_sent_is_not_charged(self):
+        """Guards against a lost coordinator that uses up the budget."""
+        self.delegate()
+        (second,) = delegated(self.end(failure='connect', sent=False))
+        self.assertFalse(second.delegated.repeated)
+
+    def test_a_coordinator_that_does_not_react_is_replaced(self):
+        """Guards against requests that wait for a frozen coordinator."""
+        first = self.delegate()
+        commands = self.expire_acceptance(first)
+        self.assertEqual(
+            [forwarding.CancelDelegation(first.call_id, True)],
+            cancelled(commands),
+        )
+        (second,) = delegated(commands)
+        self.assertTrue(second.delegated.repeated)
+        self.assertNotEqual(
+            first.coordinator.node_id, second.coordinator.node_id
+        )
+        # It is excluded for later requests as well.
+        third = self.delegate()
+        self.assertEqual(second.coordinator.node_id, third.coordinator.node_id)
+
+    def test_a_late_timer_is_set_again_once(self):
+        """Guards against a confirmation that this node has not read yet."""
+        command = self.delegate()
+        commands = self.expire_acceptance(command, late_ms=40)
+        self.assertEqual([], cancelled(commands))
+        (timer,) = gateway_case.timers(commands)
+        self.now_ms = timer.event.due_ms + 40
+        self.assertEqual(1, len(cancelled(self.handle(timer.event))))
+
+    def test_a_confirmed_gather_is_left_to_its_coordinator(self):
+        """Guards against attempts that are sent twice."""
+        command = self.delegate()
+        self.accept()
+        self.assertEqual([], self.expire_acceptance(command))
+
+    def test_a_repeated_gather_is_charged_and_has_one_attempt_less(self):
+        """Guards against more attempts than the route and budget allow."""
+        self.set_nodes(('c1', 100.0), ('n1', 10.0))
+        command = self.delegate()
+        commands = self.expire_acceptance(command)
+        sent = gateway_case.sends(commands)
+        self.assertEqual(4, len(sent))
+        self.now_ms += 30
+        hedges = self.handle(forwarding.HedgeTimer(self.last_call_id))
+        self.assertEqual([], gateway_case.sends(hedges))
+        for service in ('s1', 's2', 's3', 's4'):
+            extra = sum(self.state.budgets[service].extra_attempts)
+            self.assertEqual(1, extra)
+
+    def test_a_repeated_gather_without_budget_is_not_refused_as_not_run(self):
+        """Guards against a 503 for a request that may have run."""
+        self.set_nodes(('c1', 100.0), ('n1', 10.0))
+        command = self.delegate()
+        for service in ('s1', 's2', 's3', 's4'):
+            budget = forwarding.budget_for(self.state, service)
+            while budget.spend(self.now_ms):
+                pass
+        commands = self.expire_acceptance(command)
+        self.assertEqual([], gateway_case.sends(commands))
+        (response,) = gateway_case.responses(commands)
+        self.assertEqual(502, response.status)
+
+    def test_a_confirmed_gather_that_is_lost_fails(self):
+        """Guards against attempts at a third searcher of a service."""
+        self.delegate()
+        self.accept()
+        commands = self.end(failure='connection_reset')
+        self.assertEqual([], delegated(commands))
+        self.assertEqual([], gateway_case.sends(commands))
+        (response,) = gateway_case.responses(commands)
+        self.assertEqual(502, response.status)
+
+    def test_a_caller_that_disconnects_cancels_the_gather(self):
+        """Guards against searchers that work for nobody."""
+        command = self.delegate()
+        commands = self.handle(
+            forwarding.CallerDisconnected(self.last_call_id)
+        )
+        self.assertEqual(
+            [forwarding.CancelDelegation(command.call_id, False)],
+            cancelled(commands),
+        )
+        self.assertEqual({}, self.state.delegations)
+
+    def test_a_gather_is_answered_at_its_deadline(self):
+        """Guards against a caller that waits for a lost coordinator."""
+        self.delegate()
+        self.accept()
+        self.now_ms += 600
+        commands = self.handle(forwarding.ExpiryTimer(self.last_call_id))
+        (response,) = gateway_case.responses(commands)
+        self.assertEqual(504, response.status)
+        self.assertEqual(1, len(cancelled(commands)))
+
+    def test_without_usable_coordinators_the_node_gathers(self):
+        """Guards against an outage while all coordinators are lost."""
+        for _ in range(2):
+            self.delegate()
+            self.end(failure='connect', sent=False)
+        self.assertEqual(4, len(gateway_case.sends(self.arrive())))
+        # After the exclusion they are used again.
+        self.now_ms += 2_000
+        self.delegate()
+
+    def test_every_delegated_request_is_logged_with_its_coordinator(self):
+        """Guards against a request that cannot be followed in the logs."""
+        self.delegate()
+        self.accept()
+        fields = [
+            c.fields
+            for c in self.end(response=RESPONSE)
+            if isinstance(c, messages.Decision)
+        ]
+        self.assertEqual('r-1', fields[0]['request_id'])
+        self.assertIn(fields[0]['coordinator'], ('c1', 'c2'))
--- a/tests/node/gateway/test_new_connections.py
+++ b/tests/node/gateway/test_new_connections.py
@@ -12,7 +12,7 @@
 
 class NewConnectionsTest(unittest.TestCase):
     def setUp(self):
-        state = searchers_state.SearchersState()
+        state = searchers_state.SearchersState('n1')
         state.nodes = 26
         state.table = gateway_case.make_table()
         runtime = bare_runtime.make_runtime()
