Obey Server-Leaving and Retry-After of searchers

Cause: a searcher that states in a response that it is leaving, or for how long it wants no requests, was used until its entry in the store changed or its failures ejected it. Change: a leaving searcher gets no more requests until its entry shows another process, one that is closed none until the stated time, at most ten minutes. Attempts that wait for a connection to it are sent elsewhere. A request that no searcher takes is refused at once, with the stated time as Retry-After.

--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
@@ -51,6 +51,9 @@
 from gypsumbridge_decisions.forwarding.choosing import (
     expected_cost as expected_cost,
 )
+from gypsumbridge_decisions.forwarding.choosing import (
+    next_usable_ms as next_usable_ms,
+)
 from gypsumbridge_decisions.forwarding.choosing import preference as preference
 from gypsumbridge_decisions.forwarding.command import Command as Command
 from gypsumbridge_decisions.forwarding.coordinating import (
@@ -168,6 +171,9 @@
     may_have_run as may_have_run,
 )
 from gypsumbridge_decisions.forwarding.final_response import relay as relay
+from gypsumbridge_decisions.forwarding.final_response import (
+    retry_after_ms as retry_after_ms,
+)
 from gypsumbridge_decisions.forwarding.final_response import success as success
 from gypsumbridge_decisions.forwarding.finishing import (
     cancel_all as cancel_all,
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/attempt_ended.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/attempt_ended.py
@@ -10,7 +10,9 @@
     """A response with its status, headers and body, or a failure.
 
     `signature` is the searcher's signature of its response, empty if there
-    is none. `detail` names the cause of a failure.
+    is none. `detail` names the cause of a failure. With `leaving`, the
+    searcher stated that it is about to exit. It wants no request from this
+    node for `retry_after_ms`.
     """
 
     attempt_id: int
@@ -20,3 +22,5 @@
     body: bytes = b''
     signature: str = ''
     detail: str = ''
+    leaving: bool = False
+    retry_after_ms: int = 0
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/choosing.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/choosing.py
@@ -30,8 +30,9 @@
 ) -> searchers.Searcher | None:
     """Return the searcher with the lowest expected latency, or None.
 
-    Draining, replaced and excluded searchers are never chosen; ejected ones
-    only when there is no other.
+    Draining, leaving, replaced and excluded searchers are never chosen, nor
+    those that have asked for no requests now; ejected ones only when there is
+    no other.
     """
     best = None
     best_cost = (True, 0.0)
@@ -39,7 +40,7 @@
         if candidate.draining or candidate.searcher_id in excluded:
             continue
         measured = health[candidate.searcher_id]
-        if measured.replaced:
+        if not measured.may_be_sent_requests(now_ms):
             continue
         measured.decay(now_ms)
         cost = (
@@ -52,6 +53,25 @@
     return best
 
 
+def next_usable_ms(
+    candidates: Iterable[searchers.Searcher],
+    health: dict[str, searcher_health.SearcherHealth],
+    now_ms: int,
+) -> int | None:
+    """Return when the first searcher may be sent requests again, or None.
+
+    It is known only of searchers that have stated it.
+    """
+    times = [
+        health[candidate.searcher_id].closed_until_ms
+        for candidate in candidates
+        if not candidate.draining
+        and not health[candidate.searcher_id].leaving
+        and not health[candidate.searcher_id].replaced
+    ]
+    return min((at_ms for at_ms in times if at_ms > now_ms), default=None)
+
+
 def expected_cost(
     searcher: searchers.Searcher,
     measured: searcher_health.SearcherHealth,
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/discovery_updates.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/discovery_updates.py
@@ -55,7 +55,7 @@
         before = previous.get(found.searcher_id, found)
         if before != dataclasses.replace(found, draining=before.draining):
             # The searcher was restarted or moved, so it is usable again.
-            state.health[found.searcher_id].replaced = False
+            state.health[found.searcher_id].reset_statements()
         if found.searcher_id not in state.health:
             state.health[found.searcher_id] = searcher_health.SearcherHealth()
     busy_ids = {a.searcher.searcher_id for a in state.attempts.values()}
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/ending.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/ending.py
@@ -169,6 +169,10 @@
     if ended.outcome == _OUTCOME.MISDIRECTED:
         health.replaced = True
         return
+    if ended.leaving:
+        health.leaving = True
+    if ended.retry_after_ms:
+        health.record_refusal(ended.retry_after_ms, now_ms)
     latency_ms = now_ms - attempt.sent_ms
     window = state.latencies.get(attempt.route_name)
     median_ms = window.median_ms if window is not None else latency_ms
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/final_response.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/final_response.py
@@ -50,7 +50,7 @@
         return caller_response.CallerResponse(
             call_id,
             refusing.STATUS_UNAVAILABLE,
-            retry_after_ms=refusing.RETRY_AFTER_MS,
+            retry_after_ms=retry_after_ms(exchange, now_ms),
         )
     failed = exchange.parts[0].failure
     if exchange.route.gather is None and failed is not None:
@@ -64,6 +64,19 @@
     return caller_response.CallerResponse(call_id, STATUS_BAD_GATEWAY)
 
 
+def retry_after_ms(exchange: exchanges.Exchange, now_ms: int) -> int:
+    """Return the delay after which a refused request may succeed.
+
+    It is the longest one that the searchers of a part have stated.
+    """
+    delays = [
+        part.usable_at_ms - now_ms
+        for part in exchange.parts
+        if part.usable_at_ms is not None
+    ]
+    return max(refusing.RETRY_AFTER_MS, *delays, 0)
+
+
 def may_have_run(part: part_state.PartState) -> bool:
     """Return whether any searcher may have run the part."""
     return part.answer is not None or part.runs > 0
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/part_state.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/part_state.py
@@ -9,7 +9,8 @@
     `running` holds the ids of the attempts in flight, `tried` the ids of
     the searchers that were chosen. `runs` counts the attempts that may have
     run, `sends` all attempts. `failure` is the last error response of a
-    searcher, `reason` the cause of the last failure.
+    searcher, `reason` the cause of the last failure. Without a searcher
+    that may be sent requests, one may be again at `usable_at_ms`, if known.
     """
 
     def __init__(self, service: str) -> None:
@@ -21,6 +22,7 @@
         self.answer: attempt_ended.AttemptEnded | None = None
         self.failure: attempt_ended.AttemptEnded | None = None
         self.reason = ''
+        self.usable_at_ms: int | None = None
 
     def is_open(self) -> bool:
         """Return whether an answer may still arrive."""
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/searcher_health.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/searcher_health.py
@@ -17,6 +17,8 @@
 FAILURES_TO_EJECT = 2
 FIRST_EJECTION_MS = 500
 MAX_EJECTION_MS = 4_000
+# Limits the time that a searcher may state in its Retry-After header.
+MAX_RETRY_AFTER_MS = 600_000
 
 
 class SearcherHealth:
@@ -24,8 +26,10 @@
 
     `slowness` is the ratio of this searcher's latency to the median latency
     of the same route; `failure_rate` is between 0 and 1. `replaced` is set
-    when another searcher has answered at the address. `interval_ms` is the
-    average time between samples.
+    when another searcher has answered at the address, `leaving` when the
+    searcher has stated that it is about to exit. It has asked for no requests
+    before `closed_until_ms`. `interval_ms` is the average time between
+    samples.
     """
 
     def __init__(self) -> None:
@@ -39,6 +43,8 @@
         self.consecutive_failures = 0
         self.ejected_until_ms = 0
         self.replaced = False
+        self.leaving = False
+        self.closed_until_ms = 0
 
     def decay(self, now_ms: int) -> None:
         """Move the averages towards their defaults by the elapsed time."""
@@ -58,6 +64,24 @@
             SAMPLE_WEIGHT, 1.0 - math.exp(-gap_ms / SAMPLE_WEIGHT_TIME_MS)
         )
 
+    def reset_statements(self) -> None:
+        """Forget what an earlier process of the searcher has stated."""
+        self.replaced = False
+        self.leaving = False
+        self.closed_until_ms = 0
+
+    def may_be_sent_requests(self, now_ms: int) -> bool:
+        """Return whether the searcher has not stated the contrary."""
+        if self.replaced or self.leaving:
+            return False
+        return self.closed_until_ms <= now_ms
+
+    def record_refusal(self, retry_after_ms: int, now_ms: int) -> None:
+        """Record the time for which the searcher wants no requests."""
+        retry_after_ms = min(retry_after_ms, MAX_RETRY_AFTER_MS)
+        until_ms = now_ms + retry_after_ms
+        self.closed_until_ms = max(self.closed_until_ms, until_ms)
+
     def record_answer(self, slowness: float, now_ms: int) -> None:
         """Add a response that took `slowness` times the median latency."""
         weight = self.sample(now_ms)
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/sending.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/sending.py
@@ -59,6 +59,9 @@
     chosen = choose(state, part, now_ms)
     if chosen is None:
         part.reason = NO_SEARCHER
+        part.usable_at_ms = choosing.next_usable_ms(
+            state.searchers.get(part.service, ()), state.health, now_ms
+        )
         return []
     budget = budget_for(state, part.service)
     if not exchange.repeated:
--- a/packages/node/src/gypsumbridge_node/gateway/attempt_codec.py
+++ b/packages/node/src/gypsumbridge_node/gateway/attempt_codec.py
@@ -1,5 +1,7 @@
 """Encodes attempts as requests, and classifies their responses."""
 
+import re
+
 from gypsumbridge_decisions import forwarding
 from gypsumbridge_node.gateway import end_to_end
 from gypsumbridge_node.gateway import header_names
@@ -8,6 +10,9 @@
 from gypsumbridge_node.gateway import http_request
 
 STATUS_MISDIRECTED = 421
+# Too many requests, and service unavailable.
+BUSY_STATUSES = frozenset({429, 503})
+_SECONDS = re.compile(r'[0-9]{1,9}(\.[0-9]{1,9})?')
 
 Outcome = forwarding.AttemptOutcome
 Ended = forwarding.AttemptEnded
@@ -68,4 +73,21 @@
         reply.body,
         reply.headers.first.get(names.signature, ''),
         '' if outcome == Outcome.ANSWERED else f'status_{reply.status}',
+        leaving=names.leaving in reply.headers.first,
+        retry_after_ms=_retry_after_ms(names, reply),
     )
+
+
+def _retry_after_ms(
+    names: header_names.HeaderNames, reply: http_reply.HttpReply
+) -> int:
+    """Return the stated time without requests, or 0.
+
+    A date in place of seconds is not evaluated.
+    """
+    if reply.status not in BUSY_STATUSES:
+        return 0
+    value = reply.headers.first.get(names.retry_after, '').strip()
+    if _SECONDS.fullmatch(value) is None:
+        return 0
+    return int(float(value) * 1000)
--- a/packages/node/src/gypsumbridge_node/gateway/header_names.py
+++ b/packages/node/src/gypsumbridge_node/gateway/header_names.py
@@ -11,8 +11,9 @@
     `expected_searcher` is sent to a searcher, which refuses to run the
     request if its own id differs. `signature`, `searcher_id` and `not_run`
     are sent by a searcher; `not_run` states that it did not run the
-    request. `part_signatures` and `missing_parts` describe a gathered
-    response.
+    request, `leaving` that the searcher is about to exit, and `retry_after`
+    for how many seconds it wants no requests. `part_signatures` and
+    `missing_parts` describe a gathered response.
     """
 
     request_id: str
@@ -21,5 +22,7 @@
     signature: str
     searcher_id: str
     not_run: str
+    leaving: str
+    retry_after: str
     part_signatures: str
     missing_parts: str
--- a/packages/node/src/gypsumbridge_node/gateway/pool_checkout.py
+++ b/packages/node/src/gypsumbridge_node/gateway/pool_checkout.py
@@ -239,6 +239,8 @@
     report(context, job, ended)
     if ended.outcome == Outcome.MISDIRECTED:
         connection.reusable = False
+    if ended.leaving or ended.retry_after_ms:
+        reject_waiting(context, pool)
     if not connection.reusable:
         connection.close()
         assign_waiting(context, pool)
@@ -246,6 +248,27 @@
     release(context, pool, connection)
 
 
+def reject_waiting(
+    context: searchers_context.SearchersContext,
+    pool: searcher_pool.SearcherPool,
+) -> None:
+    """Fail the attempts that a searcher does not want any more.
+
+    The forwarding task sends them to other searchers.
+    """
+    while pool.waiting:
+        job = pool.waiting.popleft()
+        report(
+            context,
+            job,
+            Ended(
+                job.command.attempt_id,
+                Outcome.NOT_SENT,
+                detail='searcher_closed',
+            ),
+        )
+
+
 def handle_connection_lost(
     context: searchers_context.SearchersContext,
     pool: searcher_pool.SearcherPool,
--- a/tests/node/gateway/test_new_connections.py
+++ b/tests/node/gateway/test_new_connections.py
@@ -1,6 +1,9 @@
+import types
 import unittest
 
 from gypsumbridge_decisions import forwarding
+from gypsumbridge_node.gateway import headers as headers_type
+from gypsumbridge_node.gateway import http_reply
 from gypsumbridge_node.gateway import pool_checkout
 from gypsumbridge_node.gateway import searchers_context
 from gypsumbridge_node.gateway import searchers_state
@@ -17,6 +20,10 @@
         state.table = gateway_case.make_table()
         runtime = bare_runtime.make_runtime()
         self.reactor = runtime.reactor
+        self.ended = []
+        runtime.mailboxes = types.SimpleNamespace(
+            forwarding=types.SimpleNamespace(put=self.ended.append)
+        )
         self.context = searchers_context.SearchersContext(
             runtime, state, header_names.HEADERS
         )
@@ -24,12 +31,12 @@
         self.pool = pool_checkout.pool_for(self.context, self.searcher)
         self.idle = bare_runtime.add_idle(self.pool.idle)
 
-    def send(self, max_idle_ms):
+    def send(self, max_idle_ms, attempt_id=1):
         request = forwarding.CallerRequest(
             1, 'r', 'GET', 'a.example', '/', (), b'', 600, 0
         )
         command = forwarding.SendAttempt(
-            1, request, self.searcher, 500, True, max_idle_ms
+            attempt_id, request, self.searcher, 500, True, max_idle_ms
         )
         searchers.send(self.context, command)
 
@@ -57,6 +64,34 @@
         self.assertEqual({}, self.pool.busy)
         self.assertEqual(1, len(self.reactor.tcpClients))
 
+    def test_waiting_attempts_do_not_reach_a_searcher_that_refuses(self):
+        """Guards against requests that are sent after a refusal."""
+        refusals = (
+            (503, {'retry-after': '3', 'gypsumbridge-not-executed': '1'}),
+            (200, {'server-leaving': '1'}),
+        )
+        for status, headers in refusals:
+            with self.subTest(headers=headers):
+                self.setUp()
+                self.send(max_idle_ms=None, attempt_id=1)
+                self.send(max_idle_ms=None, attempt_id=2)
+                self.assertEqual(1, len(self.pool.waiting))
+                reply = http_reply.HttpReply(
+                    status,
+                    headers_type.make_headers(headers.items()),
+                    b'',
+                    True,
+                )
+                pool_checkout.handle_reply(
+                    self.context, self.pool, self.idle, reply
+                )
+                first, second = self.ended
+                self.assertEqual(1, first.attempt_id)
+                self.assertEqual(2, second.attempt_id)
+                self.assertEqual(
+                    forwarding.AttemptOutcome.NOT_SENT, second.outcome
+                )
+
     def test_an_idle_connection_is_closed_for_a_new_one(self):
         """Guards against more connections than this node's share."""
         self.assertEqual(1, self.context.state.limit_for('s1'))
