--- a/packages/standins/src/gypsumbridge_standins/capacity/relay_costs.py
+++ b/packages/standins/src/gypsumbridge_standins/capacity/relay_costs.py
@@ -38,7 +38,7 @@
             0,
         )
         gateway_ports = ports.find_free_ports(
-            gateway_cluster.GATEWAY_PORTS + 1
+            gateway_cluster.GATEWAY_PORTS + gateway_cluster.PEER_PORTS
         )
         gateway_cluster.start_gateway(cluster, 0, gateway_ports)
         (process,) = (cluster.processes[name] for name in cluster.nodes)
@@ -46,7 +46,7 @@
             selector = stack.enter_context(selectors.DefaultSelector())
             for _ in range(followers):
                 connection = socket.create_connection(
-                    ('127.0.0.1', gateway_ports[-1])
+                    ('127.0.0.1', gateway_ports[gateway_cluster.GATEWAY_PORTS])
                 )
                 stack.enter_context(connection)
                 selector.register(connection, selectors.EVENT_READ)
--- a/packages/standins/src/gypsumbridge_standins/fault_soak/processes.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/processes.py
@@ -15,13 +15,16 @@
 from gypsumbridge_standins.fault_soak import run_record
 from gypsumbridge_standins.fault_soak import soak_state
 from gypsumbridge_standins.users_platform import gateway_cluster
+from gypsumbridge_standins.users_platform import peer_links
 
 RUN_LOG_NAME = 'runs-{number}.log'
 PLATFORM_COUNT = 2
 REQUEST_ID = re.compile(
     header_names.HEADERS.request_id.encode() + rb': (\S+)', re.IGNORECASE
 )
-PORTS_PER_GATEWAY = 7
+PORTS_PER_GATEWAY = 9
+# The first gateways gather for the others, one in each failure domain.
+LARGE_GATEWAYS = len(deployment.DOMAINS)
 
 
 def start(state: soak_state.SoakState) -> None:
@@ -81,7 +84,8 @@
     state: soak_state.SoakState, number: int, listen: list[int], store: int
 ) -> None:
     """Start a gateway with links to callers, store and other gateways."""
-    callers, ready, metrics, callers_link, store_link, *peers = listen
+    callers, ready, metrics, callers_link, store_link, *peer_ports = listen
+    links = peer_links.PeerLinks(*peer_ports)
     name = gateway_cluster.write_settings(
         state.cluster,
         number,
@@ -89,7 +93,10 @@
         store_link,
         deployment.BUDGET_RATIO,
         deployment.ALLOWANCE,
-        (peers[0], peers[1]) if state.plan.relayed else None,
+        links if state.plan.relayed else None,
+        gateway_cluster.LARGE_CAPACITY
+        if number < LARGE_GATEWAYS
+        else gateway_cluster.SMALL_CAPACITY,
     )
     node = state.cluster.nodes[name]
     state.cluster.nodes[name] = dataclasses.replace(
@@ -101,7 +108,8 @@
     )
     add_link(state, f'callers/{name}', callers_link, callers)
     add_link(state, f'store/{name}', store_link, store)
-    add_link(state, f'peers/{name}', peers[1], peers[0])
+    add_link(state, f'peers/{name}', links.advertised_peers, links.peers)
+    add_link(state, f'peers/{name}', links.advertised_gathers, links.gathers)
     gateway_cluster.spawn_gateway(state.cluster, name)
 
 
--- a/packages/standins/src/gypsumbridge_standins/fault_soak/soak_plan.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/soak_plan.py
@@ -10,7 +10,7 @@
     """The seed, size and faults of a run; faults are in order of time.
 
     With `relayed`, one gateway of each failure domain watches the store and
-    relays its updates to the others.
+    relays its updates to the others, and the first gateways gather for them.
     """
 
     seed: int
--- a/packages/standins/src/gypsumbridge_standins/users_platform/gateway_cluster.py
+++ b/packages/standins/src/gypsumbridge_standins/users_platform/gateway_cluster.py
@@ -8,17 +8,24 @@
 from gypsumbridge_standins.cluster import cluster as clusters
 from gypsumbridge_standins.cluster import node_address
 from gypsumbridge_standins.cluster import ports
+from gypsumbridge_standins.users_platform import peer_links
 
 MODULE = 'gypsumbridge_standins.users_platform'
 GATEWAY = 'gypsumbridge_platform'
 DOMAINS = ('d1', 'd2')
 # For callers, readiness and metrics.
 GATEWAY_PORTS = 3
+# For polls and for delegated gathers of other gateways.
+PEER_PORTS = 2
+# The capacity of a gateway that gathers for others, and that of the others.
+LARGE_CAPACITY = 100
+SMALL_CAPACITY = 10
 
 SETTINGS = """\
 [node]
 node_id = {name}
 failure_domain = {domain}
+capacity = {capacity}
 
 [listen]
 callers = 127.0.0.1:{callers}
@@ -41,8 +48,10 @@
 decision_lines_per_second = 5000
 """
 PEERS = """\
-peers = 127.0.0.1:{port}
-advertised_peers = 127.0.0.1:{advertised}
+peers = 127.0.0.1:{links.peers}
+advertised_peers = 127.0.0.1:{links.advertised_peers}
+gathers = 127.0.0.1:{links.gathers}
+advertised_gathers = 127.0.0.1:{links.advertised_gathers}
 """
 
 
@@ -52,14 +61,17 @@
     services: tuple[str, ...],
     nodes: int,
     relayed: bool = False,
+    large: int = 0,
 ) -> None:
     """Start the store, two searchers for each service, and gateways.
 
     A searcher's id is its service and failure domain, joined by a dash.
     `cluster.controls` holds the stand-in's control address. With `relayed`,
-    one gateway of each failure domain watches the store for the others.
+    one gateway of each failure domain watches the store for the others. The
+    first `large` gateways then gather for the others; with 0, each gathers
+    for itself.
     """
-    ports_per_gateway = GATEWAY_PORTS + relayed
+    ports_per_gateway = GATEWAY_PORTS + PEER_PORTS * relayed
     free_ports = ports.find_free_ports(
         2 + len(services) * len(DOMAINS) + ports_per_gateway * nodes
     )
@@ -89,21 +101,33 @@
             cluster,
             number,
             [free_ports.pop() for _ in range(ports_per_gateway)],
+            LARGE_CAPACITY if number < large else SMALL_CAPACITY,
         )
 
 
 def start_gateway(
-    cluster: clusters.Cluster, number: int, listen: list[int]
+    cluster: clusters.Cluster,
+    number: int,
+    listen: list[int],
+    capacity: int = SMALL_CAPACITY,
 ) -> None:
     """Start one gateway and wait until it is ready.
 
-    `listen` holds the ports for callers, readiness and metrics, and one for
-    other gateways if this one relays the store's updates.
+    `listen` holds the ports for callers, readiness and metrics, and those
+    for other gateways if this one serves them.
     """
     store_port = int(cluster.store.rpartition(':')[2])
-    peers = (listen[3], listen[3]) if len(listen) > GATEWAY_PORTS else None
+    links = None
+    if len(listen) > GATEWAY_PORTS:
+        peers, gathers = listen[GATEWAY_PORTS:]
+        links = peer_links.PeerLinks(peers, peers, gathers, gathers)
     name = write_settings(
-        cluster, number, listen[:GATEWAY_PORTS], store_port, peers=peers
+        cluster,
+        number,
+        listen[:GATEWAY_PORTS],
+        store_port,
+        links=links,
+        capacity=capacity,
     )
     spawn_gateway(cluster, name)
     clusters.wait_until(
@@ -128,14 +152,15 @@
     store_port: int,
     ratio: float = 0.2,
     allowance: float = 50,
-    peers: tuple[int, int] | None = None,
+    links: peer_links.PeerLinks | None = None,
+    capacity: int = SMALL_CAPACITY,
 ) -> str:
     """Write a gateway's settings file and return the gateway's name.
 
     `listen` holds the ports for callers, readiness and metrics. The gateway
     reaches the store at `store_port`; `ratio` and `allowance` are its retry
-    budget. With `peers`, its port for other gateways and the one that it
-    advertises to them, it relays the store's updates.
+    budget. With `links` it relays the store's updates and gathers for other
+    gateways.
     """
     name = f'gateway-{number}'
     domain = DOMAINS[number % len(DOMAINS)]
@@ -149,9 +174,8 @@
         store=store_port,
         ratio=ratio,
         allowance=allowance,
-        peers=''
-        if peers is None
-        else PEERS.format(port=peers[0], advertised=peers[1]),
+        capacity=capacity,
+        peers='' if links is None else PEERS.format(links=links),
     )
     path = cluster.folder / f'{name}.ini'
     path.write_text(settings)
--- /dev/null
+++ b/tests/processes/test_coordinators.py
@@ -0,0 +1,99 @@
+import http.client
+import signal
+import unittest
+
+from gypsumbridge_platform import header_names
+from gypsumbridge_standins.cluster import cluster as clusters
+from gypsumbridge_standins.users_platform import gateway_cluster
+from gypsumbridge_standins.users_platform import operator_config
+from gypsumbridge_standins.users_platform import plain_request
+from gypsumbridge_standins.users_platform import searcher_site
+
+NAMES = header_names.HEADERS
+SERVICES = ('s1', 's2', 's3')
+TOP_K = 5
+DEADLINE_MS = 20_000
+# Short enough that a coordinator which does not react is replaced soon.
+TARGET_LATENCY_MS = 1_000
+# One large gateway in each failure domain, and two small ones.
+LARGE = 2
+NODES = 4
+SMALL_NODE = 'gateway-2'
+
+
+class CoordinatorsTest(unittest.TestCase):
+    def setUp(self):
+        self.cluster = clusters.Cluster()
+        self.addCleanup(self.cluster.stop)
+        route = operator_config.make_gather_route(
+            '/all/', SERVICES, DEADLINE_MS, TARGET_LATENCY_MS, TOP_K, 1.0
+        )
+        gateway_cluster.start_gateway_cluster(
+            self.cluster,
+            operator_config.make_config(1, SERVICES, (route,)),
+            SERVICES,
+            NODES,
+            relayed=True,
+            large=LARGE,
+        )
+        self.requests = 0
+        clusters.wait_until(
+            lambda: self.coordinator_of(self.send_gather()) == 'gateway-0',
+            'the large gateway nearby gathers',
+        )
+
+    def send_gather(self):
+        """Send a gather to a small gateway and check its answer."""
+        self.requests += 1
+        request_id = f'q{self.requests}'
+        target = f'/all/{request_id}'
+        connection = http.client.HTTPConnection(
+            self.cluster.nodes[SMALL_NODE].http, timeout=30
+        )
+        try:
+            status, headers, body = plain_request.send(
+                connection, request_id, target, None, DEADLINE_MS
+            )
+        finally:
+            connection.close()
+        self.assertEqual(200, status)
+        signatures = headers[NAMES.part_signatures].split(', ')
+        self.assertEqual(
+            {request_id}, {s.partition('.')[2] for s in signatures}
+        )
+        parts = [searcher_site.records_of(s, target) for s in SERVICES]
+        records = [p[n : n + 16] for p in parts for n in range(0, len(p), 16)]
+        records.sort(reverse=True)
+        self.assertEqual(b''.join(records[:TOP_K]), body)
+        return request_id
+
+    def coordinator_of(self, request_id):
+        """Return the gateway that has gathered a request."""
+        for node in self.cluster.nodes:
+            for record in self.cluster.read_log(node):
+                if record.get('request_id') != request_id:
+                    continue
+                if record['message'] == 'request_finished':
+                    return node
+        return None
+
+    def wait_for_coordinator(self, node):
+        clusters.wait_until(
+            lambda: self.coordinator_of(self.send_gather()) == node,
+            f'{node} gathers',
+        )
+
+    def test_gathers_survive_the_loss_of_their_coordinators(self):
+        """Guards against an outage while a large gateway is lost."""
+        self.cluster.signal('gateway-0', signal.SIGKILL)
+        self.cluster.wait('gateway-0')
+        self.wait_for_coordinator('gateway-1')
+        self.cluster.signal('gateway-1', signal.SIGSTOP)
+        self.addCleanup(self.cluster.signal, 'gateway-1', signal.SIGCONT)
+        self.wait_for_coordinator(SMALL_NODE)
+
+    def test_a_coordinator_that_stops_finishes_its_gathers(self):
+        """Guards against gathers that are cut by planned work."""
+        self.cluster.signal('gateway-0', signal.SIGTERM)
+        self.wait_for_coordinator('gateway-1')
+        self.assertEqual(0, self.cluster.wait('gateway-0'))
