Send no hedge or retry after a request's deadline

Change: an extra attempt needs time left. Measured: the new test of test_timing fails on the code before and passes now.

--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/sending.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/sending.py
@@ -87,6 +87,9 @@
     connection that has been idle for `max_idle_ms` or longer is not used.
     """
     route = exchange.route
+    if now_ms >= exchange.expires_ms:
+        # This node was paused, and its expiry timer has not been handled.
+        return []
     if part.runs >= route.max_attempts:
         return []
     if part.sends >= route.max_attempts + MAX_SENDS_NOT_RUN:
--- a/tests/decisions/forwarding/test_timing.py
+++ b/tests/decisions/forwarding/test_timing.py
@@ -33,6 +33,15 @@
             idle_ms - 8, self.answer_after(route, 2.0), delta=1
         )
 
+    def test_nothing_is_sent_after_the_deadline(self):
+        """Guards against a paused node that works for nobody when it wakes."""
+        sent = gateway_case.sends(self.arrive())
+        self.now_ms += 600
+        commands = self.handle(forwarding.HedgeTimer(self.last_call_id))
+        self.assertEqual([], gateway_case.sends(commands))
+        lost = self.end(sent[0], forwarding.AttemptOutcome.LOST)
+        self.assertEqual([], gateway_case.sends(lost))
+
     def test_the_answer_delay_is_measured_when_a_response_is_written(self):
         """Guards against a margin that fits only one kind of machine."""
         sent = gateway_case.sends(self.arrive())
