Gather remote parts in the failure domain of their searchers

Cause: the parts of a service without a searcher in the gatherer's failure domain crossed the border one by one. Change: a gatherer delegates such parts, three or more at a time, to a coordinator in a domain that has searchers of them, which returns the greatest records and the signatures. Parts of a group that is refused, not confirmed or lost are sent directly or left out, as whole gathers are. Routes whose objective is shorter than ten times the detour (80 ms) are gathered as before.

--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
@@ -9,12 +9,15 @@
 from gypsumbridge_decisions.forwarding.answer_delay import (
     AnswerDelay as AnswerDelay,
 )
-from gypsumbridge_decisions.forwarding.arrival import (
+from gypsumbridge_decisions.forwarding.answer_timing import (
     answer_after_ms as answer_after_ms,
 )
-from gypsumbridge_decisions.forwarding.arrival import (
+from gypsumbridge_decisions.forwarding.answer_timing import (
     answer_delay_for as answer_delay_for,
 )
+from gypsumbridge_decisions.forwarding.answer_timing import (
+    own_delay_ms as own_delay_ms,
+)
 from gypsumbridge_decisions.forwarding.arrival import (
     choose_services as choose_services,
 )
@@ -86,9 +89,6 @@
 from gypsumbridge_decisions.forwarding.delegated_request import (
     DelegatedRequest as DelegatedRequest,
 )
-from gypsumbridge_decisions.forwarding.delegating import (
-    acceptance_ms as acceptance_ms,
-)
 from gypsumbridge_decisions.forwarding.delegating import (
     cancel_delegated as cancel_delegated,
 )
@@ -98,6 +98,7 @@
 from gypsumbridge_decisions.forwarding.delegating import (
     expire_delegated as expire_delegated,
 )
+from gypsumbridge_decisions.forwarding.delegating import fail as fail
 from gypsumbridge_decisions.forwarding.delegating import (
     handle_acceptance as handle_acceptance,
 )
@@ -107,17 +108,12 @@
 from gypsumbridge_decisions.forwarding.delegating import (
     handle_end as handle_end,
 )
-from gypsumbridge_decisions.forwarding.delegating import health_of as health_of
-from gypsumbridge_decisions.forwarding.delegating import log_lost as log_lost
-from gypsumbridge_decisions.forwarding.delegating import (
-    pop_delegation as pop_delegation,
-)
 from gypsumbridge_decisions.forwarding.delegating import receive as receive
 from gypsumbridge_decisions.forwarding.delegating import (
     relay_response as relay_response,
 )
 from gypsumbridge_decisions.forwarding.delegating import (
-    repeat_request as repeat_request,
+    start_again as start_again,
 )
 from gypsumbridge_decisions.forwarding.delegating import (
     start_request as start_request,
@@ -131,6 +127,27 @@
 from gypsumbridge_decisions.forwarding.delegation_ended import (
     DelegationEnded as DelegationEnded,
 )
+from gypsumbridge_decisions.forwarding.delegation_sending import (
+    acceptance_ms as acceptance_ms,
+)
+from gypsumbridge_decisions.forwarding.delegation_sending import (
+    cancel_groups as cancel_groups,
+)
+from gypsumbridge_decisions.forwarding.delegation_sending import (
+    choose_least_busy as choose_least_busy,
+)
+from gypsumbridge_decisions.forwarding.delegation_sending import (
+    health_of as health_of,
+)
+from gypsumbridge_decisions.forwarding.delegation_sending import (
+    log_lost as log_lost,
+)
+from gypsumbridge_decisions.forwarding.delegation_sending import (
+    pop_delegation as pop_delegation,
+)
+from gypsumbridge_decisions.forwarding.delegation_sending import (
+    send_delegation as send_delegation,
+)
 from gypsumbridge_decisions.forwarding.discovery_updates import (
     change_fleet_size as change_fleet_size,
 )
@@ -199,6 +216,28 @@
 from gypsumbridge_decisions.forwarding.gather_rule import (
     GatherRule as GatherRule,
 )
+from gypsumbridge_decisions.forwarding.grouping import (
+    close_group as close_group,
+)
+from gypsumbridge_decisions.forwarding.grouping import drop_group as drop_group
+from gypsumbridge_decisions.forwarding.grouping import (
+    merge_group as merge_group,
+)
+from gypsumbridge_decisions.forwarding.grouping import (
+    plan_groups as plan_groups,
+)
+from gypsumbridge_decisions.forwarding.grouping import (
+    remote_coordinators as remote_coordinators,
+)
+from gypsumbridge_decisions.forwarding.grouping import (
+    remote_domains as remote_domains,
+)
+from gypsumbridge_decisions.forwarding.grouping import (
+    send_directly as send_directly,
+)
+from gypsumbridge_decisions.forwarding.grouping import (
+    send_groups as send_groups,
+)
 from gypsumbridge_decisions.forwarding.handler import handle as handle
 from gypsumbridge_decisions.forwarding.hedge_timer import (
     HedgeTimer as HedgeTimer,
@@ -272,6 +311,9 @@
 from gypsumbridge_decisions.forwarding.sending import (
     send_first_attempt as send_first_attempt,
 )
+from gypsumbridge_decisions.forwarding.service_group import (
+    ServiceGroup as ServiceGroup,
+)
 from gypsumbridge_decisions.forwarding.split import Split as Split
 from gypsumbridge_decisions.forwarding.state import (
     ASSUMED_NODES as ASSUMED_NODES,
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/acceptance_timer.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/acceptance_timer.py
@@ -5,8 +5,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class AcceptanceTimer:
-    """Set when a request is delegated; `coordinator_id` identifies it."""
+    """Set to fire at `due_ms` when a gather is delegated."""
 
-    call_id: int
-    coordinator_id: str
+    delegation_id: int
     due_ms: int
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/arrival.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/arrival.py
@@ -3,12 +3,13 @@
 import dataclasses
 
 from gypsumbridge_decisions import messages
-from gypsumbridge_decisions.forwarding import answer_delay
+from gypsumbridge_decisions.forwarding import answer_timing
 from gypsumbridge_decisions.forwarding import caller_request
 from gypsumbridge_decisions.forwarding import command
 from gypsumbridge_decisions.forwarding import exchange as exchanges
 from gypsumbridge_decisions.forwarding import expiry_timer
 from gypsumbridge_decisions.forwarding import finishing
+from gypsumbridge_decisions.forwarding import grouping
 from gypsumbridge_decisions.forwarding import hedge_timer
 from gypsumbridge_decisions.forwarding import hedging
 from gypsumbridge_decisions.forwarding import objective_timer
@@ -18,18 +19,6 @@
 from gypsumbridge_decisions.forwarding import state as states
 
 STATUS_NO_ROUTE = 404
-# Assumed time from an objective timer to the response on the socket, until
-# responses of the route have been measured.
-ANSWER_MARGIN_MS = 3
-# Time to read the request, and for the caller to read the response.
-READ_MARGIN_MS = 2
-# Added to `ANSWER_MARGIN_MS` for each part that is merged.
-PART_MARGIN_MS = 0.06
-# If the network takes more than this share of the objective, the response is
-# late at the caller.
-MAX_NETWORK_SHARE = 0.4
-# Limits the share of the objective that is subtracted for this node's delays.
-MAX_OWN_SHARE = 0.3
 
 
 def expiry_ms(
@@ -46,11 +35,13 @@
     version: int,
     now_ms: int,
     repeated: bool,
+    group: tuple[str, ...] = (),
 ) -> list[command.Command]:
     """Send the first attempts of a request to searchers.
 
     If another node may have sent attempts for it, each service gets one
-    attempt less.
+    attempt less. With `group`, only the parts of these services are gathered
+    for a node that adds the others.
     """
     if repeated:
         attempts = max(1, route.max_attempts - 1)
@@ -59,13 +50,16 @@
         request,
         route,
         version,
-        choose_services(state, route),
+        group or choose_services(state, route),
         expiry_ms(request, route),
         repeated,
+        partial=bool(group),
     )
     state.exchanges[request.call_id] = exchange
-    commands: list[command.Command] = []
+    commands = grouping.send_groups(state, exchange, now_ms)
     for part in exchange.parts:
+        if part.delegated:
+            continue
         commands += sending.send_first_attempt(state, exchange, part, now_ms)
     if not exchange.open_services:
         return commands + finishing.finish(state, exchange, now_ms)
@@ -90,7 +84,9 @@
 ) -> list[command.Command]:
     """Return the expiry, hedge and objective timers of a sent request."""
     call_id = exchange.request.call_id
-    wait_ms = answer_after_ms(state, exchange.route, exchange.request)
+    wait_ms = answer_timing.answer_after_ms(
+        state, exchange.route, exchange.request
+    )
     commands: list[command.Command] = [
         messages.Timer(
             exchange.expires_ms - now_ms, expiry_timer.ExpiryTimer(call_id)
@@ -110,36 +106,3 @@
             )
         )
     return commands
-
-
-def answer_after_ms(
-    state: states.ForwardingState,
-    route: routes.Route,
-    request: caller_request.CallerRequest,
-) -> int:
-    """Return the time after arrival at which a partial response is sent.
-
-    The objective counts from the first packet that the caller sends to the
-    last one that it receives, so the time on the network and in this node's
-    queues is subtracted.
-    """
-    network_ms = min(
-        request.network_ms, route.objective_ms * MAX_NETWORK_SHARE
-    )
-    # Arriving requests are delayed as much as this node's timers.
-    own_ms = READ_MARGIN_MS + state.timer_lag_ms
-    own_ms += answer_delay_for(state, route).upper_ms()
-    own_ms = min(own_ms, route.objective_ms * MAX_OWN_SHARE)
-    return max(1, int(route.objective_ms - network_ms - own_ms))
-
-
-def answer_delay_for(
-    state: states.ForwardingState, route: routes.Route
-) -> answer_delay.AnswerDelay:
-    """Return the answer delay of a route, created on first use."""
-    found = state.answer_delays.get(route.name)
-    if found is None:
-        estimate_ms = ANSWER_MARGIN_MS + PART_MARGIN_MS * len(route.targets)
-        found = answer_delay.AnswerDelay(estimate_ms)
-        state.answer_delays[route.name] = found
-    return found
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/caller_response.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/caller_response.py
@@ -9,9 +9,10 @@
 
     `retry_after_ms` is the delay after which the caller may retry, or 0.
     `part_signatures` and `missing_parts` describe a gathered response; the
-    latter is -1 for any other response. A response triggered by an
-    objective timer has the name of its route in `objective_route` and the
-    time for which the timer was set in `due_ms`.
+    latter is -1 for any other response. The response to a delegated group
+    of services names the service of each part in `part_services`. A response
+    triggered by an objective timer has the name of its route in
+    `objective_route` and the time for which the timer was set in `due_ms`.
     """
 
     call_id: int
@@ -21,5 +22,6 @@
     retry_after_ms: int = 0
     part_signatures: tuple[str, ...] = ()
     missing_parts: int = -1
+    part_services: tuple[str, ...] = ()
     objective_route: str = ''
     due_ms: int = 0
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/cancel_delegation.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/cancel_delegation.py
@@ -11,5 +11,5 @@
     connections are closed as well.
     """
 
-    call_id: int
+    delegation_id: int
     suspect: bool
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/coordinating.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/coordinating.py
@@ -37,10 +37,19 @@
     route = route_table.find_route(table, request.host, path)
     if route is None or route.gather is None:
         return refuse_delegated(request.call_id, 'route')
+    targets = {target.service for target in route.targets}
+    if not targets.issuperset(message.services):
+        return refuse_delegated(request.call_id, 'route')
     return [
         accept_delegated.AcceptDelegated(request.call_id),
         *arrival.start_exchange(
-            state, request, route, table.version, now_ms, message.repeated
+            state,
+            request,
+            route,
+            table.version,
+            now_ms,
+            message.repeated,
+            message.services,
         ),
     ]
 
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/coordinator_plan.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/coordinator_plan.py
@@ -25,22 +25,27 @@
     traffic between failure domains is billed. Nodes with little capacity, or
     without searchers in their failure domain, therefore delegate gathers to
     `nearby` coordinators, those in their own failure domain, or to `remote`
-    ones. A node that `gathers_itself` is a coordinator, or knows none.
+    ones. A node that `gathers_itself` is a coordinator, or knows none. The
+    work `is_shared` unless every node is one.
     """
 
     gathers_itself: bool
+    is_shared: bool = False
     nearby: tuple[peer_node.PeerNode, ...] = ()
     remote: tuple[peer_node.PeerNode, ...] = ()
 
-    @property
-    def is_shared(self) -> bool:
-        """Whether coordinators gather for other nodes."""
-        return bool(self.nearby or self.remote)
-
     def count(self) -> int:
         """Return the number of coordinators."""
         return len(self.nearby) + len(self.remote)
 
+    def coordinators_in(self, domain: str) -> list[peer_node.PeerNode]:
+        """Return the coordinators in a failure domain."""
+        return [
+            node
+            for node in (*self.nearby, *self.remote)
+            if node.failure_domain == domain
+        ]
+
 
 ALONE = CoordinatorPlan(gathers_itself=True)
 
@@ -66,11 +71,10 @@
         return ALONE
     least = MIN_CAPACITY_SHARE * max(node.capacity for node in found)
     found = [node for node in found if node.capacity >= least]
-    if len(found) == len(nodes):
-        return ALONE
     domain = own.failure_domain
     return CoordinatorPlan(
         own in found,
+        len(found) < len(nodes),
         tuple(node for node in found if node.failure_domain == domain),
         tuple(node for node in found if node.failure_domain != domain),
     )
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/delegate_request.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/delegate_request.py
@@ -10,6 +10,6 @@
 class DelegateRequest:
     """Sends the request to the coordinator, and reports the result."""
 
-    call_id: int
+    delegation_id: int
     coordinator: peer_node.PeerNode
     delegated: delegated_request.DelegatedRequest
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/delegating.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/delegating.py
@@ -1,4 +1,4 @@
-"""Delegation of gathers to coordinators."""
+"""Delegation of whole gathers, and the ends of all delegations."""
 
 import dataclasses
 
@@ -9,25 +9,19 @@
 from gypsumbridge_decisions.forwarding import caller_response
 from gypsumbridge_decisions.forwarding import cancel_delegation
 from gypsumbridge_decisions.forwarding import command
-from gypsumbridge_decisions.forwarding import coordinator_health
-from gypsumbridge_decisions.forwarding import delegate_request
-from gypsumbridge_decisions.forwarding import delegated_request
 from gypsumbridge_decisions.forwarding import delegation as delegations
 from gypsumbridge_decisions.forwarding import delegation_accepted
 from gypsumbridge_decisions.forwarding import delegation_ended
+from gypsumbridge_decisions.forwarding import delegation_sending
 from gypsumbridge_decisions.forwarding import expiry_timer
 from gypsumbridge_decisions.forwarding import final_response
+from gypsumbridge_decisions.forwarding import grouping
 from gypsumbridge_decisions.forwarding import refusing
 from gypsumbridge_decisions.forwarding import route as routes
 from gypsumbridge_decisions.forwarding import route_table
 from gypsumbridge_decisions.forwarding import state as states
 from gypsumbridge_decisions.relaying import peer_node
 
-# A coordinator confirms a request within this share of the objective, unless
-# it is frozen, unreachable or overloaded.
-ACCEPTANCE_SHARE = 0.25
-MIN_ACCEPTANCE_MS = 10
-MAX_ACCEPTANCE_MS = 50
 # A timer that fires this late shows that this node was delayed. The
 # confirmation may have arrived meanwhile.
 LATE_TIMER_MS = 5
@@ -72,30 +66,15 @@
             state, request, route, version, now_ms, repeated
         )
     expires_ms = arrival.expiry_ms(request, route)
-    state.delegations[request.call_id] = delegations.Delegation(
-        request, route, version, chosen.node_id, expires_ms, repeated
+    delegation = delegations.Delegation(
+        request, route, version, chosen.node_id, expires_ms, repeated, ()
     )
-    health_of(state, chosen.node_id).in_flight += 1
-    wait_ms = acceptance_ms(route)
-    due_ms = now_ms + wait_ms
-    passed_ms = now_ms - request.arrived_ms + RETURN_MARGIN_MS
-    delegated = dataclasses.replace(
-        request,
-        deadline_ms=max(1, expires_ms - now_ms),
-        network_ms=request.network_ms + passed_ms,
+    commands = delegation_sending.send_delegation(
+        state, delegation, chosen, RETURN_MARGIN_MS, now_ms
     )
+    state.delegated_calls[request.call_id] = state.last_delegation_id
     return [
-        delegate_request.DelegateRequest(
-            request.call_id,
-            chosen,
-            delegated_request.DelegatedRequest(delegated, version, repeated),
-        ),
-        messages.Timer(
-            wait_ms,
-            acceptance_timer.AcceptanceTimer(
-                request.call_id, chosen.node_id, due_ms
-            ),
-        ),
+        *commands,
         messages.Timer(
             expires_ms - now_ms, expiry_timer.ExpiryTimer(request.call_id)
         ),
@@ -103,12 +82,6 @@
     ]
 
 
-def acceptance_ms(route: routes.Route) -> int:
-    """Return the time within which a coordinator confirms a request."""
-    share_ms = int(route.objective_ms * ACCEPTANCE_SHARE)
-    return max(MIN_ACCEPTANCE_MS, min(share_ms, MAX_ACCEPTANCE_MS))
-
-
 def choose_coordinator(
     state: states.ForwardingState, route: routes.Route, now_ms: int
 ) -> peer_node.PeerNode | None:
@@ -121,32 +94,9 @@
     plan = state.coordination.plan_for(route.targets[0].service)
     if plan.gathers_itself:
         return None
-    for group in (plan.nearby, plan.remote):
-        usable = [
-            node
-            for node in group
-            if health_of(state, node.node_id).excluded_until_ms <= now_ms
-        ]
-        if not usable:
-            continue
-        state.last_coordinator += 1
-        first = state.last_coordinator % len(usable)
-        return min(
-            usable[first:] + usable[:first],
-            key=lambda node: health_of(state, node.node_id).in_flight,
-        )
-    return None
-
-
-def health_of(
-    state: states.ForwardingState, node_id: str
-) -> coordinator_health.CoordinatorHealth:
-    """Return the health of a coordinator, created on first use."""
-    found = state.coordinators.get(node_id)
-    if found is None:
-        found = coordinator_health.CoordinatorHealth()
-        state.coordinators[node_id] = found
-    return found
+    return delegation_sending.choose_least_busy(
+        state, plan.nearby, now_ms
+    ) or delegation_sending.choose_least_busy(state, plan.remote, now_ms)
 
 
 def handle_acceptance(
@@ -154,7 +104,7 @@
     accepted: delegation_accepted.DelegationAccepted,
 ) -> list[command.Command]:
     """Record that the coordinator has the request."""
-    found = state.delegations.get(accepted.call_id)
+    found = state.delegations.get(accepted.delegation_id)
     if found is not None:
         found.accepted = True
     return []
@@ -165,26 +115,23 @@
     timer: acceptance_timer.AcceptanceTimer,
     now_ms: int,
 ) -> list[command.Command]:
-    """Gather a request elsewhere if its coordinator does not react."""
-    found = state.delegations.get(timer.call_id)
-    if (
-        found is None
-        or found.accepted
-        or found.coordinator_id != timer.coordinator_id
-    ):
+    """Gather elsewhere if a coordinator does not react."""
+    found = state.delegations.get(timer.delegation_id)
+    if found is None or found.accepted:
         return []
     if now_ms - timer.due_ms >= LATE_TIMER_MS and not found.timer_extended:
         found.timer_extended = True
-        wait_ms = acceptance_ms(found.route)
+        wait_ms = delegation_sending.acceptance_ms(found.route)
         again = dataclasses.replace(timer, due_ms=now_ms + wait_ms)
         return [messages.Timer(wait_ms, again)]
-    pop_delegation(state, timer.call_id)
-    health_of(state, found.coordinator_id).record_failure(now_ms)
+    delegation_sending.pop_delegation(state, timer.delegation_id)
+    health = delegation_sending.health_of(state, found.coordinator_id)
+    health.record_failure(now_ms)
     return [
-        cancel_delegation.CancelDelegation(timer.call_id, suspect=True),
-        log_lost(found, 'not_accepted'),
+        cancel_delegation.CancelDelegation(timer.delegation_id, suspect=True),
+        delegation_sending.log_lost(found, 'not_accepted'),
         messages.Count('forwarding.delegations_lost.not_accepted'),
-        *repeat_request(state, found, now_ms),
+        *start_again(state, found, now_ms, maybe_sent=True),
     ]
 
 
@@ -193,77 +140,86 @@
     ended: delegation_ended.DelegationEnded,
     now_ms: int,
 ) -> list[command.Command]:
-    """Relay a coordinator's response, or gather the request elsewhere."""
-    found = pop_delegation(state, ended.call_id)
+    """Use a coordinator's response, or gather elsewhere."""
+    found = delegation_sending.pop_delegation(state, ended.delegation_id)
     if found is None:
         return []
-    health = health_of(state, found.coordinator_id)
+    health = delegation_sending.health_of(state, found.coordinator_id)
     if ended.response is not None:
         health.record_answer()
+        if found.services:
+            return grouping.merge_group(state, found, ended.response, now_ms)
         return relay_response(found, ended.response, now_ms)
+    reason = ended.refusal or ended.failure
+    log = delegation_sending.log_lost(found, reason)
     if ended.refusal:
         health.record_refusal(now_ms)
-        commands: list[command.Command] = [
-            log_lost(found, ended.refusal),
-            messages.Count(f'forwarding.delegations_refused.{ended.refusal}'),
-        ]
-        return commands + start_request(
-            state,
-            found.request,
-            found.route,
-            found.version,
-            now_ms,
-            found.repeated,
-        )
-    health.record_failure(now_ms)
-    commands = [
-        log_lost(found, ended.failure),
-        messages.Count(f'forwarding.delegations_lost.{ended.failure}'),
-    ]
-    if not ended.sent:
-        return commands + start_request(
-            state,
-            found.request,
-            found.route,
-            found.version,
-            now_ms,
-            found.repeated,
-        )
-    if not found.accepted:
-        return commands + repeat_request(state, found, now_ms)
-    # Attempts at two searchers of a service may have been sent for it.
-    failed = caller_response.CallerResponse(
-        found.request.call_id, final_response.STATUS_BAD_GATEWAY
+        count = messages.Count(f'forwarding.delegations_refused.{reason}')
+    else:
+        health.record_failure(now_ms)
+        count = messages.Count(f'forwarding.delegations_lost.{reason}')
+    if ended.refusal or not ended.sent:
+        commands = start_again(state, found, now_ms, maybe_sent=False)
+    elif not found.accepted:
+        commands = start_again(state, found, now_ms, maybe_sent=True)
+    else:
+        commands = fail(state, found, now_ms)
+    return [log, count, *commands]
+
+
+def start_again(
+    state: states.ForwardingState,
+    found: delegations.Delegation,
+    now_ms: int,
+    maybe_sent: bool,
+) -> list[command.Command]:
+    """Gather elsewhere what a coordinator does not gather.
+
+    It may have sent attempts if `maybe_sent` is set. After a second
+    coordinator of a request that did not react, this node gathers.
+    """
+    if found.services:
+        return grouping.send_directly(state, found, now_ms, maybe_sent)
+    start = start_request
+    if maybe_sent and found.repeated:
+        start = arrival.start_exchange
+    return start(
+        state,
+        found.request,
+        found.route,
+        found.version,
+        now_ms,
+        maybe_sent or found.repeated,
     )
-    return commands + relay_response(found, failed, now_ms)
 
 
-def repeat_request(
+def fail(
     state: states.ForwardingState,
     found: delegations.Delegation,
     now_ms: int,
 ) -> list[command.Command]:
-    """Gather a request that a coordinator may have begun to gather.
+    """Give up what a coordinator had begun to gather when it was lost.
 
-    After a second coordinator that did not react, this node gathers.
+    It may have sent attempts at as many searchers as the route allows.
     """
-    if found.repeated:
-        return arrival.start_exchange(
-            state, found.request, found.route, found.version, now_ms, True
-        )
-    return start_request(
-        state, found.request, found.route, found.version, now_ms, True
+    if found.services:
+        return grouping.drop_group(state, found, now_ms)
+    failed = caller_response.CallerResponse(
+        found.request.call_id, final_response.STATUS_BAD_GATEWAY
     )
+    return relay_response(found, failed, now_ms)
 
 
 def cancel_delegated(
     state: states.ForwardingState, call_id: int
 ) -> list[command.Command]:
     """Cancel the delegated request of a caller that disconnected."""
-    if pop_delegation(state, call_id) is None:
+    delegation_id = state.delegated_calls.get(call_id)
+    if delegation_id is None:
         return []
+    delegation_sending.pop_delegation(state, delegation_id)
     return [
-        cancel_delegation.CancelDelegation(call_id, suspect=False),
+        cancel_delegation.CancelDelegation(delegation_id, suspect=False),
         messages.Count('forwarding.callers_gone'),
     ]
 
@@ -272,28 +228,21 @@
     state: states.ForwardingState, call_id: int, now_ms: int
 ) -> list[command.Command]:
     """Answer a delegated request whose deadline has passed."""
-    found = pop_delegation(state, call_id)
+    delegation_id = state.delegated_calls.get(call_id)
+    if delegation_id is None:
+        return []
+    found = delegation_sending.pop_delegation(state, delegation_id)
     if found is None:
         return []
     expired = caller_response.CallerResponse(
         call_id, final_response.STATUS_TIMEOUT
     )
     return [
-        cancel_delegation.CancelDelegation(call_id, suspect=False),
+        cancel_delegation.CancelDelegation(delegation_id, suspect=False),
         *relay_response(found, expired, now_ms),
     ]
 
 
-def pop_delegation(
-    state: states.ForwardingState, call_id: int
-) -> delegations.Delegation | None:
-    """Remove and return the delegation of a request, if there is one."""
-    found = state.delegations.pop(call_id, None)
-    if found is not None:
-        health_of(state, found.coordinator_id).in_flight -= 1
-    return found
-
-
 def relay_response(
     found: delegations.Delegation,
     response: caller_response.CallerResponse,
@@ -321,13 +270,3 @@
             f'forwarding.latency.rank_{found.route.rank}', after_ms
         ),
     ]
-
-
-def log_lost(found: delegations.Delegation, reason: str) -> messages.Decision:
-    """Return the log line of a gather that its coordinator did not finish."""
-    fields: dict[str, str | int | float] = {
-        'request_id': found.request.request_id,
-        'coordinator': found.coordinator_id,
-        'version': found.version,
-    }
-    return messages.Decision('delegation_lost', reason, fields)
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/delegation.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/delegation.py
@@ -1,4 +1,4 @@
-"""State of one request that is gathered by another node."""
+"""State of a gather that is delegated to another node."""
 
 from gypsumbridge_decisions.forwarding import caller_request
 from gypsumbridge_decisions.forwarding import route as routes
@@ -7,9 +7,10 @@
 class Delegation:
     """The request, its route, and the coordinator that it was sent to.
 
-    `expires_ms` is the deadline of the final response on this node's clock.
-    `accepted` is set when the coordinator has confirmed that it gathers.
-    `repeated` is set if another coordinator may have gathered before.
+    `services` are those that the coordinator gathers from, empty for all of
+    them. `expires_ms` is the deadline of the final response on this node's
+    clock. `accepted` is set when the coordinator has confirmed that it
+    gathers, `repeated` if another one may have gathered before.
     `timer_extended` is set after the acceptance timer was set again.
     """
 
@@ -21,6 +22,7 @@
         coordinator_id: str,
         expires_ms: int,
         repeated: bool,
+        services: tuple[str, ...],
     ) -> None:
         self.request = request
         self.route = route
@@ -28,5 +30,6 @@
         self.coordinator_id = coordinator_id
         self.expires_ms = expires_ms
         self.repeated = repeated
+        self.services = services
         self.accepted = False
         self.timer_extended = False
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/delegation_accepted.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/delegation_accepted.py
@@ -7,4 +7,4 @@
 class DelegationAccepted:
     """The coordinator has started to gather the parts."""
 
-    call_id: int
+    delegation_id: int
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/delegation_ended.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/delegation_ended.py
@@ -14,7 +14,7 @@
     connection, and `sent` whether the coordinator may have the request.
     """
 
-    call_id: int
+    delegation_id: int
     response: caller_response.CallerResponse | None = None
     refusal: str = ''
     failure: str = ''
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/exchange.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/exchange.py
@@ -14,7 +14,9 @@
     parts. `open_services` names the parts whose answer may still arrive.
     `hedge_postponed` is set after hedges were postponed once. `merged_records`
     is None unless the route gathers. With `repeated`, another node may have
-    sent attempts for the request.
+    sent attempts for the request. With `partial`, another node has delegated
+    a group of services and adds the other parts. `groups` holds the ids of
+    the delegations of this request's own groups.
     """
 
     def __init__(
@@ -25,6 +27,7 @@
         services: tuple[str, ...],
         expires_ms: int,
         repeated: bool = False,
+        partial: bool = False,
     ) -> None:
         self.request = request
         self.route = route
@@ -41,6 +44,8 @@
         self.hedge_postponed = False
         self.objective_passed = False
         self.repeated = repeated
+        self.partial = partial
+        self.groups: set[int] = set()
 
     def part(self, service: str) -> part_state.PartState:
         """Return the part of a service."""
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/final_response.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/final_response.py
@@ -14,15 +14,18 @@
 def success(exchange: exchanges.Exchange) -> caller_response.CallerResponse:
     """Return the merged parts, or the searcher's response unchanged."""
     call_id = exchange.request.call_id
-    answers = [p.answer for p in exchange.parts if p.answer is not None]
+    parts = [p for p in exchange.parts if p.answer is not None]
+    answers = [p.answer for p in parts if p.answer is not None]
     if exchange.merged_records is None:
         return relay(call_id, answers[0])
+    services = tuple(part.service for part in parts)
     return caller_response.CallerResponse(
         call_id,
         STATUS_OK,
         body=exchange.merged_records.body(),
         part_signatures=tuple(a.signature for a in answers),
         missing_parts=len(exchange.parts) - len(answers),
+        part_services=services if exchange.partial else (),
     )
 
 
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/finishing.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/finishing.py
@@ -5,6 +5,7 @@
 from gypsumbridge_decisions import messages
 from gypsumbridge_decisions.forwarding import cancel_attempt
 from gypsumbridge_decisions.forwarding import command
+from gypsumbridge_decisions.forwarding import delegation_sending
 from gypsumbridge_decisions.forwarding import exchange as exchanges
 from gypsumbridge_decisions.forwarding import final_response
 from gypsumbridge_decisions.forwarding import objective_timer
@@ -13,6 +14,8 @@
 
 # The weight of the latest timer in the average lag.
 LAG_WEIGHT = 0.1
+# The other parts of a request may make up for this share of those of a group.
+PARTIAL_MARGIN = 0.1
 # The connection of a cancelled attempt can be reused if its response arrives
 # within this time. Searchers pause for up to 200 ms.
 CANCEL_GRACE_MS = 350
@@ -30,7 +33,10 @@
     if rule is None:
         return exchange.parts[0].answer is not None
     share = coverage(exchange)
-    return share > 0 and share >= rule.min_coverage
+    least = rule.min_coverage
+    if exchange.partial:
+        least = least - PARTIAL_MARGIN if exchange.open_services else 0.0
+    return share > 0 and share >= least
 
 
 def handle_objective_timer(
@@ -81,7 +87,10 @@
     exchange = state.exchanges.pop(call_id, None)
     if exchange is None:
         return []
-    commands = cancel_all(state, exchange, 0)
+    commands = [
+        *cancel_all(state, exchange, 0),
+        *delegation_sending.cancel_groups(state, exchange),
+    ]
     request_id = exchange.request.request_id
     fields: dict[str, str | int | float] = {
         'request_id': request_id,
@@ -104,10 +113,12 @@
     delay until it is written is measured.
     """
     del state.exchanges[exchange.request.call_id]
+    cancelled: list[command.Command] = []
     if covers_enough(exchange):
         response = final_response.success(exchange)
     else:
         response = final_response.failure(exchange, now_ms)
+        cancelled = delegation_sending.cancel_groups(state, exchange)
     if due_ms is not None:
         response = dataclasses.replace(
             response, objective_route=exchange.route.name, due_ms=due_ms
@@ -121,6 +132,7 @@
         'after_ms': now_ms - exchange.request.arrived_ms,
         'parts': len(exchange.parts),
         'hedges': exchange.hedges,
+        'groups': len(exchange.groups),
     }
     if missing:
         fields['missing'] = ','.join(
@@ -131,6 +143,7 @@
     return [
         response,
         *cancel_all(state, exchange, CANCEL_GRACE_MS),
+        *cancelled,
         messages.Decision('request_finished', reason, fields),
         messages.Count(f'forwarding.finished.{response.status}'),
         messages.Count(f'forwarding.rank_{rank}.{response.status}'),
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/hedging.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/hedging.py
@@ -64,7 +64,9 @@
     # Usually single searchers are slow. When most parts are in flight, this
     # node or its link is slow, which hedges would make worse. After the
     # second delay, the connections may have lost data without being closed.
-    most_open = len(exchange.open_services) * 2 > len(exchange.parts)
+    direct = [part for part in exchange.parts if not part.delegated]
+    open_count = sum(1 for part in direct if part.is_open())
+    most_open = open_count * 2 > len(direct)
     if most_open and len(exchange.parts) > 1 and not exchange.hedge_postponed:
         exchange.hedge_postponed = True
         window = latency_window_for(state, exchange.route)
@@ -79,7 +81,7 @@
             messages.Timer(delay_ms, timer),
         ]
     max_idle_ms = sending.NO_IDLE_MS if most_open else MAX_IDLE_HEDGE_MS
-    for part in exchange.parts:
+    for part in direct:
         if not part.is_open():
             continue
         for attempt_id in part.running:
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/part_state.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/part_state.py
@@ -11,6 +11,7 @@
     run, `sends` all attempts. `failure` is the last error response of a
     searcher, `reason` the cause of the last failure. Without a searcher
     that may be sent requests, one may be again at `usable_at_ms`, if known.
+    While another node gathers the part, it is `delegated`.
     """
 
     def __init__(self, service: str) -> None:
@@ -23,7 +24,8 @@
         self.failure: attempt_ended.AttemptEnded | None = None
         self.reason = ''
         self.usable_at_ms: int | None = None
+        self.delegated = False
 
     def is_open(self) -> bool:
         """Return whether an answer may still arrive."""
-        return self.answer is None and bool(self.running)
+        return self.answer is None and (bool(self.running) or self.delegated)
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/state.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/state.py
@@ -26,7 +26,8 @@
     is the moving average of the delay with which timers are handled,
     measured last at `timer_lag_at_ms`.
     `previous_table` is kept for nodes that delegate with the older version.
-    `coordinators` is keyed by node id, `delegations` by call id.
+    `coordinators` is keyed by node id, `delegations` by an id of their own;
+    `delegated_calls` holds that id for each request delegated as a whole.
     """
 
     def __init__(
@@ -40,7 +41,9 @@
         self.coordination = coordination.Coordination(policy.node_id)
         self.coordinators: dict[str, coordinator_health.CoordinatorHealth] = {}
         self.last_coordinator = 0
+        self.last_delegation_id = 0
         self.delegations: dict[int, delegation.Delegation] = {}
+        self.delegated_calls: dict[int, int] = {}
         self.searchers: dict[str, list[searcher.Searcher]] = {}
         self.health: dict[str, searcher_health.SearcherHealth] = {}
         self.exchanges: dict[int, exchange.Exchange] = {}
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/coordinators.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/coordinators.py
@@ -33,23 +33,28 @@
         return found
 
     def end(ended: forwarding.DelegationEnded) -> None:
-        running.pop(ended.call_id, None)
+        running.pop(ended.delegation_id, None)
         mailbox.put(ended)
 
     def delegate(command: forwarding.DelegateRequest) -> None:
-        call_id = command.call_id
+        delegation_id = command.delegation_id
 
         def handle_reply(reply: http_reply.HttpReply) -> None:
             decoded = delegation.decode_reply(reply.body)
             end(
                 forwarding.DelegationEnded(
-                    call_id, decoded.response, decoded.refusal
+                    delegation_id, decoded.response, decoded.refusal
                 )
             )
 
         def handle_failure(reason: str) -> None:
-            sent = call_id in running and running[call_id][1].sent
-            end(forwarding.DelegationEnded(call_id, failure=reason, sent=sent))
+            found = running.get(delegation_id)
+            sent = found is not None and found[1].sent
+            end(
+                forwarding.DelegationEnded(
+                    delegation_id, failure=reason, sent=sent
+                )
+            )
 
         request = http_request.HttpRequest(
             'POST',
@@ -63,13 +68,13 @@
             command.delegated.request.deadline_ms + EXPIRY_MARGIN_MS,
             handle_reply,
             handle_failure,
-            lambda: mailbox.put(forwarding.DelegationAccepted(call_id)),
+            lambda: mailbox.put(forwarding.DelegationAccepted(delegation_id)),
         )
         if not call.ended:
-            running[call_id] = (client, call)
+            running[delegation_id] = (client, call)
 
     def cancel(command: forwarding.CancelDelegation) -> None:
-        found = running.pop(command.call_id, None)
+        found = running.pop(command.delegation_id, None)
         if found is None:
             return
         client, call = found
