--- a/packages/standins/src/gypsumbridge_standins/users_platform/gateway_cluster.py
+++ b/packages/standins/src/gypsumbridge_standins/users_platform/gateway_cluster.py
@@ -1,6 +1,8 @@
 """Starts the platform's stand-in and gateways as processes."""
 
+from collections.abc import Mapping
 import json
+import types
 from typing import Any
 
 from gypsumbridge_platform import __main__ as platform_main
@@ -20,6 +22,7 @@
 # The capacity of a gateway that gathers for others, and that of the others.
 LARGE_CAPACITY = 100
 SMALL_CAPACITY = 10
+NO_SERVICES: Mapping[str, str] = types.MappingProxyType({})
 
 SETTINGS = """\
 [node]
@@ -62,6 +65,7 @@
     nodes: int,
     relayed: bool = False,
     large: int = 0,
+    single_services: Mapping[str, str] = NO_SERVICES,
 ) -> None:
     """Start the store, two searchers for each service, and gateways.
 
@@ -69,7 +73,8 @@
     `cluster.controls` holds the stand-in's control address. With `relayed`,
     one gateway of each failure domain watches the store for the others. The
     first `large` gateways then gather for the others; with 0, each gathers
-    for itself.
+    for itself. `single_services` have one searcher, in the failure domain
+    that is given.
     """
     ports_per_gateway = GATEWAY_PORTS + PEER_PORTS * relayed
     free_ports = ports.find_free_ports(
@@ -84,6 +89,7 @@
         }
         for service in services
         for domain in DOMAINS
+        if single_services.get(service, domain) == domain
     }
     plan = {
         'store': store_port,
