Split the ends of delegations and the task for delegated requests

Change: the ends of delegations have a module of their own, the task's closures are functions, and the log line and the postponement of hedges are functions. Behaviour is unchanged.

--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
@@ -98,23 +98,10 @@
 from gypsumbridge_decisions.forwarding.delegating import (
     expire_delegated as expire_delegated,
 )
-from gypsumbridge_decisions.forwarding.delegating import fail as fail
-from gypsumbridge_decisions.forwarding.delegating import (
-    handle_acceptance as handle_acceptance,
-)
-from gypsumbridge_decisions.forwarding.delegating import (
-    handle_acceptance_timer as handle_acceptance_timer,
-)
-from gypsumbridge_decisions.forwarding.delegating import (
-    handle_end as handle_end,
-)
 from gypsumbridge_decisions.forwarding.delegating import receive as receive
 from gypsumbridge_decisions.forwarding.delegating import (
     relay_response as relay_response,
 )
-from gypsumbridge_decisions.forwarding.delegating import (
-    start_again as start_again,
-)
 from gypsumbridge_decisions.forwarding.delegating import (
     start_request as start_request,
 )
@@ -127,6 +114,19 @@
 from gypsumbridge_decisions.forwarding.delegation_ended import (
     DelegationEnded as DelegationEnded,
 )
+from gypsumbridge_decisions.forwarding.delegation_ending import fail as fail
+from gypsumbridge_decisions.forwarding.delegation_ending import (
+    handle_acceptance as handle_acceptance,
+)
+from gypsumbridge_decisions.forwarding.delegation_ending import (
+    handle_acceptance_timer as handle_acceptance_timer,
+)
+from gypsumbridge_decisions.forwarding.delegation_ending import (
+    handle_end as handle_end,
+)
+from gypsumbridge_decisions.forwarding.delegation_ending import (
+    start_again as start_again,
+)
 from gypsumbridge_decisions.forwarding.delegation_sending import (
     acceptance_ms as acceptance_ms,
 )
@@ -199,6 +199,7 @@
 from gypsumbridge_decisions.forwarding.finishing import (
     covers_enough as covers_enough,
 )
+from gypsumbridge_decisions.forwarding.finishing import describe as describe
 from gypsumbridge_decisions.forwarding.finishing import expire as expire
 from gypsumbridge_decisions.forwarding.finishing import finish as finish
 from gypsumbridge_decisions.forwarding.finishing import (
@@ -249,6 +250,7 @@
 from gypsumbridge_decisions.forwarding.hedging import (
     latency_window_for as latency_window_for,
 )
+from gypsumbridge_decisions.forwarding.hedging import postpone as postpone
 from gypsumbridge_decisions.forwarding.ingress_limits import (
     IngressLimits as IngressLimits,
 )
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/finishing.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/finishing.py
@@ -123,21 +123,8 @@
         response = dataclasses.replace(
             response, objective_route=exchange.route.name, due_ms=due_ms
         )
-    missing = [p for p in exchange.parts if p.answer is None]
-    fields: dict[str, str | int | float] = {
-        'request_id': exchange.request.request_id,
-        'route': exchange.route.name,
-        'version': exchange.version,
-        'status': response.status,
-        'after_ms': now_ms - exchange.request.arrived_ms,
-        'parts': len(exchange.parts),
-        'hedges': exchange.hedges,
-        'groups': len(exchange.groups),
-    }
-    if missing:
-        fields['missing'] = ','.join(
-            f'{p.service}:{p.reason or "running"}' for p in missing
-        )
+    fields = describe(exchange, response.status, now_ms)
+    missing = sum(1 for part in exchange.parts if part.answer is None)
     reason = 'answered' if response.status < 500 else 'failed'
     rank = exchange.route.rank
     return [
@@ -147,7 +134,7 @@
         messages.Decision('request_finished', reason, fields),
         messages.Count(f'forwarding.finished.{response.status}'),
         messages.Count(f'forwarding.rank_{rank}.{response.status}'),
-        messages.Count('forwarding.missing_parts', len(missing)),
+        messages.Count('forwarding.missing_parts', missing),
         messages.Observe(
             f'forwarding.latency.rank_{rank}',
             now_ms - exchange.request.arrived_ms,
@@ -155,6 +142,30 @@
     ]
 
 
+def describe(
+    exchange: exchanges.Exchange, status: int, now_ms: int
+) -> dict[str, str | int | float]:
+    """Return the fields of the log line of a finished request."""
+    fields: dict[str, str | int | float] = {
+        'request_id': exchange.request.request_id,
+        'route': exchange.route.name,
+        'version': exchange.version,
+        'status': status,
+        'after_ms': now_ms - exchange.request.arrived_ms,
+        'parts': len(exchange.parts),
+        'hedges': exchange.hedges,
+        'groups': len(exchange.groups),
+    }
+    missing = [
+        f'{part.service}:{part.reason or "running"}'
+        for part in exchange.parts
+        if part.answer is None
+    ]
+    if missing:
+        fields['missing'] = ','.join(missing)
+    return fields
+
+
 def cancel_all(
     state: states.ForwardingState,
     exchange: exchanges.Exchange,
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/handler.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/handler.py
@@ -12,6 +12,7 @@
 from gypsumbridge_decisions.forwarding import delegating
 from gypsumbridge_decisions.forwarding import delegation_accepted
 from gypsumbridge_decisions.forwarding import delegation_ended
+from gypsumbridge_decisions.forwarding import delegation_ending
 from gypsumbridge_decisions.forwarding import discovery_updates
 from gypsumbridge_decisions.forwarding import ending
 from gypsumbridge_decisions.forwarding import expiry_timer
@@ -54,11 +55,13 @@
         case delegated_request.DelegatedRequest():
             return coordinating.receive_delegated(state, message, now_ms)
         case delegation_accepted.DelegationAccepted():
-            return delegating.handle_acceptance(state, message)
+            return delegation_ending.handle_acceptance(state, message)
         case acceptance_timer.AcceptanceTimer():
-            return delegating.handle_acceptance_timer(state, message, now_ms)
+            return delegation_ending.handle_acceptance_timer(
+                state, message, now_ms
+            )
         case delegation_ended.DelegationEnded():
-            return delegating.handle_end(state, message, now_ms)
+            return delegation_ending.handle_end(state, message, now_ms)
         case response_written.ResponseWritten():
             return finishing.record_answer_delay(state, message)
         case searchers_changed.SearchersChanged():
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/hedging.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/hedging.py
@@ -2,6 +2,7 @@
 
 from gypsumbridge_decisions import messages
 from gypsumbridge_decisions.forwarding import command
+from gypsumbridge_decisions.forwarding import exchange as exchanges
 from gypsumbridge_decisions.forwarding import hedge_timer
 from gypsumbridge_decisions.forwarding import latency_window
 from gypsumbridge_decisions.forwarding import route as routes
@@ -68,18 +69,7 @@
     open_count = sum(1 for part in direct if part.is_open())
     most_open = open_count * 2 > len(direct)
     if most_open and len(exchange.parts) > 1 and not exchange.hedge_postponed:
-        exchange.hedge_postponed = True
-        window = latency_window_for(state, exchange.route)
-        delay_ms = min(
-            now_ms - exchange.request.arrived_ms,
-            exchange.answer_ms - int(window.median_ms) - now_ms,
-        )
-        delay_ms = max(MIN_DELAY_MS, delay_ms)
-        timer = hedge_timer.HedgeTimer(call_id)
-        return [
-            messages.Count('forwarding.hedges_put_off'),
-            messages.Timer(delay_ms, timer),
-        ]
+        return postpone(state, exchange, now_ms)
     max_idle_ms = sending.NO_IDLE_MS if most_open else MAX_IDLE_HEDGE_MS
     for part in direct:
         if not part.is_open():
@@ -100,3 +90,23 @@
         commands += sent
         commands.append(messages.Count('forwarding.hedges'))
     return commands
+
+
+def postpone(
+    state: states.ForwardingState,
+    exchange: exchanges.Exchange,
+    now_ms: int,
+) -> list[command.Command]:
+    """Set the hedge timer of a request again."""
+    exchange.hedge_postponed = True
+    window = latency_window_for(state, exchange.route)
+    delay_ms = min(
+        now_ms - exchange.request.arrived_ms,
+        exchange.answer_ms - int(window.median_ms) - now_ms,
+    )
+    delay_ms = max(MIN_DELAY_MS, delay_ms)
+    timer = hedge_timer.HedgeTimer(exchange.request.call_id)
+    return [
+        messages.Count('forwarding.hedges_put_off'),
+        messages.Timer(delay_ms, timer),
+    ]
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/delegated.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/delegated.py
@@ -26,58 +26,6 @@
 def start_delegated_task(runtime: runtimes.GatewayRuntime) -> None:
     """Accept delegated requests, and send the responses."""
     state = ingress_state.IngressState()
-    mailbox = runtime.mailboxes.forwarding
-
-    def accept(
-        connection: server_connection.ServerConnection,
-        parsed: parsed_request.ParsedRequest,
-    ) -> None:
-        try:
-            delegated = delegation.decode_request(parsed.body)
-        except errors.FrameError as error:
-            runtime.logger.error(
-                'delegated request rejected', extra={'error': str(error)}
-            )
-            connection.respond(STATUS_BAD_REQUEST, (), b'')
-            return
-        # Positive ids are those of callers' requests.
-        state.last_call_id -= 1
-        call_id = state.last_call_id
-        state.connections[call_id] = connection
-        state.call_ids[connection] = call_id
-        request = delegated.request
-        request = dataclasses.replace(
-            request,
-            call_id=call_id,
-            arrived_ms=runtime.clock.now_ms(),
-            network_ms=request.network_ms + connection.network_ms(),
-        )
-        mailbox.put(dataclasses.replace(delegated, request=request))
-
-    def disconnect(connection: server_connection.ServerConnection) -> None:
-        call_id = state.call_ids.pop(connection, None)
-        if call_id is None:
-            return
-        del state.connections[call_id]
-        mailbox.put(forwarding.CallerDisconnected(call_id))
-
-    def reply(call_id: int, content: delegated_reply.DelegatedReply) -> None:
-        connection = state.connections.pop(call_id, None)
-        if connection is None:
-            return
-        del state.call_ids[connection]
-        connection.respond(STATUS_OK, (), delegation.encode_reply(content))
-
-    def respond(response: forwarding.CallerResponse) -> None:
-        reply(
-            response.call_id,
-            delegated_reply.DelegatedReply('', response),
-        )
-        if response.objective_route:
-            late_ms = runtime.clock.now_ms() - response.due_ms
-            mailbox.put(
-                forwarding.ResponseWritten(response.objective_route, late_ms)
-            )
 
     def confirm(command: forwarding.AcceptDelegated) -> None:
         connection = state.connections.get(command.call_id)
@@ -85,10 +33,8 @@
             connection.respond_interim(STATUS_PROCESSING)
 
     def refuse(command: forwarding.RefuseDelegated) -> None:
-        reply(
-            command.call_id,
-            delegated_reply.DelegatedReply(command.reason, None),
-        )
+        content = delegated_reply.DelegatedReply(command.reason, None)
+        reply(state, command.call_id, content)
 
     def count_in_flight(query: messages.InFlightQuery) -> None:
         runtime.mailboxes.lifecycle.put(
@@ -96,7 +42,7 @@
         )
 
     handlers: dict[type, Callable[[Any], None]] = {
-        forwarding.CallerResponse: respond,
+        forwarding.CallerResponse: make_responder(runtime, state),
         forwarding.AcceptDelegated: confirm,
         forwarding.RefuseDelegated: refuse,
         messages.InFlightQuery: count_in_flight,
@@ -106,11 +52,94 @@
         handlers[type(message)](message)
 
     runtime.mailboxes.delegated.start(handle)
-    if not runtime.settings.listen.gathers:
-        return
+    if runtime.settings.listen.gathers:
+        listen(runtime, state)
+
+
+def listen(
+    runtime: runtimes.GatewayRuntime, state: ingress_state.IngressState
+) -> None:
+    """Listen for the requests that other nodes delegate."""
+
+    def on_request(
+        connection: server_connection.ServerConnection,
+        parsed: parsed_request.ParsedRequest,
+    ) -> None:
+        accept(runtime, state, connection, parsed)
+
+    def on_disconnect(connection: server_connection.ServerConnection) -> None:
+        call_id = state.call_ids.pop(connection, None)
+        if call_id is None:
+            return
+        del state.connections[call_id]
+        runtime.mailboxes.forwarding.put(
+            forwarding.CallerDisconnected(call_id)
+        )
+
     limits = forwarding.IngressLimits(max_body_bytes=MAX_REQUEST_BYTES)
     factory = server_connection.make_factory(
-        accept, disconnect, lambda: limits, lambda: False
+        on_request, on_disconnect, lambda: limits, lambda: False
     )
     host, port = address.split_address(runtime.settings.listen.gathers)
     runtime.reactor.listenTCP(port, factory, backlog=512, interface=host)
+
+
+def accept(
+    runtime: runtimes.GatewayRuntime,
+    state: ingress_state.IngressState,
+    connection: server_connection.ServerConnection,
+    parsed: parsed_request.ParsedRequest,
+) -> None:
+    """Decode a delegated request and pass it to the forwarding task."""
+    try:
+        delegated = delegation.decode_request(parsed.body)
+    except errors.FrameError as error:
+        runtime.logger.error(
+            'delegated request rejected', extra={'error': str(error)}
+        )
+        connection.respond(STATUS_BAD_REQUEST, (), b'')
+        return
+    # Positive ids are those of callers' requests.
+    state.last_call_id -= 1
+    call_id = state.last_call_id
+    state.connections[call_id] = connection
+    state.call_ids[connection] = call_id
+    request = dataclasses.replace(
+        delegated.request,
+        call_id=call_id,
+        arrived_ms=runtime.clock.now_ms(),
+        network_ms=delegated.request.network_ms + connection.network_ms(),
+    )
+    runtime.mailboxes.forwarding.put(
+        dataclasses.replace(delegated, request=request)
+    )
+
+
+def make_responder(
+    runtime: runtimes.GatewayRuntime, state: ingress_state.IngressState
+) -> Callable[[forwarding.CallerResponse], None]:
+    """Return a function that sends a response to the delegating node."""
+
+    def respond(response: forwarding.CallerResponse) -> None:
+        content = delegated_reply.DelegatedReply('', response)
+        reply(state, response.call_id, content)
+        if response.objective_route:
+            late_ms = runtime.clock.now_ms() - response.due_ms
+            runtime.mailboxes.forwarding.put(
+                forwarding.ResponseWritten(response.objective_route, late_ms)
+            )
+
+    return respond
+
+
+def reply(
+    state: ingress_state.IngressState,
+    call_id: int,
+    content: delegated_reply.DelegatedReply,
+) -> None:
+    """End a delegated request, unless its node has disconnected."""
+    connection = state.connections.pop(call_id, None)
+    if connection is None:
+        return
+    del state.call_ids[connection]
+    connection.respond(STATUS_OK, (), delegation.encode_reply(content))
--- a/tests/decisions/forwarding/gateway_case.py
+++ b/tests/decisions/forwarding/gateway_case.py
@@ -131,5 +131,13 @@
     return [c for c in commands if isinstance(c, forwarding.CancelAttempt)]
 
 
+def delegations(commands):
+    return [c for c in commands if isinstance(c, forwarding.DelegateRequest)]
+
+
+def cancelled_delegations(commands):
+    return [c for c in commands if isinstance(c, forwarding.CancelDelegation)]
+
+
 def timers(commands):
     return [c for c in commands if isinstance(c, messages.Timer)]
--- a/tests/decisions/forwarding/test_delegating.py
+++ b/tests/decisions/forwarding/test_delegating.py
@@ -10,14 +10,6 @@
 )
 
 
-def delegated(commands):
-    return [c for c in commands if isinstance(c, forwarding.DelegateRequest)]
-
-
-def cancelled(commands):
-    return [c for c in commands if isinstance(c, forwarding.CancelDelegation)]
-
-
 class DelegatingTest(gateway_case.GatewayCase):
     def setUp(self):
         super().setUp()
@@ -36,7 +28,7 @@
     def delegate(self):
         commands = self.arrive()
         self.assertEqual([], gateway_case.sends(commands))
-        (command,) = delegated(commands)
+        (command,) = gateway_case.delegations(commands)
         return command
 
     def accept(self):
@@ -77,7 +69,9 @@
 
     def test_requests_to_one_searcher_are_not_delegated(self):
         """Guards against a hop that saves nothing."""
-        self.assertEqual([], delegated(self.arrive('/one/x', 2_000)))
+        self.assertEqual(
+            [], gateway_case.delegations(self.arrive('/one/x', 2_000))
+        )
 
     def test_gathers_are_spread_over_the_coordinators(self):
         """Guards against one coordinator that gets all requests."""
@@ -99,7 +93,7 @@
     def test_a_refused_gather_goes_to_another_coordinator(self):
         """Guards against an error while a coordinator is free."""
         first = self.delegate()
-        (second,) = delegated(self.end(refusal='draining'))
+        (second,) = gateway_case.delegations(self.end(refusal='draining'))
         self.assertNotEqual(
             first.coordinator.node_id, second.coordinator.node_id
         )
@@ -111,7 +105,9 @@
     def test_a_gather_that_was_not_sent_is_not_charged(self):
         """Guards against a lost coordinator that uses up the budget."""
         self.delegate()
-        (second,) = delegated(self.end(failure='connect', sent=False))
+        (second,) = gateway_case.delegations(
+            self.end(failure='connect', sent=False)
+        )
         self.assertFalse(second.delegated.repeated)
 
     def test_a_coordinator_that_does_not_react_is_replaced(self):
@@ -120,9 +116,9 @@
         commands = self.expire_acceptance(first)
         self.assertEqual(
             [forwarding.CancelDelegation(first.delegation_id, True)],
-            cancelled(commands),
+            gateway_case.cancelled_delegations(commands),
         )
-        (second,) = delegated(commands)
+        (second,) = gateway_case.delegations(commands)
         self.assertTrue(second.delegated.repeated)
         self.assertNotEqual(
             first.coordinator.node_id, second.coordinator.node_id
@@ -135,10 +131,13 @@
         """Guards against a confirmation that this node has not read yet."""
         command = self.delegate()
         commands = self.expire_acceptance(command, late_ms=40)
-        self.assertEqual([], cancelled(commands))
+        self.assertEqual([], gateway_case.cancelled_delegations(commands))
         (timer,) = gateway_case.timers(commands)
         self.now_ms = timer.event.due_ms + 40
-        self.assertEqual(1, len(cancelled(self.handle(timer.event))))
+        self.assertEqual(
+            1,
+            len(gateway_case.cancelled_delegations(self.handle(timer.event))),
+        )
 
     def test_a_confirmed_gather_is_left_to_its_coordinator(self):
         """Guards against attempts that are sent twice."""
@@ -178,7 +177,7 @@
         self.delegate()
         self.accept()
         commands = self.end(failure='connection_reset')
-        self.assertEqual([], delegated(commands))
+        self.assertEqual([], gateway_case.delegations(commands))
         self.assertEqual([], gateway_case.sends(commands))
         (response,) = gateway_case.responses(commands)
         self.assertEqual(502, response.status)
@@ -191,7 +190,7 @@
         )
         self.assertEqual(
             [forwarding.CancelDelegation(command.delegation_id, False)],
-            cancelled(commands),
+            gateway_case.cancelled_delegations(commands),
         )
         self.assertEqual({}, self.state.delegations)
 
@@ -203,7 +202,7 @@
         commands = self.handle(forwarding.ExpiryTimer(self.last_call_id))
         (response,) = gateway_case.responses(commands)
         self.assertEqual(504, response.status)
-        self.assertEqual(1, len(cancelled(commands)))
+        self.assertEqual(1, len(gateway_case.cancelled_delegations(commands)))
 
     def test_without_usable_coordinators_the_node_gathers(self):
         """Guards against an outage while all coordinators are lost."""
--- a/tests/decisions/forwarding/test_grouping.py
+++ b/tests/decisions/forwarding/test_grouping.py
@@ -20,14 +20,6 @@
 )
 
 
-def delegated(commands):
-    return [c for c in commands if isinstance(c, forwarding.DelegateRequest)]
-
-
-def cancelled(commands):
-    return [c for c in commands if isinstance(c, forwarding.CancelDelegation)]
-
-
 class GroupingTest(gateway_case.GatewayCase):
     def setUp(self):
         super().setUp()
@@ -57,7 +49,7 @@
 
     def start(self):
         commands = self.arrive()
-        (group,) = delegated(commands)
+        (group,) = gateway_case.delegations(commands)
         return group, gateway_case.sends(commands)
 
     def accept(self):
@@ -146,7 +138,7 @@
         commands = self.handle(
             forwarding.AcceptanceTimer(group.delegation_id, due_ms)
         )
-        self.assertEqual(1, len(cancelled(commands)))
+        self.assertEqual(1, len(gateway_case.cancelled_delegations(commands)))
         sent = gateway_case.sends(commands)
         self.assertEqual(set(FAR), self.services_of(sent))
         self.assertEqual(1, sum(self.state.budgets['s5'].extra_attempts))
@@ -180,7 +172,7 @@
         )
         self.assertEqual(
             [forwarding.CancelDelegation(group.delegation_id, False)],
-            cancelled(commands),
+            gateway_case.cancelled_delegations(commands),
         )
 
     def test_a_request_that_expires_cancels_the_group(self):
@@ -188,14 +180,14 @@
         self.start()
         self.now_ms += 600
         commands = self.handle(forwarding.ExpiryTimer(self.last_call_id))
-        self.assertEqual(1, len(cancelled(commands)))
+        self.assertEqual(1, len(gateway_case.cancelled_delegations(commands)))
         self.assertEqual([], gateway_case.responses(self.end(failure='x')))
 
     def test_routes_with_a_short_objective_are_gathered_directly(self):
         """Guards against a detour that takes most of the objective."""
         self.use_route(dataclasses.replace(ROUTE, objective_ms=50))
         commands = self.arrive()
-        self.assertEqual([], delegated(commands))
+        self.assertEqual([], gateway_case.delegations(commands))
         self.assertEqual(8, len(gateway_case.sends(commands)))
 
     def test_a_group_is_not_delegated_further(self):
@@ -208,7 +200,7 @@
                 request, self.state.table.version, False, FAR
             )
         )
-        self.assertEqual([], delegated(commands))
+        self.assertEqual([], gateway_case.delegations(commands))
         sent = gateway_case.sends(commands)
         self.assertEqual(set(FAR), self.services_of(sent))
         for one in sent[:2]:
