Play refusals with Retry-After, leaving searchers and endless responses

Cause: the stand-in of the platform had none of them, so no test of whole processes covered what gateways do. Change: the searchers of the stand-in play them.

--- a/packages/standins/src/gypsumbridge_standins/fault_soak/fault_kinds.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/fault_kinds.py
@@ -17,6 +17,9 @@
     'error',
     'shed',
     'stray',
+    'busy',
+    'endless_head',
+    'endless_body',
 )
 
 INJECT: dict[str, Callable] = {
--- a/packages/standins/src/gypsumbridge_standins/users_platform/searcher_site.py
+++ b/packages/standins/src/gypsumbridge_standins/users_platform/searcher_site.py
@@ -3,6 +3,8 @@
 import hashlib
 from typing import Any
 
+from twisted.internet import task
+
 from gypsumbridge_node.gateway import http_head
 from gypsumbridge_node.gateway import parsed_request
 from gypsumbridge_node.gateway import server_connection
@@ -15,6 +17,17 @@
 # Delay of a second copy of a response; by then the connection may be in use
 # for the next request.
 STRAY_DELAY_S = 0.01
+# What a searcher sends without end, and how often, until the caller closes.
+ENDLESS_INTERVAL_S = 0.005
+ENDLESS = {
+    'endless_head': (b'HTTP/1.1 200 OK\r\n', b'X-Fill: ' + b'y' * 16_000),
+    'endless_body': (
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n',
+        b'10000\r\n' + b'y' * 0x10000,
+    ),
+}
+# A refusing searcher wants no requests for this long.
+RETRY_AFTER_S = '1.5'
 RECORDS = 20
 
 
@@ -26,6 +39,26 @@
     )
 
 
+def send_endlessly(
+    reactor: Any,
+    connection: server_connection.ServerConnection,
+    start: bytes,
+    piece: bytes,
+) -> None:
+    """Send a start, and then a piece again and again until the close."""
+    connection.transport.write(start)
+
+    def send_piece() -> None:
+        if not connection.transport.connected:
+            sending.stop()
+            return
+        connection.transport.write(piece + b'\r\n')
+
+    sending = task.LoopingCall(send_piece)
+    sending.clock = reactor
+    sending.start(ENDLESS_INTERVAL_S)
+
+
 def make_searcher_handler(
     reactor: Any,
     state: platform_state.PlatformState,
@@ -47,6 +80,11 @@
         if fault == 'shed':
             connection.respond(503, (echo, (NAMES.not_run, '1')), b'')
             return
+        if fault == 'busy':
+            refused = (NAMES.not_run, '1')
+            delay = (NAMES.retry_after, RETRY_AFTER_S)
+            connection.respond(503, (echo, refused, delay), b'')
+            return
         state.runs.setdefault(request_id, []).append(searcher_id)
         state.on_run(request_id, searcher_id)
         body = records_of(service, request.target)
@@ -70,6 +108,11 @@
                 reactor.callLater(
                     STRAY_DELAY_S, connection.transport.write, response
                 )
+            elif fault in ENDLESS:
+                send_endlessly(reactor, connection, *ENDLESS[fault])
+            elif fault == 'leaving':
+                leaving = (NAMES.leaving, '1')
+                connection.respond(200, (echo, signature, leaving), body)
             elif fault == 'error':
                 connection.respond(500, (echo, signature), b'failed')
             else:
--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -19,6 +19,16 @@
 DEADLINE_MS = 20_000
 TARGET_LATENCY_MS = 10_000
 CONTENT = b'x' * 50_000
+FAULTS = (
+    'truncate',
+    'garbage',
+    'extra',
+    'error',
+    'shed',
+    'busy',
+    'endless_head',
+    'endless_body',
+)
 
 
 def make_config(version=1, timeout_ms=DEADLINE_MS):
@@ -107,7 +117,7 @@
 
     def test_a_faulty_searcher_spoils_no_answer(self):
         """Guards against parts of truncated, late or foreign responses."""
-        for fault in ('truncate', 'garbage', 'extra', 'error', 'shed'):
+        for fault in FAULTS:
             with self.subTest(fault=fault):
                 self.set_fault('s1-d1', fault)
                 for number in range(10):
