Name the headers of a response after what they are

Cause: ClientConnection kept them as `found`, and two modules had the same empty callback for interim responses. Change: a clearer name and one callback. Behaviour is unchanged. Measured: the node tests and test_coordinators pass.

--- a/packages/node/src/gypsumbridge_node/gateway/api_client.py
+++ b/packages/node/src/gypsumbridge_node/gateway/api_client.py
@@ -17,17 +17,13 @@
 STATUS_OK = 200
 
 
-def ignore_interim() -> None:
-    """Ignore an interim response."""
-
-
 def send_call(
     client: api_client_state.ApiClientState,
     request: http_request.HttpRequest,
     timeout_ms: int,
     on_success: Callable[[http_reply.HttpReply], None],
     on_failure: Callable[[str], None],
-    on_interim: Callable[[], None] = ignore_interim,
+    on_interim: Callable[[], None] = client_connection.ignore_interim,
 ) -> pending_call.PendingCall:
     """Send a call and report its result to one of the callbacks.
 
--- a/packages/node/src/gypsumbridge_node/gateway/client_connection.py
+++ b/packages/node/src/gypsumbridge_node/gateway/client_connection.py
@@ -26,15 +26,19 @@
 IDLE_MARGIN_MS = 300
 
 
+def ignore_interim() -> None:
+    """Ignore an interim response."""
+
+
 class ClientConnection(protocol.Protocol):
     """Parses responses and reports each to the owner of the connection.
 
     `on_reply` gets each complete response that `expects` returns true for;
     any other belongs to an earlier request and is discarded. `on_close`
     gets the reason of the close. `on_interim` is called for each interim
-    response (1xx). After bytes that belong to no request the
-    connection is not reused. A server that exceeds the limits on heads and
-    bodies is disconnected.
+    response (1xx). After bytes that belong to no request the connection is
+    not reused. A server that exceeds the limits on heads and bodies is
+    disconnected.
     """
 
     def __init__(
@@ -48,14 +52,14 @@
         self.logger = logger
         self.parser = httptools.HttpResponseParser(self)
         self.expects: Callable[[http_reply.HttpReply], bool] | None = None
-        self.on_interim: Callable[[], None] = _ignore_interim
+        self.on_interim: Callable[[], None] = ignore_interim
         self.headers: list[tuple[str, str]] = []
         self.body: list[bytes] = []
         self.body_bytes = 0
         self.max_body_bytes = MAX_BODY_BYTES
         self.received_bytes = 0
         self.receiving = False
-        self.found: headers.Headers | None = None
+        self.response_headers: headers.Headers | None = None
         self.aborted = False
         self.reusable = True
         self.keep_alive_ms: int | None = None
@@ -127,16 +131,16 @@
         """Report the close; a clean close completes an unframed response."""
         self.reusable = False
         clean = reason.check(net_errors.ConnectionDone) is not None
-        if clean and self.found is not None and not self.aborted:
-            if not self._is_framed(self.found):
-                self._complete(self.found, framed=False)
+        if clean and self.response_headers is not None and not self.aborted:
+            if not self._is_framed(self.response_headers):
+                self._complete(self.response_headers, framed=False)
         name = 'closed' if clean else 'reset'
         self.on_close(self, name)
 
     def on_message_begin(self) -> None:
         """Start a response."""
         self.receiving = True
-        self.found = None
+        self.response_headers = None
         self.headers = []
         self.body = []
         self.body_bytes = 0
@@ -147,8 +151,8 @@
 
     def on_headers_complete(self) -> None:
         """Close the connection if the stated length is over the limit."""
-        self.found = headers.make_headers(self.headers)
-        length = self.found.first.get('content-length', '')
+        self.response_headers = headers.make_headers(self.headers)
+        length = self.response_headers.first.get('content-length', '')
         if length.isdecimal() and int(length) > self.max_body_bytes:
             self.close()
 
@@ -161,12 +165,14 @@
 
     def on_message_complete(self) -> None:
         """Report the response unless it is an interim one (1xx)."""
-        if self.aborted or self.found is None:
+        if self.aborted or self.response_headers is None:
             return
         if self.parser.get_status_code() < 200:
             self.on_interim()
             return
-        self._complete(self.found, self._is_framed(self.found))
+        self._complete(
+            self.response_headers, self._is_framed(self.response_headers)
+        )
 
     def _is_framed(self, found: headers.Headers) -> bool:
         status = self.parser.get_status_code()
@@ -178,7 +184,7 @@
 
     def _complete(self, found: headers.Headers, framed: bool) -> None:
         self.receiving = False
-        self.found = None
+        self.response_headers = None
         reply = http_reply.HttpReply(
             self.parser.get_status_code(),
             found,
@@ -196,10 +202,6 @@
         self.on_reply(self, reply)
 
 
-def _ignore_interim() -> None:
-    pass
-
-
 def _keep_alive_ms(reply: http_reply.HttpReply) -> int | None:
     """Return the server's idle timeout from its Keep-Alive header, if any."""
     value = reply.headers.first.get('keep-alive')
