Do not gather again what a coordinator did not confirm

Change: such a gather gets 502 and such a group is left out; only what was refused or never sent is gathered elsewhere.

--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/arrival.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/arrival.py
@@ -1,7 +1,5 @@
 """First attempts and timers of a request."""
 
-import dataclasses
-
 from gypsumbridge_decisions import messages
 from gypsumbridge_decisions.forwarding import answer_timing
 from gypsumbridge_decisions.forwarding import caller_request
@@ -34,25 +32,19 @@
     route: routes.Route,
     version: int,
     now_ms: int,
-    repeated: bool,
     group: tuple[str, ...] = (),
 ) -> list[command.Command]:
     """Send the first attempts of a request to searchers.
 
-    If another node may have sent attempts for it, each service gets one
-    attempt less. With `group`, only the parts of these services are gathered
+    With `group`, only the parts of these services are gathered
     for a node that adds the others.
     """
-    if repeated:
-        attempts = max(1, route.max_attempts - 1)
-        route = dataclasses.replace(route, max_attempts=attempts)
     exchange = exchanges.Exchange(
         request,
         route,
         version,
         group or choose_services(state, route),
         expiry_ms(request, route),
-        repeated,
         partial=bool(group),
     )
     state.exchanges[request.call_id] = exchange
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/coordinating.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/coordinating.py
@@ -48,7 +48,6 @@
             route,
             table.version,
             now_ms,
-            message.repeated,
             message.services,
         ),
     ]
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/delegated_request.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/delegated_request.py
@@ -10,12 +10,10 @@
     """A request to gather with the routes of `version`.
 
     `request.network_ms` includes the time since the caller sent it. With
-    `repeated`, another node may have sent attempts for it already. With
     `services`, only the parts of these are gathered, and the node that
     delegates adds the others.
     """
 
     request: caller_request.CallerRequest
     version: int
-    repeated: bool
     services: tuple[str, ...] = ()
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/delegating.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/delegating.py
@@ -41,7 +41,7 @@
     expires_ms = arrival.expiry_ms(request, route)
     if expires_ms <= now_ms:
         return refusing.refuse(request, 'deadline_passed')
-    return start_request(state, request, route, table.version, now_ms, False)
+    return start_request(state, request, route, table.version, now_ms)
 
 
 def start_request(
@@ -50,17 +50,14 @@
     route: routes.Route,
     version: int,
     now_ms: int,
-    repeated: bool,
 ) -> list[command.Command]:
     """Delegate a request if it is a gather for another node, or run it."""
     chosen = choose_coordinator(state, route, now_ms)
     if chosen is None:
-        return arrival.start_exchange(
-            state, request, route, version, now_ms, repeated
-        )
+        return arrival.start_exchange(state, request, route, version, now_ms)
     expires_ms = arrival.expiry_ms(request, route)
     delegation = delegations.Delegation(
-        request, route, version, chosen.node_id, expires_ms, repeated, ()
+        request, route, version, chosen.node_id, expires_ms, ()
     )
     commands = delegation_sending.send_delegation(
         state, delegation, chosen, RETURN_MARGIN_MS, now_ms
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/delegation.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/delegation.py
@@ -10,8 +10,7 @@
     `services` are those that the coordinator gathers from, empty for all of
     them. `expires_ms` is the deadline of the final response on this node's
     clock. `accepted` is set when the coordinator has confirmed that it
-    gathers, `repeated` if another one may have gathered before.
-    `timer_extended` is set after the acceptance timer was set again.
+    gathers. `timer_extended` is set after the acceptance timer was set again.
     """
 
     def __init__(
@@ -21,7 +20,6 @@
         version: int,
         coordinator_id: str,
         expires_ms: int,
-        repeated: bool,
         services: tuple[str, ...],
     ) -> None:
         self.request = request
@@ -29,7 +27,6 @@
         self.version = version
         self.coordinator_id = coordinator_id
         self.expires_ms = expires_ms
-        self.repeated = repeated
         self.services = services
         self.accepted = False
         self.timer_extended = False
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/delegation_ending.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/delegation_ending.py
@@ -4,7 +4,6 @@
 
 from gypsumbridge_decisions import messages
 from gypsumbridge_decisions.forwarding import acceptance_timer
-from gypsumbridge_decisions.forwarding import arrival
 from gypsumbridge_decisions.forwarding import caller_response
 from gypsumbridge_decisions.forwarding import cancel_delegation
 from gypsumbridge_decisions.forwarding import command
@@ -38,7 +37,7 @@
     timer: acceptance_timer.AcceptanceTimer,
     now_ms: int,
 ) -> list[command.Command]:
-    """Gather elsewhere if a coordinator does not react."""
+    """Give up a gather if its coordinator does not react."""
     found = state.delegations.get(timer.delegation_id)
     if found is None or found.accepted:
         return []
@@ -54,7 +53,7 @@
         cancel_delegation.CancelDelegation(timer.delegation_id, suspect=True),
         delegation_sending.log_lost(found, 'not_accepted'),
         messages.Count('forwarding.delegations_lost.not_accepted'),
-        *start_again(state, found, now_ms, maybe_sent=True),
+        *fail(state, found, now_ms),
     ]
 
 
@@ -82,9 +81,7 @@
         health.record_failure(now_ms)
         count = messages.Count(f'forwarding.delegations_lost.{reason}')
     if ended.refusal or not ended.sent:
-        commands = start_again(state, found, now_ms, maybe_sent=False)
-    elif not found.accepted:
-        commands = start_again(state, found, now_ms, maybe_sent=True)
+        commands = start_again(state, found, now_ms)
     else:
         commands = fail(state, found, now_ms)
     return [log, count, *commands]
@@ -94,25 +91,12 @@
     state: states.ForwardingState,
     found: delegations.Delegation,
     now_ms: int,
-    maybe_sent: bool,
 ) -> list[command.Command]:
-    """Gather elsewhere what a coordinator does not gather.
-
-    It may have sent attempts if `maybe_sent` is set. After a second
-    coordinator of a request that did not react, this node gathers.
-    """
+    """Gather elsewhere what a coordinator has certainly not begun."""
     if found.services:
-        return grouping.send_directly(state, found, now_ms, maybe_sent)
-    start = delegating.start_request
-    if maybe_sent and found.repeated:
-        start = arrival.start_exchange
-    return start(
-        state,
-        found.request,
-        found.route,
-        found.version,
-        now_ms,
-        maybe_sent or found.repeated,
+        return grouping.send_directly(state, found, now_ms)
+    return delegating.start_request(
+        state, found.request, found.route, found.version, now_ms
     )
 
 
@@ -121,9 +105,10 @@
     found: delegations.Delegation,
     now_ms: int,
 ) -> list[command.Command]:
-    """Give up what a coordinator had begun to gather when it was lost.
+    """Give up what a lost coordinator may have begun to gather.
 
-    It may have sent attempts at as many searchers as the route allows.
+    It may still send as many attempts as the route allows, since it does
+    not always notice that its caller has given up.
     """
     if found.services:
         return grouping.drop_group(state, found, now_ms)
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/delegation_sending.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/delegation_sending.py
@@ -49,7 +49,6 @@
             network_ms=request.network_ms + passed_ms,
         ),
         delegation.version,
-        delegation.repeated,
         delegation.services,
     )
     return [
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/exchange.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/exchange.py
@@ -12,11 +12,10 @@
     `expires_ms` is the deadline of the final response on the node's clock,
     `answer_ms` the time at which a gather is answered without its missing
     parts. `open_services` names the parts whose answer may still arrive.
-    `hedge_postponed` is set after hedges were postponed once. `merged_records`
-    is None unless the route gathers. With `repeated`, another node may have
-    sent attempts for the request. With `partial`, another node has delegated
-    a group of services and adds the other parts. `groups` holds the ids of
-    the delegations of this request's own groups.
+    `hedge_postponed` is set after hedges were postponed once.
+    `merged_records` is None unless the route gathers. With `partial`,
+    another node has delegated a group of services and adds the other parts.
+    `groups` holds the ids of the delegations of this request's own groups.
     """
 
     def __init__(
@@ -26,7 +25,6 @@
         version: int,
         services: tuple[str, ...],
         expires_ms: int,
-        repeated: bool = False,
         partial: bool = False,
     ) -> None:
         self.request = request
@@ -43,7 +41,6 @@
         self.hedges = 0
         self.hedge_postponed = False
         self.objective_passed = False
-        self.repeated = repeated
         self.partial = partial
         self.groups: set[int] = set()
 
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/final_response.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/final_response.py
@@ -48,8 +48,7 @@
     503 is relayed unless the route gathers.
     """
     call_id = exchange.request.call_id
-    sent = exchange.repeated or any(may_have_run(p) for p in exchange.parts)
-    if not sent:
+    if not any(may_have_run(part) for part in exchange.parts):
         return caller_response.CallerResponse(
             call_id,
             refusing.STATUS_UNAVAILABLE,
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/grouping.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/grouping.py
@@ -43,7 +43,7 @@
     are decided by the request's id, which spreads the load.
     """
     route = exchange.route
-    if route.gather is None or exchange.partial or exchange.repeated:
+    if route.gather is None or exchange.partial:
         return []
     if route.objective_ms * MAX_OVERHEAD_SHARE < OVERHEAD_MS:
         return []
@@ -132,7 +132,6 @@
             exchange.version,
             group.coordinator.node_id,
             exchange.expires_ms,
-            False,
             group.services,
         )
         own_ms = answer_timing.own_delay_ms(state, exchange.route)
@@ -190,13 +189,8 @@
     state: states.ForwardingState,
     found: delegations.Delegation,
     now_ms: int,
-    maybe_sent: bool,
 ) -> list[command.Command]:
-    """Send the parts of a group to searchers.
-
-    If the coordinator may have sent attempts, these count, and the new ones
-    are charged to the retry budget.
-    """
+    """Send the parts of a group that is not gathered to searchers."""
     exchange = state.exchanges.get(found.request.call_id)
     if exchange is None:
         return []
@@ -204,11 +198,6 @@
     commands: list[command.Command] = []
     for service in found.services:
         part = exchange.part(service)
-        if maybe_sent:
-            commands += sending.send_extra_attempt(
-                state, exchange, part, now_ms
-            )
-            continue
         part.runs -= 1
         commands += sending.send_first_attempt(state, exchange, part, now_ms)
     return commands + ending.finish_if_complete(state, exchange, now_ms)
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/sending.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/sending.py
@@ -11,7 +11,6 @@
 from gypsumbridge_decisions.forwarding import state as states
 
 NO_SEARCHER = 'no_searcher'
-NO_BUDGET = 'no_budget'
 # Attempts that a searcher refused without running them, or that never left
 # this node, do not count as runs; this is their limit for each part.
 MAX_SENDS_NOT_RUN = 2
@@ -51,11 +50,7 @@
     part: part_state.PartState,
     now_ms: int,
 ) -> list[command.Command]:
-    """Send the first attempt of a part if the service has a searcher.
-
-    If another node may have sent attempts for the request, this one is
-    charged to the retry budget.
-    """
+    """Send the first attempt of a part if the service has a searcher."""
     chosen = choose(state, part, now_ms)
     if chosen is None:
         part.reason = NO_SEARCHER
@@ -63,12 +58,7 @@
             state.searchers.get(part.service, ()), state.health, now_ms
         )
         return []
-    budget = budget_for(state, part.service)
-    if not exchange.repeated:
-        budget.count_request(now_ms)
-    elif not budget.spend(now_ms):
-        part.reason = NO_BUDGET
-        return []
+    budget_for(state, part.service).count_request(now_ms)
     return [send(state, exchange, part, chosen, now_ms)]
 
 
--- a/tests/processes/test_coordinators.py
+++ b/tests/processes/test_coordinators.py
@@ -11,6 +11,7 @@
 
 NAMES = header_names.HEADERS
 SERVICES = ('s1', 's2', 's3')
+STATUS_BAD_GATEWAY = 502
 TOP_K = 5
 DEADLINE_MS = 20_000
 # Short enough that a coordinator which does not react is replaced soon.
@@ -55,6 +56,9 @@
             )
         finally:
             connection.close()
+        if status == STATUS_BAD_GATEWAY:
+            # Its coordinator was lost.
+            return request_id
         self.assertEqual(200, status)
         signatures = headers[NAMES.part_signatures].split(', ')
         self.assertEqual(
