Hedge services with one searcher over a new connection

Services with a single searcher cannot be hedged elsewhere, so their parts were missing until each silent connection had been found by an attempt of its own. Change: the hedge of such a part goes to the same searcher over a new connection, within the retry budget.

--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
@@ -313,6 +313,9 @@
 from gypsumbridge_decisions.forwarding.sending import (
     send_first_attempt as send_first_attempt,
 )
+from gypsumbridge_decisions.forwarding.sending import (
+    send_to_only_searcher as send_to_only_searcher,
+)
 from gypsumbridge_decisions.forwarding.service_group import (
     ServiceGroup as ServiceGroup,
 )
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/hedging.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/hedging.py
@@ -82,7 +82,7 @@
             state.health[running.searcher.searcher_id].overdue += 1
         sent = sending.send_extra_attempt(
             state, exchange, part, now_ms, max_idle_ms=max_idle_ms
-        )
+        ) or sending.send_to_only_searcher(state, exchange, part, now_ms)
         if not sent:
             commands.append(messages.Count('forwarding.hedges_withheld'))
             continue
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/sending.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/sending.py
@@ -92,6 +92,30 @@
     return [send(state, exchange, part, chosen, now_ms, max_idle_ms)]
 
 
+def send_to_only_searcher(
+    state: states.ForwardingState,
+    exchange: exchanges.Exchange,
+    part: part_state.PartState,
+    now_ms: int,
+) -> list[command.Command]:
+    """Send a part once more to the only searcher of its service.
+
+    A new connection is used, since the one of the first attempt may have
+    lost data without being closed.
+    """
+    candidates = state.searchers.get(part.service, [])
+    if len(candidates) != 1 or part.sends != 1:
+        return []
+    if now_ms >= exchange.expires_ms or exchange.route.max_attempts < 2:
+        return []
+    chosen = choosing.choose_searcher(
+        candidates, state.health, state.policy, (), now_ms
+    )
+    if chosen is None or not budget_for(state, part.service).spend(now_ms):
+        return []
+    return [send(state, exchange, part, chosen, now_ms, NO_IDLE_MS)]
+
+
 def choose(
     state: states.ForwardingState, part: part_state.PartState, now_ms: int
 ) -> searchers.Searcher | None:
--- a/packages/standins/src/gypsumbridge_standins/fault_soak/deployment.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/deployment.py
@@ -5,9 +5,22 @@
 from gypsumbridge_standins.users_platform import gateway_cluster
 from gypsumbridge_standins.users_platform import operator_config
 
-SERVICES = ('s1', 's2', 's3', 's4', 's5', 's6')
+REPLICATED_SERVICES = ('s1', 's2', 's3', 's4', 's5', 's6')
+# These have one searcher. Gateways of the other failure domain let gateways of
+# its domain gather their parts.
+SINGLE_SERVICES = {
+    's7': 'd1',
+    's8': 'd1',
+    's9': 'd1',
+    's10': 'd2',
+    's11': 'd2',
+    's12': 'd2',
+}
+SERVICES = (*REPLICATED_SERVICES, *SINGLE_SERVICES)
 DOMAINS = gateway_cluster.DOMAINS
-SEARCHERS = tuple(f'{s}-{d}' for s in SERVICES for d in DOMAINS)
+SEARCHERS = tuple(
+    f'{s}-{d}' for s in REPLICATED_SERVICES for d in DOMAINS
+) + tuple(f'{s}-{d}' for s, d in SINGLE_SERVICES.items())
 HOST = operator_config.HOST
 TOP_K = 5
 MIN_COVERAGE = 0.5
