--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/arrival.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/arrival.py
@@ -36,8 +36,8 @@
 ) -> list[command.Command]:
     """Send the first attempts of a request to searchers.
 
-    With `group`, only the parts of these services are gathered
-    for a node that adds the others.
+    With `group`, only the parts of these services are gathered for a node
+    that adds the others.
     """
     exchange = exchanges.Exchange(
         request,
