Show that bodies without end take a gateway over its memory

Cause: a connection that was closed because its body is over the limit keeps the pieces received so far, and it and its parser refer to each other, so they stay until the cyclic collector runs, after 10,000 new container objects.

Change: review/2 with a script that plays the platform's memory limit.

--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Runs the case; see claim.txt.
+exec python3 "$(dirname "$0")/case.py"
