--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -27,6 +27,8 @@
 READY_PATH = '/gypsumbridge/ready'
 START_TIMEOUT_S = 30.0
 HISTORY_S = 20.0
+PAGE_ITEMS = 500
+PAGE_BYTES = 1_000_000
 LIMITS = {
     'maxHeaderBytes': 16_384,
     'maxBodyBytes': 262_144,
@@ -141,6 +143,11 @@
         self.changed = asyncio.Condition()
         self.address = ''
         self.rejected: set[str] = set()
+        # All changes, for reads that may be old.
+        self.log: list[tuple[float, dict]] = []
+        # The ages of the replicas that answer such reads in turn.
+        self.replica_ages_s: list[float] = [0.0]
+        self.stale_reads = 0
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -174,6 +181,7 @@
                 event['lease'] = 0
                 self.items[key] = event
             self.history.append((time.monotonic(), event))
+            self.log.append((time.monotonic(), event))
             self.changed.notify_all()
             return self.revision
 
@@ -207,16 +215,12 @@
             return 200, {'revision': self.revision}
         prefix = query.get('prefix', '')
         if path == '/gypsumbridge/kv-range':
-            found = [
-                item
-                for key, item in sorted(self.items.items())
-                if key.startswith(prefix) and key > query.get('after', '')
-            ]
-            return 200, {
-                'items': found[:500],
-                'hasMore': len(found) > 500,
-                'storeRevision': self.revision,
-            }
+            items, revision = self.items, self.revision
+            if query.get('staleOk') == '1':
+                items, revision = self.read_replica()
+            return 200, list_page(
+                items, revision, prefix, query.get('after', '')
+            )
         if path == '/gypsumbridge/kv-watch':
             after = int(query['after'])
             self.forget()
@@ -226,6 +230,23 @@
             return 200, {'events': events, 'storeRevision': self.revision}
         return 404, {}
 
+    def read_replica(self) -> tuple[dict[str, dict], int]:
+        """Return the items and the revision of the next replica."""
+        ages_s = self.replica_ages_s
+        age_s = ages_s[self.stale_reads % len(ages_s)]
+        self.stale_reads += 1
+        limit_s = time.monotonic() - age_s
+        items: dict[str, dict] = {}
+        revision = 0
+        for written_s, event in self.log:
+            if written_s > limit_s:
+                break
+            revision = event['revision']
+            items[event['key']] = event
+            if event.get('deleted'):
+                del items[event['key']]
+        return items, revision
+
     async def watch(self, after: int, wait_ms: int, prefix: str) -> list:
         """Return the changes after a revision, once there are any."""
 
@@ -245,6 +266,27 @@
         return changes()
 
 
+def list_page(
+    items: dict[str, dict], revision: int, prefix: str, after: str
+) -> dict:
+    """Return a page of at most `PAGE_ITEMS` items or `PAGE_BYTES`."""
+    names = sorted(
+        key for key in items if key.startswith(prefix) and key > after
+    )
+    page: list[dict] = []
+    size = 0
+    for name in names[:PAGE_ITEMS]:
+        size += len(json.dumps(items[name]))
+        if page and size > PAGE_BYTES:
+            break
+        page.append(items[name])
+    return {
+        'items': page,
+        'hasMore': len(page) < len(names),
+        'storeRevision': revision,
+    }
+
+
 class Request:
     """A request as a searcher reads it."""
 
