--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -142,7 +142,6 @@
         self.forgotten_revision = 0
         self.changed = asyncio.Condition()
         self.address = ''
-        self.rejected: set[str] = set()
         # All changes, for reads that may be old.
         self.log: list[tuple[float, dict]] = []
         # The ages of the replicas that answer such reads in turn.
@@ -151,15 +150,8 @@
 
     async def start(self) -> None:
         """Listen on a free port."""
-        self.address = await self.listen()
-
-    async def listen(self) -> str:
-        """Listen on one more free port and return the address.
-
-        The store rejects the calls to the addresses in `rejected`.
-        """
         server = await asyncio.start_server(self.serve, '127.0.0.1', 0)
-        return join_address(server.sockets[0].getsockname())
+        self.address = join_address(server.sockets[0].getsockname())
 
     def forget(self) -> None:
         """Drop the changes that are older than the history."""
@@ -177,7 +169,8 @@
                 event['deleted'] = True
             else:
                 event['value'] = base64.b64encode(value).decode()
-                event['created'] = self.revision
+                before = self.items.get(key, {})
+                event['created'] = before.get('created', self.revision)
                 event['lease'] = 0
                 self.items[key] = event
             self.history.append((time.monotonic(), event))
@@ -189,14 +182,11 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Answer the calls on one connection."""
-        own = join_address(writer.get_extra_info('sockname'))
         try:
             while True:
                 line, headers = await read_head(reader)
                 body = await read_body(reader, headers)
                 status, answer = await self.answer(line, body)
-                if own in self.rejected:
-                    status, answer = 503, {}
                 data = json.dumps(answer).encode()
                 kind = [('Content-Type', 'application/json')]
                 writer.write(encode_response(status, kind, data))
