Watch the store from the oldest page of a list

Cause: pages that are read with staleOk may come from replicas of different age, and the list got the revision of its first page. The changes between an older page and the first one were never read. Change: a list has the lowest revision of its pages. What the watch then repeats is ignored where a newer record of the key is known, and a list, also one from a relay, does not replace records that are newer than itself. Why it works: a page holds all changes of its keys up to its own revision, and the watch returns every change after the lowest one.

--- a/packages/decisions/src/gypsumbridge_decisions/discovery/syncing.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/syncing.py
@@ -101,19 +101,20 @@
     listed: store_listed.StoreListed,
     now_ms: int,
 ) -> list[command.Command]:
-    """Replace all records by those of a newer revision."""
+    """Replace the records up to the revision of a list."""
     state.revision = listed.revision
     state.list_needed = False
     state.exact_list_needed = False
     state.relay.log.replace(listed.records, listed.revision)
-    present = {record.key for record in listed.records}
+    present = state.relay.log.present()
+    keys = {record.key for record in present}
     prefix = state.schema.searcher_prefix
     removed = tuple(
         relaying.StoreRecord(prefix + name, listed.revision, None)
         for name in state.searchers
-        if prefix + name not in present
+        if prefix + name not in keys
     )
-    return apply(state, listed.records + removed, now_ms)
+    return apply(state, present + removed, now_ms)
 
 
 def handle_changes(
@@ -142,10 +143,13 @@
     changed: store_changed.StoreChanged,
     now_ms: int,
 ) -> list[command.Command]:
-    """Apply the records that changed up to a revision."""
+    """Apply the records that changed up to a revision.
+
+    A list can include some of these changes already, and newer ones.
+    """
     state.revision = max(state.revision, changed.revision)
-    state.relay.log.add(changed.records)
-    return apply(state, changed.records, now_ms)
+    added = state.relay.log.add(changed.records)
+    return apply(state, added, now_ms)
 
 
 def apply(
--- a/packages/decisions/src/gypsumbridge_decisions/relaying/record_log.py
+++ b/packages/decisions/src/gypsumbridge_decisions/relaying/record_log.py
@@ -25,18 +25,31 @@
     def replace(
         self, records: Iterable[store_record.StoreRecord], revision: int
     ) -> None:
-        """Replace all records by a list of all keys at a revision."""
+        """Replace all records by a list of all keys.
+
+        The list includes all changes up to `revision`, and may include later
+        ones. Known changes after that revision stay in the log.
+        """
+        newer = self.after(revision)
         self.records = {}
         self.deletions = {}
         self.horizon = revision
         self.add(records)
+        self.add(newer)
+
+    def add(
+        self, records: Iterable[store_record.StoreRecord]
+    ) -> tuple[store_record.StoreRecord, ...]:
+        """Add changes, and return those that were added.
 
-    def add(self, records: Iterable[store_record.StoreRecord]) -> None:
-        """Add changes, ignoring any that is older than its key's record."""
+        A change that is not newer than the record of its key is ignored.
+        """
+        added = []
         for record in records:
             current = self.records.get(record.key)
             if current is not None and current.revision >= record.revision:
                 continue
+            added.append(record)
             self.records[record.key] = record
             self.deletions.pop(record.key, None)
             if record.value is None:
@@ -45,6 +58,7 @@
             oldest = min(self.deletions, key=self.deletions.__getitem__)
             self.horizon = max(self.horizon, self.deletions.pop(oldest))
             del self.records[oldest]
+        return tuple(added)
 
     def is_complete_after(self, revision: int) -> bool:
         """Return whether the log holds every change after a revision."""
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/store.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/store.py
@@ -81,10 +81,13 @@
             list_page(page.next_after)
             return
         records = tuple(r for found in pages for r in found.records)
-        # The watch starts from the revision of the first page, so it returns
-        # all changes that occurred while later pages were read.
+        # With `stale_ok` a later page can be older than the first one. A
+        # watch from the lowest revision returns every change that a page
+        # lacks.
+        revision = min(found.revision for found in pages)
+        pages.clear()
         runtime.mailboxes.discovery.put(
-            discovery.StoreListed(pages[0].revision, records)
+            discovery.StoreListed(revision, records)
         )
 
     return start_list
--- a/tests/decisions/discovery/test_discovery.py
+++ b/tests/decisions/discovery/test_discovery.py
@@ -142,6 +142,49 @@
         commands = self.handle(discovery.RemovalTimer())
         self.assertEqual({'b': False}, self.published(commands))
 
+    def test_a_change_older_than_a_listed_record_is_not_applied(self):
+        """Guards against a leaving searcher that is in use again.
+
+        The pages of a list may be of different age. A watch that begins at
+        the revision of the oldest page returns changes that the newer pages
+        already include.
+        """
+        newer = (
+            relaying.StoreRecord('routes', 1, b'1'),
+            relaying.StoreRecord('searchers/a', 9, b'draining'),
+        )
+        self.handle(discovery.StoreListed(5, newer))
+        older = (relaying.StoreRecord('searchers/a', 7, b'ready'),)
+        commands = self.handle(discovery.StoreChanged(8, older))
+        self.assertIsNone(self.published(commands))
+        self.assertTrue(self.state.searchers['a'].draining)
+
+    def test_a_searcher_deleted_after_a_list_is_not_used_again(self):
+        """Guards against an older change that undoes a deletion."""
+        self.list(routes=b'1', searchers_a=b'ready')
+        deleted = (relaying.StoreRecord('searchers/a', 9, None),)
+        self.handle(discovery.StoreChanged(9, deleted))
+        older = (relaying.StoreRecord('searchers/a', 7, b'draining'),)
+        self.handle(discovery.StoreChanged(9, older))
+        self.assertIn('a', self.state.removals)
+
+    def test_a_list_does_not_undo_newer_changes(self):
+        """Guards against a relayed list that is older than one change."""
+        self.list(routes=b'1', searchers_a=b'ready', searchers_b=b'ready')
+        newer = (
+            relaying.StoreRecord('searchers/a', 9, b'draining'),
+            relaying.StoreRecord('searchers/b', 8, None),
+        )
+        self.handle(discovery.StoreChanged(5, newer))
+        listed = (
+            relaying.StoreRecord('routes', 1, b'1'),
+            relaying.StoreRecord('searchers/a', 2, b'ready'),
+            relaying.StoreRecord('searchers/b', 3, b'ready'),
+        )
+        self.handle(discovery.StoreListed(6, listed))
+        self.assertTrue(self.state.searchers['a'].draining)
+        self.assertIn('b', self.state.removals)
+
     def test_values_that_cannot_be_decoded_are_skipped(self):
         """Guards against one bad value that blocks all updates."""
         commands = self.list(
--- /dev/null
+++ b/tests/node/gateway/test_store_listing.py
@@ -0,0 +1,72 @@
+import types
+import unittest
+
+import msgspec
+
+from gypsumbridge_decisions import discovery
+from gypsumbridge_node.gateway import api_client_state
+from gypsumbridge_node.gateway.tasks import store
+from gypsumbridge_platform import platform_adapter
+from tests.node.gateway import bare_runtime
+from tests.node.gateway import socket_transport
+
+
+class StoreListingTest(unittest.TestCase):
+    def setUp(self):
+        runtime = bare_runtime.make_runtime(
+            discovery=types.SimpleNamespace(timeout_ms=1_500)
+        )
+        runtime.adapter = platform_adapter.make_adapter()
+        self.received = []
+        runtime.mailboxes = types.SimpleNamespace(
+            discovery=types.SimpleNamespace(put=self.received.append)
+        )
+        self.reactor = runtime.reactor
+        client = api_client_state.ApiClientState(
+            runtime, 'store', '10.0.0.1:80'
+        )
+        self.list = store.make_lister(runtime, client)
+
+    def open_connection(self):
+        """Accept the connection that the last call opens."""
+        factory = self.reactor.tcpClients[-1][2]
+        self.connection = factory.buildProtocol(None)
+        transport = socket_transport.SocketTransport()
+        transport.protocol = self.connection
+        self.connection.makeConnection(transport)
+        self.reactor.advance(0)
+
+    def answer(self, revision, items, more):
+        body = msgspec.json.encode(
+            {
+                'items': [
+                    {'key': key, 'revision': changed, 'value': ''}
+                    for key, changed in items.items()
+                ],
+                'hasMore': more,
+                'storeRevision': revision,
+            }
+        )
+        head = f'HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n'
+        self.connection.dataReceived(head.encode() + body)
+
+    def test_a_list_is_as_old_as_its_oldest_page(self):
+        """Guards against changes between the revisions of two pages.
+
+        review/4: with staleOk, a later page can be older than the first
+        one. The watch began at the revision of the first page, and a
+        restarted gateway never received a change that its second page did
+        not have yet.
+        """
+        for revisions in ((20, 12, 15), (12, 20, 15), (15, 20, 12)):
+            with self.subTest(revisions=revisions):
+                self.setUp()
+                self.list(discovery.ListStore(stale_ok=True))
+                self.open_connection()
+                self.answer(revisions[0], {'a': 3}, True)
+                self.answer(revisions[1], {'b': 4}, True)
+                self.answer(revisions[2], {'c': 5}, False)
+                (listed,) = self.received
+                self.assertEqual(12, listed.revision)
+                keys = [record.key for record in listed.records]
+                self.assertEqual(['a', 'b', 'c'], keys)
