Do not complete a response with the head of an interim one

What callers would have seen: status 100 with an empty body as the final answer to a plain request, when a searcher sends an interim answer with the request's id and closes. Looked for after the report of a head that broke off. Cause: the headers of the interim answer stayed in place, and a clean close completes an answer whose headers state no length. Change: an interim answer's headers are dropped when it is complete. Other heads and bodies that break off were never reported.

--- a/packages/node/src/gypsumbridge_node/gateway/client_connection.py
+++ b/packages/node/src/gypsumbridge_node/gateway/client_connection.py
@@ -191,6 +191,8 @@
         if self.aborted or self.response_headers is None:
             return
         if self.parser.get_status_code() < 200:
+            # Its head must not complete a response if the connection closes.
+            self._clear_message()
             self.on_interim()
             return
         self._complete(
--- a/tests/node/gateway/test_client_connection.py
+++ b/tests/node/gateway/test_client_connection.py
@@ -10,6 +10,20 @@
 
 HEAD_LIMIT_BYTES = 64 * 1_024
 BODY_LIMIT_BYTES = client_connection.MAX_BODY_BYTES
+INTERIM = b'HTTP/1.1 100 Continue\r\nX-Id: r1\r\n\r\n'
+START = b'HTTP/1.1 200 OK\r\nX-Id: r1\r\n'
+COMPLETE_RESPONSES = {
+    'stated length': START + b'Content-Length: 3\r\n\r\nabc',
+    'no body': START + b'Content-Length: 0\r\n\r\n',
+    'no content': b'HTTP/1.1 204 No Content\r\nX-Id: r1\r\n\r\n',
+    'chunks': (
+        START + b'Transfer-Encoding: chunked\r\n\r\n'
+        b'1\r\na\r\n2\r\nbc\r\n0\r\n\r\n'
+    ),
+    'interim response first': (
+        INTERIM + START + b'Content-Length: 3\r\n\r\nabc'
+    ),
+}
 CLEAN = failure.Failure(net_errors.ConnectionDone())
 RESET = failure.Failure(net_errors.ConnectionLost())
 
@@ -101,6 +115,33 @@
         self.assertEqual([], self.replies)
         self.assertEqual(['closed'], self.closed)
 
+    def test_a_response_that_breaks_off_anywhere_is_not_reported(self):
+        """Guards against a broken-off head or body that looks complete."""
+        for name, response in COMPLETE_RESPONSES.items():
+            for length in range(len(response)):
+                with self.subTest(name=name, length=length):
+                    self.setUp()
+                    self.send()
+                    self.connection.dataReceived(response[:length])
+                    self.connection.connectionLost(CLEAN)
+                    self.assertEqual([], self.replies)
+            self.setUp()
+            self.send()
+            self.connection.dataReceived(response)
+            self.assertEqual(1, len(self.replies))
+
+    def test_a_head_without_length_that_breaks_off_is_not_reported(self):
+        """Guards against an empty success made of half a head."""
+        for start in (b'', INTERIM):
+            head = start + START + b'X-Signature: s\r\n\r\n'
+            for length in range(len(head)):
+                with self.subTest(length=length):
+                    self.setUp()
+                    self.send()
+                    self.connection.dataReceived(head[:length])
+                    self.connection.connectionLost(CLEAN)
+                    self.assertEqual([], self.replies)
+
     def test_an_unframed_response_ends_with_a_clean_close_only(self):
         """Guards against a reset that is taken for the end of a body."""
         for reason, expected in ((CLEAN, [b'abc']), (RESET, [])):
