Answer the requests in flight before a gateway exits

What callers saw: in a planned stop, requests that outlast the grace time ended with a closed connection and no answer, also those accepted after SIGTERM and those that must not be repeated. A second SIGTERM cut all of them at once. Cause: the stop bound and a second signal ended the process directly. Ruled out: a request that is read late in the grace is refused with 503 and not passed on; a test with a half-sent request shows it, and passed before.

--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
@@ -332,6 +332,9 @@
 from gypsumbridge_decisions.forwarding.stop_accepting import (
     StopAccepting as StopAccepting,
 )
+from gypsumbridge_decisions.forwarding.stopping import (
+    end_requests as end_requests,
+)
 from gypsumbridge_decisions.forwarding.top_records import (
     TopRecords as TopRecords,
 )
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/handler.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/handler.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from gypsumbridge_decisions import messages
 from gypsumbridge_decisions.forwarding import acceptance_timer
 from gypsumbridge_decisions.forwarding import attempt_ended
 from gypsumbridge_decisions.forwarding import caller_disconnected
@@ -27,6 +28,7 @@
 from gypsumbridge_decisions.forwarding import searchers_changed
 from gypsumbridge_decisions.forwarding import state as states
 from gypsumbridge_decisions.forwarding import stop_accepting
+from gypsumbridge_decisions.forwarding import stopping
 
 
 def handle(
@@ -75,6 +77,8 @@
         case stop_accepting.StopAccepting():
             state.draining = True
             return []
+        case messages.EndRequests():
+            return stopping.end_requests(state, now_ms)
         case _:
             raise TypeError(
                 f'unexpected message for forwarding: {type(message).__name__}'
--- a/packages/decisions/src/gypsumbridge_decisions/lifecycle/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/lifecycle/__init__.py
@@ -1,5 +1,8 @@
 """The lifecycle of a node, from serving to a graceful stop."""
 
+from gypsumbridge_decisions.lifecycle.answer_bound_timer import (
+    AnswerBoundTimer as AnswerBoundTimer,
+)
 from gypsumbridge_decisions.lifecycle.balancer_lag_timer import (
     BalancerLagTimer as BalancerLagTimer,
 )
@@ -30,6 +33,9 @@
 from gypsumbridge_decisions.lifecycle.stop_requested import (
     StopRequested as StopRequested,
 )
+from gypsumbridge_decisions.lifecycle.stopping import (
+    end_requests as end_requests,
+)
 from gypsumbridge_decisions.lifecycle.stopping import (
     poll_in_flight as poll_in_flight,
 )
--- a/packages/decisions/src/gypsumbridge_decisions/lifecycle/command.py
+++ b/packages/decisions/src/gypsumbridge_decisions/lifecycle/command.py
@@ -8,6 +8,7 @@
     messages.ServingChanged
     | messages.Timer
     | messages.EndKeepAlive
+    | messages.EndRequests
     | messages.AnnounceLeaving
     | messages.InFlightQuery
     | messages.LeaveFleet
--- a/packages/decisions/src/gypsumbridge_decisions/lifecycle/handler.py
+++ b/packages/decisions/src/gypsumbridge_decisions/lifecycle/handler.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 from gypsumbridge_decisions import messages
+from gypsumbridge_decisions.lifecycle import answer_bound_timer
 from gypsumbridge_decisions.lifecycle import balancer_lag_timer
 from gypsumbridge_decisions.lifecycle import command
 from gypsumbridge_decisions.lifecycle import flush_timer
@@ -34,6 +35,8 @@
             return stopping.receive_report(state, message)
         case flush_timer.FlushTimer():
             return stopping.stop_process(state, 'drained', True)
+        case answer_bound_timer.AnswerBoundTimer():
+            return stopping.end_requests(state)
         case stop_bound_timer.StopBoundTimer():
             return stopping.stop_process(state, 'stop_bound', False)
         case _:
--- a/packages/decisions/src/gypsumbridge_decisions/lifecycle/stopping.py
+++ b/packages/decisions/src/gypsumbridge_decisions/lifecycle/stopping.py
@@ -1,6 +1,7 @@
 """The steps of a graceful stop."""
 
 from gypsumbridge_decisions import messages
+from gypsumbridge_decisions.lifecycle import answer_bound_timer
 from gypsumbridge_decisions.lifecycle import balancer_lag_timer
 from gypsumbridge_decisions.lifecycle import close_port
 from gypsumbridge_decisions.lifecycle import command
@@ -20,7 +21,11 @@
 def request_stop(state: states.LifecycleState) -> list[command.Command]:
     """Start a graceful stop; a second request exits the process at once."""
     if state.phase != phase.Phase.SERVING:
-        return stop_process(state, 'second_signal', False)
+        return [
+            *end_requests(state),
+            *stop_process(state, 'second_signal', False),
+        ]
+    answer_bound_ms = max(0, state.stop_bound_ms - FLUSH_TIMEOUT_MS)
     state.phase = phase.Phase.LAGGING
     return [
         *serving.update_serving(state),
@@ -28,6 +33,7 @@
         messages.Timer(
             state.balancer_lag_ms, balancer_lag_timer.BalancerLagTimer()
         ),
+        messages.Timer(answer_bound_ms, answer_bound_timer.AnswerBoundTimer()),
         messages.Timer(state.stop_bound_ms, stop_bound_timer.StopBoundTimer()),
         _log_phase(state),
     ]
@@ -85,6 +91,13 @@
     return [messages.LeaveFleet(), timer, _log_phase(state)]
 
 
+def end_requests(state: states.LifecycleState) -> list[command.Command]:
+    """Have all requests in flight answered, unless the node is stopped."""
+    if state.phase == phase.Phase.STOPPED:
+        return []
+    return [messages.EndRequests()]
+
+
 def stop_process(
     state: states.LifecycleState, reason: str, clean: bool
 ) -> list[command.Command]:
--- a/packages/decisions/src/gypsumbridge_decisions/messages/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/messages/__init__.py
@@ -56,6 +56,9 @@
     from gypsumbridge_decisions.messages.end_keep_alive import (
         EndKeepAlive as EndKeepAlive,
     )
+    from gypsumbridge_decisions.messages.end_requests import (
+        EndRequests as EndRequests,
+    )
     from gypsumbridge_decisions.messages.endpoint_cancel import (
         EndpointCancel as EndpointCancel,
     )
@@ -222,6 +225,7 @@
     'Decision': 'decision',
     'DomainSummary': 'domain_summary',
     'EndKeepAlive': 'end_keep_alive',
+    'EndRequests': 'end_requests',
     'EndpointCancel': 'endpoint_cancel',
     'EndpointCheck': 'endpoint_check',
     'EndpointHealth': 'endpoint_health',
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/lifecycle_task.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/lifecycle_task.py
@@ -50,6 +50,7 @@
         {
             messages.ServingChanged: mailboxes.forwarding.put,
             messages.EndKeepAlive: mailboxes.ingress.put,
+            messages.EndRequests: mailboxes.forwarding.put,
             messages.AnnounceLeaving: announce,
             messages.LeaveFleet: leave,
             messages.InFlightQuery: query_in_flight,
--- a/packages/node/src/gypsumbridge_node/tasks/lifecycle.py
+++ b/packages/node/src/gypsumbridge_node/tasks/lifecycle.py
@@ -81,6 +81,11 @@
         mailboxes.caller_http.put(command)
         mailboxes.operator_http.put(command)
 
+    def end_requests(command: messages.EndRequests) -> None:
+        # Queries end by their deadlines, and a mutation in flight is looked
+        # up by its key, so there is nothing to answer early.
+        pass
+
     def close_port(command: lifecycle.ClosePort) -> None:
         controls.close_port()
 
@@ -90,6 +95,7 @@
         {
             messages.ServingChanged: publish,
             messages.EndKeepAlive: end_keep_alive,
+            messages.EndRequests: end_requests,
             messages.AnnounceLeaving: mailboxes.membership.put,
             messages.LeaveFleet: mailboxes.membership.put,
             messages.InFlightQuery: query_in_flight,
--- a/tests/decisions/test_lifecycle.py
+++ b/tests/decisions/test_lifecycle.py
@@ -86,6 +86,31 @@
         )
         self.assertEqual([], self.exits(lifecycle.FlushTimer()))
 
+    def test_requests_in_flight_are_answered_before_the_stop_bound(self):
+        """Guards against connections that end without a response."""
+        commands = self.handle(lifecycle.StopRequested())
+        delays_ms = {
+            type(command.event): command.delay_ms
+            for command in commands
+            if isinstance(command, messages.Timer)
+        }
+        self.assertLess(
+            delays_ms[lifecycle.AnswerBoundTimer],
+            delays_ms[lifecycle.StopBoundTimer],
+        )
+        self.assertEqual(
+            [messages.EndRequests()],
+            self.handle(lifecycle.AnswerBoundTimer()),
+        )
+        self.handle(lifecycle.StopBoundTimer())
+        self.assertEqual([], self.handle(lifecycle.AnswerBoundTimer()))
+
+    def test_a_second_signal_answers_requests_in_flight(self):
+        """Guards against a repeated signal that cuts requests."""
+        self.handle(lifecycle.StopRequested())
+        commands = self.handle(lifecycle.StopRequested())
+        self.assertEqual(messages.EndRequests(), commands[0])
+
     def test_a_second_signal_exits_at_once(self):
         """Guards against a stuck stop that an operator cannot abort."""
         self.handle(lifecycle.StopRequested())
--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -1,6 +1,7 @@
 import http.client
 import json
 import signal
+import socket
 import threading
 import unittest
 
@@ -203,8 +204,7 @@
 
 
 class GatewayStopTest(unittest.TestCase):
-    def test_a_stop_cuts_no_request(self):
-        """Guards against connections that are closed without a response."""
+    def start_gateway(self):
         cluster = clusters.Cluster()
         self.addCleanup(cluster.stop)
         gateway_cluster.start_gateway_cluster(
@@ -215,6 +215,108 @@
             lambda: self.send_unsafe(address) == 200,
             'requests are served',
         )
+        return cluster, address
+
+    def read_log(self, cluster):
+        log = (cluster.folder / 'gateway-0.log').read_text()
+        return [json.loads(line) for line in log.splitlines()]
+
+    def test_a_request_in_flight_at_the_stop_bound_is_answered(self):
+        """Guards against requests that the end of a stop cuts.
+
+        An operator saw requests that were accepted during a stop end
+        without a response, among them requests that must not be repeated.
+        """
+        cluster, address = self.start_gateway()
+        json_http.call_json(
+            'POST',
+            cluster.controls[0],
+            '/',
+            {'faults': {'s2-d1': 'silent', 's2-d2': 'silent'}},
+        )
+        statuses = []
+        threads = [
+            threading.Thread(
+                target=lambda: statuses.append(self.send_unsafe(address))
+            )
+            for _ in range(4)
+        ]
+        runs = self.count_runs(cluster)
+        for thread in threads[:2]:
+            thread.start()
+        clusters.wait_until(
+            lambda: self.count_runs(cluster) >= runs + 2,
+            'requests are in flight',
+        )
+        cluster.signal('gateway-0', signal.SIGTERM)
+        # The port is open until the load balancer has been given time.
+        for thread in threads[2:]:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        self.assertEqual([502] * 4, statuses)
+        cluster.wait('gateway-0')
+
+    def test_a_second_signal_cuts_no_request(self):
+        """Guards against signals in series that cut requests."""
+        cluster, address = self.start_gateway()
+        json_http.call_json(
+            'POST',
+            cluster.controls[0],
+            '/',
+            {'faults': {'s2-d1': 'silent', 's2-d2': 'silent'}},
+        )
+        statuses = []
+        thread = threading.Thread(
+            target=lambda: statuses.append(self.send_unsafe(address))
+        )
+        runs = self.count_runs(cluster)
+        thread.start()
+        clusters.wait_until(
+            lambda: self.count_runs(cluster) > runs, 'a request is in flight'
+        )
+        cluster.signal('gateway-0', signal.SIGTERM)
+        clusters.wait_until(
+            lambda: any(
+                line['message'] == 'stop_phase'
+                for line in self.read_log(cluster)
+            ),
+            'the stop begins',
+        )
+        cluster.signal('gateway-0', signal.SIGTERM)
+        thread.join()
+        self.assertEqual([502], statuses)
+        cluster.wait('gateway-0')
+
+    def test_a_request_that_is_read_while_draining_is_not_run(self):
+        """Guards against late requests that are passed on and then cut."""
+        cluster, address = self.start_gateway()
+        host, port = address.split(':')
+        connection = socket.create_connection((host, int(port)), 30)
+        self.addCleanup(connection.close)
+        connection.sendall(
+            b'POST /once/x HTTP/1.1\r\nHost: '
+            + operator_config.HOST.encode()
+            + f'\r\n{NAMES.request_id}: late\r\n'.encode()
+        )
+        cluster.signal('gateway-0', signal.SIGTERM)
+        clusters.wait_until(
+            lambda: any(
+                line.get('reason') == 'draining'
+                for line in self.read_log(cluster)
+            ),
+            'the gateway drains',
+        )
+        connection.sendall(b'Content-Length: 1\r\n\r\nx')
+        response = connection.makefile('rb').read()
+        self.assertTrue(response.startswith(b'HTTP/1.1 503 '), response)
+        _, report = json_http.call_json('GET', cluster.controls[0], '/')
+        self.assertNotIn('late', report['runs'])
+        cluster.wait('gateway-0')
+
+    def test_a_stop_cuts_no_request(self):
+        """Guards against connections that are closed without a response."""
+        cluster, address = self.start_gateway()
         json_http.call_json(
             'POST', cluster.controls[0], '/', {'faults': {'s2-d1': 'pause'}}
         )
@@ -235,9 +337,9 @@
             thread.join()
         self.assertEqual([200] * 8, statuses)
         self.assertEqual(0, cluster.wait('gateway-0'))
-        log = (cluster.folder / 'gateway-0.log').read_text()
-        lines = [json.loads(line) for line in log.splitlines()]
-        self.assertEqual('gateway stopped', lines[-1]['message'])
+        self.assertEqual(
+            'gateway stopped', self.read_log(cluster)[-1]['message']
+        )
 
     def count_runs(self, cluster):
         _, report = json_http.call_json('GET', cluster.controls[0], '/')
