Serve requests that offer an upgrade as if they did not

Cause: httptools reports such a request as complete after its head and drops the body; the exception that follows was handled like a syntax error. Change: that end is ignored, and the head is parsed again without the offer, followed by the bytes that were not consumed. CONNECT and HTTP/2's preface get 421. An unreadable request is answered after those before it, where it cut their answers off.

--- a/packages/node/src/gypsumbridge_node/gateway/end_to_end.py
+++ b/packages/node/src/gypsumbridge_node/gateway/end_to_end.py
@@ -10,6 +10,7 @@
         'connection',
         'content-length',
         'expect',
+        'http2-settings',
         'keep-alive',
         'proxy-authenticate',
         'proxy-authorization',
--- a/packages/node/src/gypsumbridge_node/gateway/server_connection.py
+++ b/packages/node/src/gypsumbridge_node/gateway/server_connection.py
@@ -16,12 +16,17 @@
 from gypsumbridge_node.gateway import parsed_request
 from gypsumbridge_node.gateway import socket_options
 from gypsumbridge_node.gateway import socket_writer
+from gypsumbridge_node.gateway import upgrade_offer
 
 STATUS_CONTINUE = 100
 STATUS_BAD_REQUEST = 400
 STATUS_TIMEOUT = 408
 STATUS_BODY_TOO_LARGE = 413
+STATUS_MISDIRECTED = 421
 STATUS_HEADER_TOO_LARGE = 431
+# Requests that only a tunnel or another protocol can answer. Their status
+# states that nothing was run.
+UNSUPPORTED_METHODS = frozenset({b'CONNECT', b'PRI'})
 # Reading is paused while this many pipelined requests wait.
 MAX_PIPELINED = 8
 
@@ -34,7 +39,9 @@
     request waits for its response. `limits` returns the limits in force,
     and `closing` whether connections are closed after their next response.
     What was received of an incomplete request is freed when the connection
-    is closed.
+    is closed. A request that cannot be read is answered after those before
+    it, and closes the connection. Offers to upgrade the connection are
+    ignored.
     """
 
     def __init__(
@@ -59,6 +66,9 @@
         self.in_progress = False
         self.keep_alive = True
         self.ended = False
+        # Set at the end of the connection, and after an unreadable request.
+        self.input_ended = False
+        self.rejection: int | None = None
         self.reading = False
         self.requests = 0
         self._clear_message()
@@ -72,21 +82,45 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Parse received bytes."""
-        if self.ended:
+        if self.input_ended:
             return
         if not self.reading and not self.in_progress:
             self._set_timeout_ms(self.limits().header_timeout_ms)
-        try:
-            self.parser.feed_data(data)
-        except (
-            httptools.HttpParserError,
-            httptools.HttpParserUpgrade,
-        ):
-            self._reject(STATUS_BAD_REQUEST)
-            return
+        rest = data
+        while rest:
+            rest = self._parse(rest)
         if len(self.waiting) >= MAX_PIPELINED:
             self.transport.pauseProducing()
 
+    def _parse(self, data: bytes) -> bytes:
+        """Parse bytes; return those that have to be parsed again."""
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade as offer:
+            return self._ignore_offer(data[offer.args[0] :])
+        except httptools.HttpParserError:
+            status = STATUS_BAD_REQUEST
+            if self.parser.get_method() in UNSUPPORTED_METHODS:
+                status = STATUS_MISDIRECTED
+            self._reject(status)
+        return b''
+
+    def _ignore_offer(self, rest: bytes) -> bytes:
+        """Return a request from its head on, without its offer."""
+        method = self.parser.get_method()
+        if method in UNSUPPORTED_METHODS:
+            self._reject(STATUS_MISDIRECTED)
+        if self.input_ended:
+            return b''
+        head = upgrade_offer.encode_without_offer(
+            method.decode('latin-1'),
+            self.target,
+            self.parser.get_http_version(),
+            self.headers,
+        )
+        self.parser = httptools.HttpRequestParser(self)
+        return head + rest
+
     def timeoutConnection(self) -> None:
         """Close a connection that is idle or sends a request too slowly."""
         if self.in_progress:
@@ -99,7 +133,7 @@
     def connectionLost(self, reason: failure.Failure) -> None:
         """Report a caller that disconnected during a request."""
         self.setTimeout(None)
-        self.ended = True
+        self.ended = self.input_ended = True
         # The parser and this object refer to each other.
         self.parser = None
         self._clear_message()
@@ -143,7 +177,7 @@
 
     def close(self) -> None:
         """Close the connection after sending all written data."""
-        self.ended = True
+        self.ended = self.input_ended = True
         self._clear_message()
         self.transport.loseConnection()
 
@@ -159,14 +193,14 @@
 
     def on_url(self, url: bytes) -> None:
         """Store a piece of the target."""
-        if self.ended:
+        if self.input_ended:
             return
         self.target += url
         self._add_header_bytes(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store one header, and answer `Expect: 100-continue`."""
-        if self.ended:
+        if self.input_ended:
             return
         self.headers.append((name.decode('latin-1'), value.decode('latin-1')))
         self._add_header_bytes(len(name) + len(value) + 4)
@@ -180,7 +214,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a chunk to the body, unless the body is too large."""
-        if self.ended:
+        if self.input_ended:
             return
         self.body += body
         if len(self.body) > self.limits().max_body_bytes:
@@ -188,9 +222,9 @@
 
     def on_message_complete(self) -> None:
         """Pass the request on, or queue it behind the one in progress."""
-        self.reading = False
-        if self.ended:
+        if self.input_ended or self.parser.should_upgrade():
             return
+        self.reading = False
         request = parsed_request.ParsedRequest(
             self.parser.get_method().decode('latin-1'),
             self.target.decode('latin-1'),
@@ -202,7 +236,10 @@
         self._next()
 
     def _next(self) -> None:
-        if self.in_progress or self.ended or not self.waiting:
+        if self.in_progress or self.ended:
+            return
+        if not self.waiting:
+            self._answer_rejection()
             return
         request, self.keep_alive = self.waiting.popleft()
         self.in_progress = True
@@ -220,11 +257,22 @@
             self._reject(STATUS_HEADER_TOO_LARGE)
 
     def _reject(self, status: int) -> None:
+        """Stop reading; answer the request after those before it."""
+        if self.input_ended:
+            return
+        self.input_ended = True
+        self.rejection = status
+        self.reading = False
+        self._clear_message()
+        self._next()
+
+    def _answer_rejection(self) -> None:
         """Answer a request that was not read completely, and close."""
-        if self.ended:
+        if self.rejection is None:
             return
-        if not self.in_progress:
-            self.writer.write(http_head.encode_response(status, (), b'', True))
+        self.writer.write(
+            http_head.encode_response(self.rejection, (), b'', True)
+        )
         self.close()
 
     def _clear_message(self) -> None:
