Refuse heads that two responses run together make up

Cause: where an answer breaks off inside a header's value or the reason phrase, the parser reads the next status line as a part of it, and the rest of the next head completes the first. The status, the signature or a statement that nothing was run then comes from the first answer, the id from the second. Change: a status line inside a value or the reason phrase ends the connection. A searcher's answer states its id, signature and the like once, in their own form. After any other answer the request may have run, so an unsafe one is not sent again. Both are counted by reason.

--- a/packages/node/src/gypsumbridge_node/gateway/attempt_codec.py
+++ b/packages/node/src/gypsumbridge_node/gateway/attempt_codec.py
@@ -3,13 +3,13 @@
 import re
 
 from gypsumbridge_decisions import forwarding
+from gypsumbridge_node.gateway import answer_check
 from gypsumbridge_node.gateway import end_to_end
 from gypsumbridge_node.gateway import header_names
 from gypsumbridge_node.gateway import http_head
 from gypsumbridge_node.gateway import http_reply
 from gypsumbridge_node.gateway import http_request
 
-STATUS_MISDIRECTED = 421
 # Too many requests, and service unavailable.
 BUSY_STATUSES = frozenset({429, 503})
 _SECONDS = re.compile(r'[0-9]{1,9}(\.[0-9]{1,9})?')
@@ -53,15 +53,21 @@
     command: forwarding.SendAttempt,
     reply: http_reply.HttpReply,
 ) -> Ended:
-    """Return the result of an attempt that got a complete response."""
+    """Return the result of an attempt that got a complete response.
+
+    After a response that no searcher sends, the request may have run.
+    """
+    fault = answer_check.find_fault(names, command, reply)
+    if fault:
+        return Ended(command.attempt_id, Outcome.LOST, detail=fault)
     not_run = names.not_run in reply.headers.first
     outcome = Outcome.ANSWERED
-    if reply.status == STATUS_MISDIRECTED:
+    if reply.status == answer_check.STATUS_MISDIRECTED:
         outcome = Outcome.MISDIRECTED
     elif not_run:
         outcome = Outcome.NOT_RUN
     elif command.framed_only and not reply.framed:
-        outcome = Outcome.LOST
+        return Ended(command.attempt_id, Outcome.LOST, detail='unframed')
     return Ended(
         command.attempt_id,
         outcome,
--- a/packages/node/src/gypsumbridge_node/gateway/client_connection.py
+++ b/packages/node/src/gypsumbridge_node/gateway/client_connection.py
@@ -13,6 +13,7 @@
 from gypsumbridge_node.gateway import http_reply
 from gypsumbridge_node.gateway import opening_factory
 from gypsumbridge_node.gateway import receive_budget
+from gypsumbridge_node.gateway import response_head
 from gypsumbridge_node.gateway import socket_options
 from gypsumbridge_node.gateway import socket_writer
 
@@ -25,6 +26,8 @@
 # Short headers take many times the memory of their bytes.
 MAX_HEADERS = 256
 MAX_FRAMING_SHARE = 8
+# The reasons of a close that this side did not cause.
+CLOSED_BY_SERVER = frozenset({'closed', 'reset'})
 # A server may close an idle connection slightly before the time that it
 # states.
 IDLE_MARGIN_MS = 300
@@ -161,6 +164,10 @@
         self.receiving = True
         self._clear_message()
 
+    def on_status(self, reason: bytes) -> None:
+        """Store a piece of the reason phrase."""
+        self.reason += reason
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store one header."""
         if self.aborted:
@@ -170,9 +177,14 @@
             self._abort('head_too_large')
 
     def on_headers_complete(self) -> None:
-        """Close the connection if the stated length is over the limit."""
+        """Close the connection if the head cannot be used."""
         if self.aborted:
             return
+        if response_head.is_merged(
+            self.reason.decode('latin-1'), self.headers
+        ):
+            self._abort('merged_head')
+            return
         self.response_headers = headers.make_headers(self.headers)
         length = self.response_headers.first.get('content-length', '')
         if length.isdecimal() and int(length) > self.max_body_bytes:
@@ -238,6 +250,7 @@
         """Free what was received of a response."""
         self.budget.release(self._abort_over_budget)
         self.response_headers: headers.Headers | None = None
+        self.reason = b''
         self.headers: list[tuple[str, str]] = []
         self.body = bytearray()
 
--- a/packages/node/src/gypsumbridge_node/gateway/headers.py
+++ b/packages/node/src/gypsumbridge_node/gateway/headers.py
@@ -14,6 +14,10 @@
     pairs: tuple[tuple[str, str], ...]
     first: dict[str, str]
 
+    def lowered(self) -> tuple[tuple[str, str], ...]:
+        """Return all headers with their names in lower case."""
+        return tuple((name.lower(), value) for name, value in self.pairs)
+
 
 def make_headers(pairs: Iterable[tuple[str, str]]) -> Headers:
     """Return headers that can be looked up by name."""
--- a/packages/node/src/gypsumbridge_node/gateway/pool_checkout.py
+++ b/packages/node/src/gypsumbridge_node/gateway/pool_checkout.py
@@ -194,6 +194,9 @@
     def expects(reply: http_reply.HttpReply) -> bool:
         if reply.headers.first.get(id_header) == request_id:
             return True
+        if (id_header, request_id) in reply.headers.lowered():
+            # The head has several ids, which is reported as a fault.
+            return True
         context.runtime.metrics.count('searchers.stray_responses')
         return False
 
@@ -238,7 +241,9 @@
         return
     ended = attempt_codec.classify(context.names, job.command, reply)
     report(context, job, ended)
-    if ended.outcome == Outcome.MISDIRECTED:
+    if ended.outcome == Outcome.LOST:
+        count_unusable(context, ended.detail)
+    if ended.outcome in (Outcome.MISDIRECTED, Outcome.LOST):
         connection.reusable = False
     if ended.leaving or ended.retry_after_ms:
         reject_waiting(context, pool)
@@ -280,9 +285,18 @@
     pool.idle.discard(connection)
     job = pool.busy.pop(connection, None)
     if job is not None:
+        if reason not in client_connection.CLOSED_BY_SERVER:
+            count_unusable(context, reason)
         report(
             context,
             job,
             Ended(job.command.attempt_id, Outcome.LOST, detail=reason),
         )
     assign_waiting(context, pool)
+
+
+def count_unusable(
+    context: searchers_context.SearchersContext, reason: str
+) -> None:
+    """Count a response that this node gave up on, by its reason."""
+    context.runtime.metrics.count(f'searchers.unusable_responses.{reason}')
