Require every field of a searcher's entry

Cause: only the fields that the gateway uses were decoded, so an entry without the others looked sound. Change: every field of the page is required and checked in type and range. Only born may be missing, which the deployments' own examples leave out. What is skipped is counted besides its log line.

--- a/packages/decisions/src/gypsumbridge_decisions/discovery/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/__init__.py
@@ -10,9 +10,6 @@
 from gypsumbridge_decisions.discovery.applying import (
     apply_searcher as apply_searcher,
 )
-from gypsumbridge_decisions.discovery.applying import (
-    log_skipped_record as log_skipped_record,
-)
 from gypsumbridge_decisions.discovery.applying import (
     publish_searchers as publish_searchers,
 )
@@ -22,6 +19,9 @@
 from gypsumbridge_decisions.discovery.applying import (
     schedule_removal as schedule_removal,
 )
+from gypsumbridge_decisions.discovery.applying import (
+    skip_record as skip_record,
+)
 from gypsumbridge_decisions.discovery.command import Command as Command
 from gypsumbridge_decisions.discovery.discovery_ready import (
     DiscoveryReady as DiscoveryReady,
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/applying.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/applying.py
@@ -65,11 +65,11 @@
     replaced by a value that cannot be decoded.
     """
     if record.value is None:
-        return [log_skipped_record(record, 'routes were deleted')]
+        return skip_record(record, 'routes were deleted')
     try:
         table = state.schema.decode_routes(record.value)
     except errors.FrameError as error:
-        return [log_skipped_record(record, str(error))]
+        return skip_record(record, str(error))
     if state.routes_version is not None:
         if table.version <= state.routes_version:
             return []
@@ -93,7 +93,7 @@
     try:
         found = state.schema.decode_node(node_id, record.value)
     except errors.FrameError as error:
-        return False, [log_skipped_record(record, str(error))]
+        return False, skip_record(record, str(error))
     changed = state.relay.peers.get(node_id) != found
     state.relay.peers[node_id] = found
     return changed, []
@@ -117,10 +117,10 @@
     try:
         found = state.schema.decode_searcher(searcher_id, record.value)
     except errors.FrameError as error:
-        commands: list[command.Command] = [
-            log_skipped_record(record, str(error))
+        return False, [
+            *skip_record(record, str(error)),
+            *schedule_removal(state, searcher_id, now_ms),
         ]
-        return False, commands + schedule_removal(state, searcher_id, now_ms)
     state.removals.pop(searcher_id, None)
     if state.searchers.get(searcher_id) == found:
         return False, []
@@ -164,12 +164,15 @@
     ]
 
 
-def log_skipped_record(
+def skip_record(
     record: relaying.StoreRecord, error: str
-) -> command.Command:
-    """Return the log line of a record that is ignored."""
-    return messages.Decision(
-        'store_record_skipped',
-        error,
-        {'key': record.key, 'revision': record.revision},
-    )
+) -> list[command.Command]:
+    """Log and count a record that is ignored."""
+    return [
+        messages.Decision(
+            'store_record_skipped',
+            error,
+            {'key': record.key, 'revision': record.revision},
+        ),
+        messages.Count('discovery.records_skipped'),
+    ]
--- a/packages/standins/src/gypsumbridge_standins/users_platform/__main__.py
+++ b/packages/standins/src/gypsumbridge_standins/users_platform/__main__.py
@@ -19,6 +19,7 @@
 from gypsumbridge_standins.users_platform import store_site
 
 SCHEMA = platform_adapter.make_adapter().schema
+VERSION = 'v1'
 SLOTS = 2
 
 
@@ -94,8 +95,11 @@
         searcher['service'],
         searcher.get('address', f'127.0.0.1:{searcher["port"]}'),
         searcher['domain'],
+        VERSION,
         SLOTS,
         status,
+        warmup_left_ms=0,
+        sequence=1,
     )
     text = base64.b64encode(msgspec.json.encode(body)).decode()
     state.write(SCHEMA.searcher_prefix + searcher_id, text)
--- a/tests/decisions/discovery/test_discovery.py
+++ b/tests/decisions/discovery/test_discovery.py
@@ -142,6 +142,18 @@
         commands = self.handle(discovery.RemovalTimer())
         self.assertEqual({'b': False}, self.published(commands))
 
+    def test_a_skipped_record_is_logged_and_counted(self):
+        """Guards against entries that vanish without a trace."""
+        commands = self.list(searchers_a=b'bad')
+        (decision,) = (
+            c
+            for c in commands
+            if isinstance(c, messages.Decision)
+            and c.name == 'store_record_skipped'
+        )
+        self.assertEqual('searchers/a', decision.fields['key'])
+        self.assertIn(messages.Count('discovery.records_skipped'), commands)
+
     def test_a_change_older_than_a_listed_record_is_not_applied(self):
         """Guards against a leaving searcher that is in use again.
 
--- a/tests/platform_adapter/test_decoding.py
+++ b/tests/platform_adapter/test_decoding.py
@@ -120,6 +120,28 @@
                 with self.assertRaises(errors.FrameError):
                     searchers.decode_searcher('i-1', value)
 
+    def test_every_field_of_the_page_is_required(self):
+        """Guards against an entry that no searcher has written (review/5)."""
+        for field in ENTRY.keys() - {'born'}:
+            for value in (
+                None,
+                [],
+                {},
+                True,
+                'x' if field != 'version' else 1,
+            ):
+                if field == 'backend' and value == 'x':
+                    continue
+                if field == 'zone' and value == 'x':
+                    continue
+                with self.subTest(field=field, value=value):
+                    with self.assertRaises(errors.FrameError):
+                        self.decode(**{field: value})
+
+    def test_the_time_of_the_start_may_be_missing(self):
+        """Guards against refusing the searchers of a whole deployment."""
+        self.assertEqual(0, self.decode(born=None).incarnation)
+
     def test_deeply_nested_values_are_refused(self):
         """Guards against an exception that ends the loop over the store."""
         nested = (b'[' * DEPTH + b']' * DEPTH, b'{"a":' * DEPTH, b'[' * DEPTH)
