Keep what a searcher has stated while its entry lapses

Cause: the health of a searcher without an entry was dropped, and any changed field of an entry, also its slots, counted as a restart. Change: a departed searcher's health is kept until its stated time, or for 10 s if it was leaving. Only another incarnation or address ends a statement. Measured: three of the seven new tests fail on (the searcher is used again after a lapse of 4.4 s, and after a change of its slots); two others cover state that did not exist before.

--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
@@ -148,6 +148,9 @@
 from gypsumbridge_decisions.forwarding.delegation_sending import (
     send_delegation as send_delegation,
 )
+from gypsumbridge_decisions.forwarding.departed_searcher import (
+    DepartedSearcher as DepartedSearcher,
+)
 from gypsumbridge_decisions.forwarding.discovery_updates import (
     change_fleet_size as change_fleet_size,
 )
@@ -160,6 +163,9 @@
 from gypsumbridge_decisions.forwarding.discovery_updates import (
     change_searchers as change_searchers,
 )
+from gypsumbridge_decisions.forwarding.discovery_updates import (
+    forget_departed as forget_departed,
+)
 from gypsumbridge_decisions.forwarding.discovery_updates import (
     refresh_shares as refresh_shares,
 )
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/discovery_updates.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/discovery_updates.py
@@ -1,9 +1,8 @@
 """Updates of routes, searchers and fleet size from service discovery."""
 
-import dataclasses
-
 from gypsumbridge_decisions import messages
 from gypsumbridge_decisions.forwarding import command
+from gypsumbridge_decisions.forwarding import departed_searcher
 from gypsumbridge_decisions.forwarding import fleet_size_changed
 from gypsumbridge_decisions.forwarding import nodes_changed
 from gypsumbridge_decisions.forwarding import routes_changed
@@ -39,10 +38,11 @@
 
 
 def change_searchers(
-    state: states.ForwardingState, update: searchers_changed.SearchersChanged
+    state: states.ForwardingState,
+    update: searchers_changed.SearchersChanged,
+    now_ms: int,
 ) -> list[command.Command]:
     """Replace the searchers, keeping the health of those that remain."""
-    current_ids: set[str] = set()
     previous = {
         old.searcher_id: old
         for searchers in state.searchers.values()
@@ -50,17 +50,24 @@
     }
     state.searchers = {}
     for found in update.searchers:
-        current_ids.add(found.searcher_id)
         state.searchers.setdefault(found.service, []).append(found)
-        before = previous.get(found.searcher_id, found)
-        if before != dataclasses.replace(found, draining=before.draining):
+        before = previous.pop(found.searcher_id, None)
+        health = state.health.setdefault(
+            found.searcher_id, searcher_health.SearcherHealth()
+        )
+        returned = state.departed.pop(found.searcher_id, None)
+        if returned is not None and health.is_remembered(
+            returned.departed_ms, now_ms
+        ):
+            before = returned.searcher
+        if before is None or not found.is_same_process(before):
             # The searcher was restarted or moved, so it is usable again.
-            state.health[found.searcher_id].reset_statements()
-        if found.searcher_id not in state.health:
-            state.health[found.searcher_id] = searcher_health.SearcherHealth()
-    busy_ids = {a.searcher.searcher_id for a in state.attempts.values()}
-    for searcher_id in state.health.keys() - current_ids - busy_ids:
-        del state.health[searcher_id]
+            health.reset_statements()
+    for gone in previous.values():
+        state.departed[gone.searcher_id] = departed_searcher.DepartedSearcher(
+            gone, now_ms
+        )
+    forget_departed(state, now_ms)
     refresh_shares(state)
     draining = sum(1 for found in update.searchers if found.draining)
     fields = {
@@ -71,6 +78,19 @@
     return [messages.Decision('searchers_changed', 'discovery', fields)]
 
 
+def forget_departed(state: states.ForwardingState, now_ms: int) -> None:
+    """Drop the health of departed searchers that is not needed any more."""
+    busy_ids = {a.searcher.searcher_id for a in state.attempts.values()}
+    for searcher_id, departed in tuple(state.departed.items()):
+        health = state.health[searcher_id]
+        if health.is_remembered(departed.departed_ms, now_ms):
+            continue
+        if searcher_id in busy_ids:
+            continue
+        del state.departed[searcher_id]
+        del state.health[searcher_id]
+
+
 def change_fleet_size(
     state: states.ForwardingState, update: fleet_size_changed.FleetSizeChanged
 ) -> list[command.Command]:
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/handler.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/handler.py
@@ -67,7 +67,7 @@
         case response_written.ResponseWritten():
             return finishing.record_answer_delay(state, message)
         case searchers_changed.SearchersChanged():
-            return discovery_updates.change_searchers(state, message)
+            return discovery_updates.change_searchers(state, message, now_ms)
         case routes_changed.RoutesChanged():
             return discovery_updates.change_routes(state, message)
         case fleet_size_changed.FleetSizeChanged():
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/searcher.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/searcher.py
@@ -20,3 +20,11 @@
     slots: int
     draining: bool
     incarnation: int = 0
+
+    def is_same_process(self, other: 'Searcher') -> bool:
+        """Return whether another entry was written by the same process."""
+        return (
+            self.incarnation == other.incarnation
+            and self.address == other.address
+            and self.port == other.port
+        )
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/searcher_health.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/searcher_health.py
@@ -17,6 +17,8 @@
 FAILURES_TO_EJECT = 2
 FIRST_EJECTION_MS = 500
 MAX_EJECTION_MS = 4_000
+# An entry that lapses although its searcher is alive is back by then.
+LAPSE_MS = 10_000
 # Limits the time that a searcher may state in its Retry-After header.
 MAX_RETRY_AFTER_MS = 600_000
 
@@ -70,6 +72,16 @@
         self.leaving = False
         self.closed_until_ms = 0
 
+    def is_remembered(self, departed_ms: int, now_ms: int) -> bool:
+        """Return whether the statements hold without an entry.
+
+        The entry has been missing since `departed_ms`.
+        """
+        if self.closed_until_ms > now_ms:
+            return True
+        stated = self.replaced or self.leaving
+        return stated and now_ms < departed_ms + LAPSE_MS
+
     def may_be_sent_requests(self, now_ms: int) -> bool:
         """Return whether the searcher has not stated the contrary."""
         if self.replaced or self.leaving:
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/state.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/state.py
@@ -5,6 +5,7 @@
 from gypsumbridge_decisions.forwarding import coordination
 from gypsumbridge_decisions.forwarding import coordinator_health
 from gypsumbridge_decisions.forwarding import delegation
+from gypsumbridge_decisions.forwarding import departed_searcher
 from gypsumbridge_decisions.forwarding import exchange
 from gypsumbridge_decisions.forwarding import latency_window
 from gypsumbridge_decisions.forwarding import policy as policies
@@ -24,7 +25,8 @@
     `searchers` holds the searchers of each service; `latencies`, `splits`
     and `answer_delays` are keyed by the name of the route. `timer_lag_ms`
     is the moving average of the delay with which timers are handled,
-    measured last at `timer_lag_at_ms`.
+    measured last at `timer_lag_at_ms`. `departed` holds the searchers
+    without an entry whose health is kept.
     `previous_table` is kept for nodes that delegate with the older version.
     `coordinators` is keyed by node id, `delegations` by an id of their own;
     `delegated_calls` holds that id for each request delegated as a whole.
@@ -46,6 +48,7 @@
         self.delegated_calls: dict[int, int] = {}
         self.searchers: dict[str, list[searcher.Searcher]] = {}
         self.health: dict[str, searcher_health.SearcherHealth] = {}
+        self.departed: dict[str, departed_searcher.DepartedSearcher] = {}
         self.exchanges: dict[int, exchange.Exchange] = {}
         self.attempts: dict[int, attempt.Attempt] = {}
         self.last_attempt_id = 0
--- a/tests/decisions/forwarding/test_leaving_searchers.py
+++ b/tests/decisions/forwarding/test_leaving_searchers.py
@@ -58,6 +58,67 @@
         (response,) = gateway_case.responses(commands)
         self.assertEqual(503, response.status)
 
+    def lapse(self, lapse_ms, **changes):
+        """Remove the entry of s1-d1, and publish it again later."""
+        found = self.state.searchers['s1']
+        self.publish(f for f in found if f.searcher_id != 's1-d1')
+        self.now_ms += lapse_ms
+        self.publish([dataclasses.replace(f, **changes) for f in found])
+
+    def test_a_leaving_searcher_stays_excluded_while_its_entry_lapses(self):
+        """Guards against requests after an outage of the store."""
+        self.finish(self.one_sent(), leaving=True)
+        self.lapse(4_400)
+        self.assertEqual({'s1-d2'}, self.names_used())
+
+    def test_a_stated_time_holds_while_the_entry_lapses(self):
+        """Guards against requests that a searcher asked not to get."""
+        sent = self.one_sent()
+        (again,) = gateway_case.sends(self.refuse(sent, 30_000))
+        self.finish(again)
+        self.lapse(4_400)
+        self.assertEqual({'s1-d2'}, self.names_used())
+        self.now_ms += 26_000
+        self.assertIn('s1-d1', self.names_used())
+
+    def test_a_statement_made_without_an_entry_holds(self):
+        """Guards against a late answer that is forgotten."""
+        sent = self.one_sent()
+        found = self.state.searchers['s1']
+        self.publish(f for f in found if f.searcher_id != 's1-d1')
+        self.finish(sent, leaving=True)
+        self.publish(found)
+        self.assertEqual({'s1-d2'}, self.names_used())
+
+    def test_a_process_that_returns_after_a_lapse_is_used(self):
+        """Guards against an exclusion of the next process."""
+        self.finish(self.one_sent(), leaving=True)
+        self.lapse(4_400, incarnation=7)
+        self.assertIn('s1-d1', self.names_used())
+
+    def test_an_entry_that_returns_much_later_is_used(self):
+        """Guards against a searcher that is excluded for good."""
+        self.finish(self.one_sent(), leaving=True)
+        self.lapse(20_000)
+        self.assertIn('s1-d1', self.names_used())
+        self.assertEqual({}, self.state.departed)
+
+    def test_a_changed_entry_does_not_undo_a_statement(self):
+        """Guards against a change of the slots that counts as a restart."""
+        self.finish(self.one_sent(), leaving=True)
+        self.publish(
+            dataclasses.replace(found, slots=3)
+            for found in self.state.searchers['s1']
+        )
+        self.assertEqual({'s1-d2'}, self.names_used())
+
+    def test_the_health_of_departed_searchers_is_dropped(self):
+        """Guards against state that grows with every searcher of the past."""
+        for number in range(20):
+            self.publish([gateway_case.make_searcher(f'a{number}', 's1')])
+        self.assertEqual({'a19'}, set(self.state.health))
+        self.assertEqual({}, self.state.departed)
+
     def test_a_restarted_searcher_is_used_again(self):
         """Guards against a searcher that is excluded for good."""
         self.finish(self.one_sent(), leaving=True)
