List the store after a watch whose answer is too large

Cause: the failure of such a watch was retried like any other. Change: it is followed by a list, whose pages are bounded, and logged as store_history_lost with the reason too_large. A page over the limit stays a failure with a pause, so that lists do not follow each other at once. Measured: test_changes_over_the_limit_are_listed_instead is new, and expects HistoryLost where StoreFailed was sent before; both new tests pass.

--- a/packages/decisions/src/gypsumbridge_decisions/discovery/handler.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/handler.py
@@ -29,7 +29,7 @@
         case store_changed.StoreChanged():
             return syncing.handle_changes(state, message, now_ms)
         case history_lost.HistoryLost():
-            return syncing.handle_history_lost(state, now_ms)
+            return syncing.handle_history_lost(state, message.reason, now_ms)
         case store_failed.StoreFailed():
             return syncing.handle_store_failure(state, message.reason, now_ms)
         case relaying.PeerAnswered():
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/history_lost.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/history_lost.py
@@ -1,8 +1,14 @@
-"""Notice that the store no longer has the revision of a watch."""
+"""Notice that the changes since a revision cannot be read."""
 
 import dataclasses
 
 
 @dataclasses.dataclass(frozen=True)
 class HistoryLost:
-    """The revision was compacted, so the store must be listed again."""
+    """The store must be listed again.
+
+    The `reason` is `compacted` if the store has dropped the changes, or
+    `too_large` if its answer exceeds the limit on responses.
+    """
+
+    reason: str = 'compacted'
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/syncing.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/syncing.py
@@ -166,14 +166,14 @@
 
 
 def handle_history_lost(
-    state: states.DiscoveryState, now_ms: int
+    state: states.DiscoveryState, reason: str, now_ms: int
 ) -> list[command.Command]:
     """List the store again."""
     state.list_needed = True
     # A watch after a stale list could start in the compacted history again.
     state.exact_list_needed = True
     decision = messages.Decision(
-        'store_history_lost', 'compacted', {'revision': state.revision}
+        'store_history_lost', reason, {'revision': state.revision}
     )
     return [decision, *resume(state, now_ms)]
 
--- a/packages/node/src/gypsumbridge_node/gateway/client_connection.py
+++ b/packages/node/src/gypsumbridge_node/gateway/client_connection.py
@@ -28,6 +28,7 @@
 MAX_FRAMING_SHARE = 8
 # The reasons of a close that this side did not cause.
 CLOSED_BY_SERVER = frozenset({'closed', 'reset'})
+BODY_TOO_LARGE = 'body_too_large'
 # A server may close an idle connection slightly before the time that it
 # states.
 IDLE_MARGIN_MS = 300
@@ -188,7 +189,7 @@
         self.response_headers = headers.make_headers(self.headers)
         length = self.response_headers.first.get('content-length', '')
         if length.isdecimal() and int(length) > self.max_body_bytes:
-            self._abort('body_too_large')
+            self._abort(BODY_TOO_LARGE)
 
     def on_body(self, body: bytes) -> None:
         """Append a chunk to the body."""
@@ -196,7 +197,7 @@
             return
         self.body += body
         if len(self.body) > self.max_body_bytes:
-            self._abort('body_too_large')
+            self._abort(BODY_TOO_LARGE)
 
     def on_message_complete(self) -> None:
         """Report the response unless it is an interim one (1xx)."""
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/store.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/store.py
@@ -1,17 +1,25 @@
 """The task that calls the platform's store for discovery."""
 
 from collections.abc import Callable
+from collections.abc import Mapping
 from typing import Any
 
 from gypsumbridge_decisions import discovery
 from gypsumbridge_node.gateway import api_client
 from gypsumbridge_node.gateway import api_client_state
+from gypsumbridge_node.gateway import client_connection
 from gypsumbridge_node.gateway import http_reply
 from gypsumbridge_node.gateway import runtime as runtimes
 from gypsumbridge_node.gateway import store_page
 from gypsumbridge_wire import relay
 
-STATUS_GONE = 410
+# The changes since a revision may be dropped by the store, or may exceed the
+# limit on responses, while a list has pages.
+LIST_FAILURES = {'status_410': 'compacted'}
+WATCH_FAILURES = {
+    **LIST_FAILURES,
+    f'connection_{client_connection.BODY_TOO_LARGE}': 'too_large',
+}
 # The store answers a watch without changes within this time after the wait of
 # the watch ends. The wait and this margin together are shorter than the time
 # after which a node whose connections became unresponsive counts as connected
@@ -37,14 +45,18 @@
 
 
 def make_failure_report(
-    runtime: runtimes.GatewayRuntime,
+    runtime: runtimes.GatewayRuntime, history_lost: Mapping[str, str]
 ) -> Callable[[str], None]:
-    """Return a function that reports a failed list or watch."""
+    """Return a function that reports a failed list or watch.
+
+    After the failures in `history_lost`, which maps each to its reason, the
+    same call would fail again.
+    """
     mailbox = runtime.mailboxes.discovery
 
     def report(reason: str) -> None:
-        if reason == f'status_{STATUS_GONE}':
-            mailbox.put(discovery.HistoryLost())
+        if reason in history_lost:
+            mailbox.put(discovery.HistoryLost(history_lost[reason]))
             return
         mailbox.put(discovery.StoreFailed(reason))
 
@@ -58,7 +70,7 @@
     """Return a function that reads all pages of the store."""
     adapter = runtime.adapter
     timeout_ms = runtime.settings.discovery.timeout_ms
-    report_failure = make_failure_report(runtime)
+    report_failure = make_failure_report(runtime, LIST_FAILURES)
     pages: list[store_page.StorePage] = []
     stale_ok = False
 
@@ -101,7 +113,7 @@
     adapter = runtime.adapter
     timeout_ms = runtime.settings.discovery.timeout_ms
     margin_ms = min(timeout_ms, WATCH_MARGIN_MS)
-    report_failure = make_failure_report(runtime)
+    report_failure = make_failure_report(runtime, WATCH_FAILURES)
 
     def handle_changes(reply: http_reply.HttpReply) -> None:
         runtime.mailboxes.discovery.put(adapter.decode_watch(reply.body))
--- a/tests/node/gateway/test_store_listing.py
+++ b/tests/node/gateway/test_store_listing.py
@@ -5,6 +5,7 @@
 
 from gypsumbridge_decisions import discovery
 from gypsumbridge_node.gateway import api_client_state
+from gypsumbridge_node.gateway import client_connection
 from gypsumbridge_node.gateway.tasks import store
 from gypsumbridge_platform import platform_adapter
 from tests.node.gateway import bare_runtime
@@ -26,6 +27,7 @@
             runtime, 'store', '10.0.0.1:80'
         )
         self.list = store.make_lister(runtime, client)
+        self.watch = store.make_watcher(runtime, client)
 
     def open_connection(self):
         """Accept the connection that the last call opens."""
@@ -36,6 +38,29 @@
         self.connection.makeConnection(transport)
         self.reactor.advance(0)
 
+    def receive_too_much(self):
+        size = client_connection.MAX_BODY_BYTES + 1
+        self.connection.dataReceived(
+            f'HTTP/1.1 200 OK\r\nContent-Length: {size}\r\n\r\n'.encode()
+        )
+
+    def test_changes_over_the_limit_are_listed_instead(self):
+        """Guards against a watch that is repeated without end."""
+        self.watch(discovery.WatchStore(5, 3_000))
+        self.open_connection()
+        self.receive_too_much()
+        self.assertEqual([discovery.HistoryLost('too_large')], self.received)
+
+    def test_a_page_over_the_limit_is_a_failure(self):
+        """Guards against lists that follow each other without a pause."""
+        self.list(discovery.ListStore(stale_ok=False))
+        self.open_connection()
+        self.receive_too_much()
+        self.assertEqual(
+            [discovery.StoreFailed('connection_body_too_large')],
+            self.received,
+        )
+
     def answer(self, revision, items, more):
         body = msgspec.json.encode(
             {
