Answer HEAD with the head of the searcher's response

Cause: the parser of responses does not know the method of the request, so it waits for the body whose length the head states. Change: a response to HEAD is complete after its head, its connection is not used again, and the length that the searcher stated is relayed.

--- a/packages/node/src/gypsumbridge_node/gateway/attempt_codec.py
+++ b/packages/node/src/gypsumbridge_node/gateway/attempt_codec.py
@@ -72,10 +72,7 @@
         command.attempt_id,
         outcome,
         reply.status,
-        # The headers of a gathered part are not relayed.
-        ()
-        if command.framed_only
-        else end_to_end.end_to_end_headers(reply.headers.pairs),
+        relayed_headers(command, reply),
         reply.body,
         reply.headers.first.get(names.signature, ''),
         '' if outcome == Outcome.ANSWERED else f'status_{reply.status}',
@@ -84,6 +81,23 @@
     )
 
 
+def relayed_headers(
+    command: forwarding.SendAttempt, reply: http_reply.HttpReply
+) -> tuple[tuple[str, str], ...]:
+    """Return the headers of a response that the caller gets.
+
+    Those of a gathered part are not relayed. The length that a response to
+    HEAD states is that of the body which GET would return.
+    """
+    if command.framed_only:
+        return ()
+    found = end_to_end.end_to_end_headers(reply.headers.pairs)
+    length = reply.headers.first.get(http_head.CONTENT_LENGTH)
+    if command.request.method == 'HEAD' and length is not None:
+        return (*found, (http_head.CONTENT_LENGTH, length))
+    return found
+
+
 def _retry_after_ms(
     names: header_names.HeaderNames, reply: http_reply.HttpReply
 ) -> int:
--- a/packages/node/src/gypsumbridge_node/gateway/client_connection.py
+++ b/packages/node/src/gypsumbridge_node/gateway/client_connection.py
@@ -69,6 +69,7 @@
         self.on_interim: Callable[[], None] = ignore_interim
         self._clear_message()
         self.max_body_bytes = MAX_BODY_BYTES
+        self.head_only = False
         self.received_bytes = 0
         self.receiving = False
         self.aborted = False
@@ -89,9 +90,14 @@
         data: bytes,
         expects: Callable[[http_reply.HttpReply], bool],
         max_body_bytes: int = MAX_BODY_BYTES,
+        head_only: bool = False,
     ) -> None:
-        """Send a request; `expects` recognizes the response to it."""
+        """Send a request; `expects` recognizes the response to it.
+
+        With `head_only` the response has no body, whatever length it states.
+        """
         self.expects = expects
+        self.head_only = head_only
         self.max_body_bytes = max_body_bytes
         self.received_bytes = 0
         self.writer.write(data)
@@ -187,6 +193,11 @@
             self._abort('merged_head')
             return
         self.response_headers = headers.make_headers(self.headers)
+        if self.head_only and self.parser.get_status_code() >= 200:
+            # The parser would wait for the body.
+            self.reusable = False
+            self._complete(self.response_headers, framed=True)
+            return
         length = self.response_headers.first.get('content-length', '')
         if length.isdecimal() and int(length) > self.max_body_bytes:
             self._abort(BODY_TOO_LARGE)
--- a/packages/node/src/gypsumbridge_node/gateway/http_head.py
+++ b/packages/node/src/gypsumbridge_node/gateway/http_head.py
@@ -5,6 +5,7 @@
 
 from gypsumbridge_node.gateway import http_request
 
+CONTENT_LENGTH = 'content-length'
 _REASONS = {status.value: status.phrase for status in http.HTTPStatus}
 
 
@@ -32,10 +33,15 @@
 def encode_response(
     status: int, headers: Iterable[tuple[str, str]], body: bytes, close: bool
 ) -> bytes:
-    """Return a complete response with its Content-Length."""
+    """Return a complete response with its Content-Length.
+
+    A response without a body may have that header already.
+    """
+    headers = tuple(headers)
     lines = [f'HTTP/1.1 {status} {_REASONS.get(status, "Unknown")}']
     lines += [f'{key}: {value}' for key, value in headers]
-    lines.append(f'Content-Length: {len(body)}')
+    if body or all(key != CONTENT_LENGTH for key, _ in headers):
+        lines.append(f'Content-Length: {len(body)}')
     if close:
         lines.append('Connection: close')
     head = '\r\n'.join(lines) + '\r\n\r\n'
--- a/packages/node/src/gypsumbridge_node/gateway/pool_checkout.py
+++ b/packages/node/src/gypsumbridge_node/gateway/pool_checkout.py
@@ -209,7 +209,8 @@
     max_body_bytes = client_connection.MAX_BODY_BYTES
     if job.command.framed_only:
         max_body_bytes = MAX_PART_BYTES
-    connection.send(data, expects, max_body_bytes)
+    head_only = job.command.request.method == 'HEAD'
+    connection.send(data, expects, max_body_bytes, head_only)
 
 
 def shared_head(
--- a/packages/standins/src/gypsumbridge_standins/users_platform/searcher_site.py
+++ b/packages/standins/src/gypsumbridge_standins/users_platform/searcher_site.py
@@ -98,7 +98,10 @@
         )
 
         def respond() -> None:
-            if fault == 'truncate':
+            if request.method == 'HEAD':
+                length = (http_head.CONTENT_LENGTH, str(len(body)))
+                connection.respond(200, (echo, signature, length), b'')
+            elif fault == 'truncate':
                 connection.transport.write(response[:-8])
                 connection.transport.loseConnection()
             elif fault == 'garbage':
--- a/tests/node/gateway/test_client_connection.py
+++ b/tests/node/gateway/test_client_connection.py
@@ -24,6 +24,7 @@
         INTERIM + START + b'Content-Length: 3\r\n\r\nabc'
     ),
 }
+CHUNKED = b'Transfer-Encoding: chunked\r\n'
 CLEAN = failure.Failure(net_errors.ConnectionDone())
 RESET = failure.Failure(net_errors.ConnectionLost())
 
@@ -217,6 +218,24 @@
         self.assertEqual(1, len(self.closed))
         self.assertEqual([], self.replies)
 
+    def test_a_response_to_head_is_complete_after_its_head(self):
+        """Guards against waiting for a body that is never sent."""
+        for framing in (b'Content-Length: 5\r\n', b'', CHUNKED):
+            with self.subTest(framing=framing):
+                self.setUp()
+                self.connection.send(
+                    b'HEAD / HTTP/1.1\r\n\r\n',
+                    lambda reply: reply.headers.first.get('x-id') == 'r1',
+                    head_only=True,
+                )
+                head = START + framing + b'\r\n'
+                self.connection.dataReceived(head[:-1])
+                self.assertEqual([], self.replies)
+                self.connection.dataReceived(head[-1:])
+                self.assertEqual([b''], self.bodies())
+                self.assertTrue(self.replies[0].framed)
+                self.assertFalse(self.connection.is_usable(0))
+
     def test_a_connection_near_its_stated_timeout_is_not_used(self):
         """Guards against a request sent while the server closes."""
         self.send()
--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -153,6 +153,26 @@
         signature = headers[NAMES.signature]
         self.assertEqual(request_id, signature.partition('.')[2])
 
+    def test_head_is_answered_with_the_length_of_the_body(self):
+        """Guards against a HEAD request that waits for a body."""
+        connection = http.client.HTTPConnection(
+            self.cluster.nodes['gateway-0'].http, timeout=30
+        )
+        self.addCleanup(connection.close)
+        headers = {
+            'Host': operator_config.HOST,
+            NAMES.request_id: 'head',
+            NAMES.deadline_ms: str(DEADLINE_MS),
+        }
+        for _ in range(2):
+            connection.request('HEAD', '/one/x', headers=headers)
+            response = connection.getresponse()
+            self.assertEqual((200, b''), (response.status, response.read()))
+            body = searcher_site.records_of('s1', '/one/x')
+            self.assertEqual(
+                [str(len(body))], response.headers.get_all('Content-Length')
+            )
+
     def test_a_draining_searcher_gets_no_new_requests(self):
         """Guards against new requests to a searcher that is leaving."""
         self.control(states={'s3-d1': 'draining'})
