--- a/packages/wire/src/gypsumbridge_wire/relay.py
+++ b/packages/wire/src/gypsumbridge_wire/relay.py
@@ -61,11 +61,15 @@
     try:
         decompressor = zlib.decompressobj()
         data = decompressor.decompress(body, MAX_UPDATES_BYTES)
-        return _updates_decoder.decode(data)
+        updates = _updates_decoder.decode(data)
     except (zlib.error, *decode_errors.DECODE_ERRORS) as error:
         raise errors.FrameError(
             f'a peer sent updates that do not decode: {error}', _REMEDY
         ) from error
+    if not decompressor.eof:
+        # The checksum at the end is missing.
+        raise errors.FrameError('a peer sent updates that broke off', _REMEDY)
+    return updates
 
 
 def encode_node(node: relaying.PeerNode) -> bytes:
