Limit the uploads that are not complete together

Cause: each upload had a limit, all of them had none. Change: they share 48 MiB; over it the largest is refused with 503 and Retry-After, not run, and its connection is closed. Measured: the new test of 40 half-sent uploads fails without the budget.

--- a/packages/node/src/gypsumbridge_node/gateway/client_connection.py
+++ b/packages/node/src/gypsumbridge_node/gateway/client_connection.py
@@ -62,6 +62,7 @@
         self.on_close = on_close
         self.logger = logger
         self.budget = budget
+        self.in_budget = False
         self.parser: httptools.HttpResponseParser | None = (
             httptools.HttpResponseParser(self)
         )
@@ -151,6 +152,7 @@
             self._abort('head_too_large')
             return
         if body_bytes:
+            self.in_budget = True
             self.budget.record(self._abort_over_budget, body_bytes)
 
     def connectionLost(self, reason: failure.Failure) -> None:
@@ -260,7 +262,9 @@
 
     def _clear_message(self) -> None:
         """Free what was received of a response."""
-        self.budget.release(self._abort_over_budget)
+        if self.in_budget:
+            self.in_budget = False
+            self.budget.release(self._abort_over_budget)
         self.response_headers: headers.Headers | None = None
         self.reason = b''
         self.headers: list[tuple[str, str]] = []
--- a/packages/node/src/gypsumbridge_node/gateway/receive_budget.py
+++ b/packages/node/src/gypsumbridge_node/gateway/receive_budget.py
@@ -1,15 +1,15 @@
-"""A limit on the memory of all incomplete responses of a task."""
+"""A limit on the memory of all incomplete messages of a task."""
 
 from collections.abc import Callable
 
-# Six responses of the maximum size. The smallest hosts have 160 MB.
+# Six bodies of the maximum size. The smallest hosts have 160 MB.
 MAX_INCOMPLETE_BYTES = 48 * 1_048_576
 
 
 class ReceiveBudget:
-    """Tracks incomplete responses, and aborts the largest over the limit.
+    """Tracks incomplete messages, and aborts the largest over the limit.
 
-    `holders` maps the function that aborts a response to the bytes that were
+    `holders` maps the function that aborts a message to the bytes that were
     received of it.
     """
 
@@ -19,7 +19,7 @@
         self.holders: dict[Callable[[], None], int] = {}
 
     def record(self, abort: Callable[[], None], held_bytes: int) -> None:
-        """Record the size of an incomplete response.
+        """Record the size of an incomplete message.
 
         While all of them exceed the limit, the largest one is aborted, which
         has to release it.
@@ -31,7 +31,7 @@
             largest()
 
     def release(self, abort: Callable[[], None]) -> None:
-        """Forget a response that was completed or aborted."""
+        """Forget a message that was completed or aborted."""
         self.used_bytes -= self.holders.pop(abort, 0)
 
 
--- a/packages/node/src/gypsumbridge_node/gateway/server_connection.py
+++ b/packages/node/src/gypsumbridge_node/gateway/server_connection.py
@@ -14,6 +14,7 @@
 from gypsumbridge_node.gateway import headers
 from gypsumbridge_node.gateway import http_head
 from gypsumbridge_node.gateway import parsed_request
+from gypsumbridge_node.gateway import receive_budget
 from gypsumbridge_node.gateway import socket_options
 from gypsumbridge_node.gateway import socket_writer
 from gypsumbridge_node.gateway import upgrade_offer
@@ -23,6 +24,9 @@
 STATUS_TIMEOUT = 408
 STATUS_BODY_TOO_LARGE = 413
 STATUS_MISDIRECTED = 421
+STATUS_UNAVAILABLE = 503
+# The memory for uploads is used up; they last longer than a moment.
+OVER_BUDGET_HEADERS = (('Retry-After', '1'),)
 STATUS_HEADER_TOO_LARGE = 431
 # Requests that only a tunnel or another protocol can answer. Their status
 # states that nothing was run.
@@ -38,10 +42,10 @@
     one. `on_disconnect` is called if the connection is closed while a
     request waits for its response. `limits` returns the limits in force,
     and `closing` whether connections are closed after their next response.
-    What was received of an incomplete request is freed when the connection
-    is closed. A request that cannot be read is answered after those before
-    it, and closes the connection. Offers to upgrade the connection are
-    ignored.
+    What was received of an incomplete request counts against the `budget`,
+    and is freed when the connection is closed. A request that cannot be read
+    is answered after those before it, and closes the connection. Offers to
+    upgrade the connection are ignored.
     """
 
     def __init__(
@@ -52,7 +56,10 @@
         on_disconnect: Callable[['ServerConnection'], None],
         limits: Callable[[], forwarding.IngressLimits],
         closing: Callable[[], bool],
+        budget: receive_budget.ReceiveBudget,
     ) -> None:
+        self.budget = budget
+        self.in_budget = False
         self.on_request = on_request
         self.on_disconnect = on_disconnect
         self.limits = limits
@@ -89,6 +96,9 @@
         rest = data
         while rest:
             rest = self._parse(rest)
+        if self.body:
+            self.in_budget = True
+            self.budget.record(self._reject_over_budget, len(self.body))
         if len(self.waiting) >= MAX_PIPELINED:
             self.transport.pauseProducing()
 
@@ -266,17 +276,26 @@
         self._clear_message()
         self._next()
 
+    def _reject_over_budget(self) -> None:
+        self._reject(STATUS_UNAVAILABLE)
+
     def _answer_rejection(self) -> None:
         """Answer a request that was not read completely, and close."""
         if self.rejection is None:
             return
+        added: tuple[tuple[str, str], ...] = ()
+        if self.rejection == STATUS_UNAVAILABLE:
+            added = OVER_BUDGET_HEADERS
         self.writer.write(
-            http_head.encode_response(self.rejection, (), b'', True)
+            http_head.encode_response(self.rejection, added, b'', True)
         )
         self.close()
 
     def _clear_message(self) -> None:
         """Free what was received of a request."""
+        if self.in_budget:
+            self.in_budget = False
+            self.budget.release(self._reject_over_budget)
         self.target = b''
         self.headers: list[tuple[str, str]] = []
         self.header_bytes = 0
@@ -291,10 +310,17 @@
     limits: Callable[[], forwarding.IngressLimits],
     closing: Callable[[], bool],
 ) -> Any:
-    """Return a factory whose `connections` are its open connections."""
+    """Return a factory whose `connections` are its open connections.
+
+    They share one budget for requests that are not complete.
+    """
+    budget = receive_budget.make_receive_budget()
     factory = protocol.Factory.forProtocol(
-        lambda: ServerConnection(on_request, on_disconnect, limits, closing)
+        lambda: ServerConnection(
+            on_request, on_disconnect, limits, closing, budget
+        )
     )
+    factory.budget = budget
     factory.connections = set()
     factory.noisy = False
     return factory
--- a/tests/node/gateway/test_receive_budget.py
+++ b/tests/node/gateway/test_receive_budget.py
@@ -2,12 +2,15 @@
 
 import logbook
 
+from gypsumbridge_decisions import forwarding
 from gypsumbridge_node.gateway import client_connection
 from gypsumbridge_node.gateway import receive_budget
+from gypsumbridge_node.gateway import server_connection
 from tests.node.gateway import socket_transport
 
 LIMIT_BYTES = 1_000_000
 CHUNK = b'8000\r\n' + b'y' * 0x8000 + b'\r\n'
+UPLOAD = b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n'
 HEAD = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
 
 
@@ -63,6 +66,39 @@
             connection.dataReceived(b'0\r\n\r\n')
         self.assertEqual(5, len(self.replies))
 
+    def test_half_sent_uploads_stay_within_one_limit(self):
+        """Guards against callers that fill the memory with uploads."""
+        factory = server_connection.make_factory(
+            lambda c, request: None,
+            lambda c: None,
+            lambda: forwarding.IngressLimits(max_body_bytes=LIMIT_BYTES),
+            lambda: False,
+        )
+        factory.budget.limit_bytes = LIMIT_BYTES
+        connections = []
+        for _ in range(40):
+            connection = factory.buildProtocol(None)
+            connection.setTimeout = lambda seconds: None
+            transport = socket_transport.SocketTransport()
+            transport.protocol = connection
+            transport.setTcpNoDelay = lambda enabled: None
+            connection.makeConnection(transport)
+            connection.dataReceived(UPLOAD + CHUNK)
+            connections.append(connection)
+        self.assertLessEqual(factory.budget.used_bytes, LIMIT_BYTES)
+        held = sum(len(c.body) for c in connections)
+        self.assertEqual(held, factory.budget.used_bytes)
+        ended = [c for c in connections if c.ended]
+        self.assertGreater(len(ended), 0)
+        for connection in ended:
+            sent = connection.writer.transport.socket.sent
+            self.assertTrue(sent.startswith(b'HTTP/1.1 503 '))
+            self.assertIn(b'Retry-After: 1', sent)
+        for connection in connections:
+            if not connection.ended:
+                connection.dataReceived(b'0\r\n\r\n')
+        self.assertEqual({}, factory.budget.holders)
+
     def test_nothing_is_counted_after_the_end(self):
         """Guards against a budget that is used up by what was freed."""
         completed, reset = self.open(), self.open()
