Measure the memory of a gateway under abuse

Cause: the limits on memory had tests with bounds, but no figure of how far a gateway stays below its limit, nor of the growth with the peers. Change: make bench starts a gateway for each case (endless bodies and heads, tiny chunks, half-sent and small-chunk uploads, a long list) with 10 and 40 peers, and prints its peaks; with BASELINE=dir the gateway of another checkout is measured beside it.

--- a/Makefile
+++ b/Makefile
@@ -49,7 +49,7 @@
 	python tools/write_samples.py
 
 bench: setup
-	python -m gypsumbridge_standins.bench $(if $(OUT),--out $(OUT))
+	python -m gypsumbridge_standins.bench $(if $(OUT),--out $(OUT)) $(if $(BASELINE),--baseline $(BASELINE))
 
 check-model: setup
 	python -m gypsumbridge_standins.check_model
--- a/packages/standins/src/gypsumbridge_standins/bench/__main__.py
+++ b/packages/standins/src/gypsumbridge_standins/bench/__main__.py
@@ -6,15 +6,35 @@
 
 import defopt
 
+from gypsumbridge_standins.bench import abuse_memory
 from gypsumbridge_standins.bench import gather_cost
 from gypsumbridge_standins.bench import tier_cost
 
 
-def main(*, out: pathlib.Path | None = None) -> None:
+def main(
+    *,
+    out: pathlib.Path | None = None,
+    baseline: pathlib.Path | None = None,
+    memory_only: bool = False,
+) -> None:
     """Run the benchmarks and print their results.
 
     :param out: Folder for machine-readable results.
+    :param baseline: Checkout whose gateway is measured beside this one's.
+    :param memory_only: Measure the memory under abuse only.
     """
+    abuse = abuse_memory.measure(baseline)
+    print(
+        f'Peak memory of a gateway under abuse, MB of'
+        f' {abuse_memory.LIMIT_MB}, by {abuse_memory.PEERS} peers:'
+    )
+    for row in abuse:
+        print(f'  {json.dumps(row)}')
+    if out is not None:
+        out.mkdir(parents=True, exist_ok=True)
+        (out / 'abuse_memory.json').write_text(json.dumps(abuse, indent=1))
+    if memory_only:
+        return
     rows = tier_cost.measure()
     print('Cost of the tier, processor time of the nodes a shard request:')
     for row in rows:
@@ -33,7 +53,6 @@
             f' {row["gateway_us_per_shard"]:.0f} us a shard'
         )
     if out is not None:
-        out.mkdir(parents=True, exist_ok=True)
         (out / 'tier_cost.json').write_text(json.dumps(rows, indent=1))
         (out / 'gather_cost.json').write_text(json.dumps(gathers, indent=1))
 
--- a/packages/standins/src/gypsumbridge_standins/bench/process_time.py
+++ b/packages/standins/src/gypsumbridge_standins/bench/process_time.py
@@ -23,6 +23,13 @@
     return pages * os.sysconf('SC_PAGE_SIZE') / 1024 / 1024
 
 
+def peak_mebibytes(pid: int) -> float:
+    """Return the highest resident memory that a process has had."""
+    lines = pathlib.Path(f'/proc/{pid}/status').read_text().splitlines()
+    line = next(found for found in lines if found.startswith('VmHWM:'))
+    return int(line.split()[1]) / 1024
+
+
 def idle_share_since(earlier: tuple[int, int]) -> float:
     """Return the machine's idle share since a result of `machine_ticks`."""
     idle, total = machine_ticks()
--- a/packages/standins/src/gypsumbridge_standins/users_platform/gateway_cluster.py
+++ b/packages/standins/src/gypsumbridge_standins/users_platform/gateway_cluster.py
@@ -22,6 +22,7 @@
 # The capacity of a gateway that gathers for others, and that of the others.
 LARGE_CAPACITY = 100
 SMALL_CAPACITY = 10
+NO_VARIABLES: Mapping[str, str] = types.MappingProxyType({})
 NO_SERVICES: Mapping[str, str] = types.MappingProxyType({})
 
 SETTINGS = """\
@@ -136,19 +137,31 @@
         capacity=capacity,
     )
     spawn_gateway(cluster, name)
+    wait_until_ready(name, listen[1])
+
+
+def wait_until_ready(name: str, ready_port: int) -> None:
+    """Wait until a gateway reports that it is ready."""
     clusters.wait_until(
         lambda: clusters.returns_ok(
-            f'127.0.0.1:{listen[1]}', platform_adapter.READY_PATH
+            f'127.0.0.1:{ready_port}', platform_adapter.READY_PATH
         ),
         f'{name} is ready',
     )
 
 
-def spawn_gateway(cluster: clusters.Cluster, name: str) -> None:
-    """Start a gateway's process with the settings file written before."""
+def spawn_gateway(
+    cluster: clusters.Cluster,
+    name: str,
+    variables: Mapping[str, str] = NO_VARIABLES,
+) -> None:
+    """Start a gateway's process with the settings file written before.
+
+    `variables` are added to its environment.
+    """
     path = cluster.folder / f'{name}.ini'
-    variables = {platform_main.SETTINGS_VARIABLE: str(path)}
-    cluster.spawn(name, [GATEWAY], variables)
+    settings = {platform_main.SETTINGS_VARIABLE: str(path)}
+    cluster.spawn(name, [GATEWAY], {**variables, **settings})
 
 
 def write_settings(
--- a/packages/standins/src/gypsumbridge_standins/users_platform/searcher_site.py
+++ b/packages/standins/src/gypsumbridge_standins/users_platform/searcher_site.py
@@ -25,6 +25,10 @@
         b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n',
         b'10000\r\n' + b'y' * 0x10000,
     ),
+    'endless_bytes': (
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n',
+        b'1\r\ny\r\n' * 20_000 + b'1\r\ny',
+    ),
     'endless_chunks': (
         b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n',
         b'4\r\nyyyy\r\n' * 20_000 + b'1\r\ny',
