--- a/tests/decisions/discovery/test_discovery.py
+++ b/tests/decisions/discovery/test_discovery.py
@@ -117,6 +117,36 @@
                 hold_ms = discovery.removal_hold_ms(drain_ms)
                 self.assertLess(hold_ms + max_notice_ms, drain_ms)
 
+    def test_a_removal_during_the_first_pause_counts_from_its_start(self):
+        """Guards against requests to a searcher after its drain time.
+
+        Fault soak, seed 31003: an entry was deleted in the pause that
+        follows the first list of a new fleet. The hold time began at the
+        end of the pause, and a request was sent 3,015 ms after the deletion.
+        """
+        self.own = relaying.PeerNode('n1', '10.0.0.1:70', 'd1', 1.0)
+        self.state = discovery.make_discovery_state(
+            relaying.make_relay_state(self.own, 10), SCHEMA, DRAIN_MS
+        )
+        commands = self.list(routes=b'1', searchers_a=b'ready')
+        (pause,) = (
+            c
+            for c in commands
+            if isinstance(c, messages.Timer)
+            and isinstance(c.event, discovery.ResumeTimer)
+        )
+        self.now_ms += pause.delay_ms
+        self.handle(pause.event)
+        commands = self.list(routes=b'1')
+        (removal,) = (
+            c
+            for c in commands
+            if isinstance(c, messages.Timer)
+            and isinstance(c.event, discovery.RemovalTimer)
+        )
+        dropped_ms = pause.delay_ms + removal.delay_ms
+        self.assertLess(dropped_ms, DRAIN_MS)
+
     def test_an_expired_entry_can_be_written_again(self):
         """Guards against dropping searchers that survive a store outage."""
         for drain_ms in (3_000, 5_000, 20_000):
