--- a/packages/standins/src/gypsumbridge_standins/bench/abuse_cases.py
+++ b/packages/standins/src/gypsumbridge_standins/bench/abuse_cases.py
@@ -2,11 +2,14 @@
 
 from collections.abc import Callable
 import http.client
-import json
 import socket
 import threading
 import time
 
+import msgspec
+
+from gypsumbridge_platform import platform_adapter
+from gypsumbridge_platform import server_body
 from gypsumbridge_standins import json_http
 from gypsumbridge_standins.bench import abuse_case
 from gypsumbridge_standins.cluster import cluster as clusters
@@ -129,23 +132,23 @@
     cluster: clusters.Cluster, start: Start, peers: int
 ) -> None:
     """Start a gateway on a store with many searchers of other services."""
-    entry = json.dumps(
-        {
-            'backend': 'other',
-            'address': '127.0.0.1:1',
-            'zone': 'd1',
-            'version': 'v1',
-            'slots': 2,
-            'state': 'ready',
-            'warmupLeftMs': 0,
-            'sequence': 1,
-        }
+    body = server_body.ServerBody(
+        'other',
+        '127.0.0.1:1',
+        gateway_cluster.DOMAINS[0],
+        'v1',
+        2,
+        'ready',
+        warmup_left_ms=0,
+        sequence=1,
     )
+    entry = msgspec.json.encode(body).decode()
+    prefix = platform_adapter.make_adapter().schema.searcher_prefix
     clusters.wait_until(
         lambda: clusters.returns_ok(cluster.controls[0], '/'),
         'the store is started',
     )
-    keys = [f'servers/x{n}' for n in range(peers * ENTRIES_PER_PEER)]
+    keys = [f'{prefix}x{n}' for n in range(peers * ENTRIES_PER_PEER)]
     for first in range(0, len(keys), ENTRIES_PER_CALL):
         some = keys[first : first + ENTRIES_PER_CALL]
         control(cluster, {'raw': dict.fromkeys(some, entry)})
