Do not take a list that may be stale as a confirmation

Cause: a node of a new fleet pauses for 1.5 s after its first list, and both lists may be seconds old. A removal in that time was held for 2 s from when the node noticed it.

Change: a list that may be stale leaves the node unconfirmed until a watch that does not wait, or a peer that is up to date, has answered. A removal that is noticed before then counts from the first list. Polls of other nodes wait for the confirmation, or are told that the node is not up to date.

--- a/packages/decisions/src/gypsumbridge_decisions/discovery/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/__init__.py
@@ -43,9 +43,6 @@
 from gypsumbridge_decisions.discovery.peer_updates import (
     handle_peer_failure as handle_peer_failure,
 )
-from gypsumbridge_decisions.discovery.peer_updates import (
-    mark_updates_missed as mark_updates_missed,
-)
 from gypsumbridge_decisions.discovery.removal_hold import (
     removal_hold_ms as removal_hold_ms,
 )
@@ -92,6 +89,9 @@
 from gypsumbridge_decisions.discovery.syncing import (
     handle_store_failure as handle_store_failure,
 )
+from gypsumbridge_decisions.discovery.syncing import (
+    mark_updates_missed as mark_updates_missed,
+)
 from gypsumbridge_decisions.discovery.syncing import (
     record_confirmation as record_confirmation,
 )
@@ -102,6 +102,9 @@
     record_source as record_source,
 )
 from gypsumbridge_decisions.discovery.syncing import resume as resume
+from gypsumbridge_decisions.discovery.syncing import (
+    watch_wait_ms as watch_wait_ms,
+)
 from gypsumbridge_decisions.discovery.watch_store import (
     WatchStore as WatchStore,
 )
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/peer_updates.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/peer_updates.py
@@ -26,7 +26,7 @@
         confirmed_ms = max(state.confirmed_ms, now_ms - updates.age_ms)
         commands += syncing.record_confirmation(state, confirmed_ms)
     else:
-        mark_updates_missed(state)
+        syncing.mark_updates_missed(state)
         relaying.exclude_outdated_peer(state.relay, answered.node_id, now_ms)
         fields: dict[str, str | int | float] = {
             'peer': answered.node_id,
@@ -48,12 +48,6 @@
     return [*commands, *syncing.resume(state, now_ms)]
 
 
-def mark_updates_missed(state: states.DiscoveryState) -> None:
-    """Record that updates may be missing since the last confirmation."""
-    if state.missed_since_ms is None:
-        state.missed_since_ms = state.confirmed_ms
-
-
 def apply_updates(
     state: states.DiscoveryState, updates: relaying.RelayedUpdates, now_ms: int
 ) -> list[command.Command]:
@@ -69,7 +63,7 @@
     state: states.DiscoveryState, failed: relaying.PeerFailed, now_ms: int
 ) -> list[command.Command]:
     """Exclude a peer for a time and poll another source at once."""
-    mark_updates_missed(state)
+    syncing.mark_updates_missed(state)
     relaying.exclude_failed_peer(state.relay, failed.node_id, now_ms)
     fields: dict[str, str | int | float] = {
         'peer': failed.node_id,
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/state.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/state.py
@@ -12,9 +12,11 @@
     `removals` holds when each searcher whose entry was deleted is dropped,
     on the node's clock. `failures` counts consecutive failed calls, and
     `exact_list_needed` is set when a stale list must not be used.
-    `confirmed_ms` is when the store last confirmed that `revision` was its
-    latest. While updates may be missing because of a peer,
-    `missed_since_ms` is the time of the last confirmation before that;
+    `list_unconfirmed` is set after a list that may be stale, until the
+    changes since then are known. `confirmed_ms` is when the store last
+    answered; unless `list_unconfirmed` is set, `revision` was then its
+    latest. While updates may be missing, because of a peer or after a stale
+    list, `missed_since_ms` is the time of the last answer before that;
     `store_failed` is set when a call of this node to the store has failed
     since.
     """
@@ -33,6 +35,7 @@
         self.ready_reported = False
         self.list_needed = True
         self.exact_list_needed = False
+        self.list_unconfirmed = False
         self.settle_timer_set = False
         self.failures = 0
         self.confirmed_ms = 0
@@ -49,8 +52,13 @@
         """Return the status that is sent with updates to other nodes."""
         age_ms = now_ms - self.confirmed_ms
         fresh = age_ms < relaying.STALE_MS
-        in_touch = self.revision > 0 and not self.failures and fresh
-        return relaying.UpdateStatus(self.revision, in_touch, age_ms)
+        current = self.revision > 0 and not self.failures and fresh
+        return relaying.UpdateStatus(
+            self.revision,
+            in_touch=current and not self.list_unconfirmed,
+            age_ms=age_ms,
+            confirming=current and self.list_unconfirmed,
+        )
 
 
 def make_discovery_state(
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/syncing.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/syncing.py
@@ -49,9 +49,22 @@
     if state.list_needed:
         stale_ok = not state.exact_list_needed
         return [*commands, list_store.ListStore(stale_ok)]
-    relayed = relaying.is_relayed(state.relay, nodes)
-    wait_ms = RELAYING_WATCH_MS if relayed else WATCH_MS
-    return [*commands, watch_store.WatchStore(state.revision, wait_ms)]
+    return [
+        *commands,
+        watch_store.WatchStore(state.revision, watch_wait_ms(state)),
+    ]
+
+
+def watch_wait_ms(state: states.DiscoveryState) -> int:
+    """Return how long the store may wait for a change.
+
+    The watch after a stale list does not wait, so that its answer confirms
+    the list.
+    """
+    if state.list_unconfirmed:
+        return 0
+    relayed = relaying.is_relayed(state.relay, len(state.nodes))
+    return RELAYING_WATCH_MS if relayed else WATCH_MS
 
 
 def record_source(
@@ -77,12 +90,17 @@
     now_ms: int,
 ) -> list[command.Command]:
     """Apply a list of the store, and make the next call."""
+    stale_ok = not state.exact_list_needed
     commands = record_confirmation(state, now_ms)
     relaying.readmit_store(state.relay)
     state.list_needed = False
+    state.list_unconfirmed = stale_ok
     if listed.revision >= state.revision:
         commands += apply_list(state, listed, now_ms)
-    clear_missed_updates(state)
+    if stale_ok:
+        mark_updates_missed(state)
+    else:
+        clear_missed_updates(state)
     if (
         state.writing_node
         and state.relay.own.address
@@ -128,6 +146,7 @@
     """
     commands = record_confirmation(state, now_ms)
     relaying.readmit_store(state.relay)
+    state.list_unconfirmed = False
     commands += apply_changes(state, changed, now_ms)
     clear_missed_updates(state)
     if not 0 < len(changed.records) < MANY_CHANGES:
@@ -208,8 +227,15 @@
     ]
 
 
+def mark_updates_missed(state: states.DiscoveryState) -> None:
+    """Record that updates since the last answer may be missing."""
+    if state.missed_since_ms is None:
+        state.missed_since_ms = state.confirmed_ms
+
+
 def clear_missed_updates(state: states.DiscoveryState) -> None:
     """Record that all missed updates have been applied."""
+    state.list_unconfirmed = False
     state.missed_since_ms = None
     state.store_failed = False
 
--- a/packages/decisions/src/gypsumbridge_decisions/relaying/serving.py
+++ b/packages/decisions/src/gypsumbridge_decisions/relaying/serving.py
@@ -18,10 +18,12 @@
 ) -> list[ServingCommand]:
     """Answer at once if there are updates or the status is not current.
 
-    Any other poll waits for the next change or for its timeout.
+    Any other poll waits for the next change, the confirmation of this
+    node's copy or its timeout.
     """
     state.polls[poll.poll_id] = poll.after_revision
-    if status.revision > poll.after_revision or not status.in_touch:
+    outdated = status.revision > poll.after_revision or not status.in_touch
+    if outdated and not status.confirming:
         return [answer(state, poll.poll_id, status)]
     timer = poll_timer.PollTimer(poll.poll_id)
     return [messages.Timer(poll.wait_ms, timer)]
--- a/packages/decisions/src/gypsumbridge_decisions/relaying/update_status.py
+++ b/packages/decisions/src/gypsumbridge_decisions/relaying/update_status.py
@@ -9,9 +9,11 @@
 
     The store confirmed `age_ms` ago that `revision` was its latest.
     `in_touch` is false when that is too long ago, or when the last call
-    failed.
+    failed. With `confirming`, the node has a copy that may be outdated and
+    is about to confirm it.
     """
 
     revision: int
     in_touch: bool
     age_ms: int
+    confirming: bool = False
--- a/tests/decisions/discovery/test_discovery.py
+++ b/tests/decisions/discovery/test_discovery.py
@@ -124,6 +124,37 @@
         follows the first list of a new fleet. The hold time began at the
         end of the pause, and a request was sent 3,015 ms after the deletion.
         """
+        self.pause_after_first_list()
+        commands = self.list(routes=b'1')
+        self.assertLess(self.removal_due_ms(commands), DRAIN_MS)
+
+    def test_a_removal_that_a_stale_list_lacks_counts_from_the_pause(self):
+        """Guards against requests to a searcher after its drain time.
+
+        The list after the first pause may be as old as the first one. The
+        removal is then among the changes that follow the list.
+        """
+        self.pause_after_first_list()
+        commands = self.list(routes=b'1', searchers_a=b'ready')
+        self.assertEqual(discovery.WatchStore(self.revision, 0), commands[-1])
+        commands = self.change(searchers_a=None)
+        self.assertLess(self.removal_due_ms(commands), DRAIN_MS)
+
+    def test_a_removal_after_a_confirmed_list_is_held_in_full(self):
+        """Guards against dropping live searchers whose entries expired."""
+        self.pause_after_first_list()
+        self.list(routes=b'1', searchers_a=b'ready')
+        commands = self.change()
+        self.assertEqual(
+            discovery.WatchStore(self.revision, 3_000), commands[-1]
+        )
+        self.now_ms += 2_900
+        noticed_ms = self.now_ms
+        commands = self.change(searchers_a=None)
+        self.assertEqual(noticed_ms + HOLD_MS, self.removal_due_ms(commands))
+
+    def pause_after_first_list(self):
+        """Begin again as a node of a new fleet, and end its first pause."""
         self.own = relaying.PeerNode('n1', '10.0.0.1:70', 'd1', 1.0)
         self.state = discovery.make_discovery_state(
             relaying.make_relay_state(self.own, 10), SCHEMA, DRAIN_MS
@@ -137,15 +168,16 @@
         )
         self.now_ms += pause.delay_ms
         self.handle(pause.event)
-        commands = self.list(routes=b'1')
+
+    def removal_due_ms(self, commands):
+        """Return when a searcher is dropped, on the test's clock."""
         (removal,) = (
             c
             for c in commands
             if isinstance(c, messages.Timer)
             and isinstance(c.event, discovery.RemovalTimer)
         )
-        dropped_ms = pause.delay_ms + removal.delay_ms
-        self.assertLess(dropped_ms, DRAIN_MS)
+        return self.now_ms + removal.delay_ms
 
     def test_an_expired_entry_can_be_written_again(self):
         """Guards against dropping searchers that survive a store outage."""
@@ -267,6 +299,7 @@
     def test_failures_are_retried_and_logged_once(self):
         """Guards against a node that stops retrying or floods its log."""
         self.list(routes=b'1')
+        self.change()
         lost = 0
         for _ in range(5):
             commands = self.handle(discovery.StoreFailed('timeout'))
--- a/tests/decisions/discovery/test_relaying.py
+++ b/tests/decisions/discovery/test_relaying.py
@@ -41,7 +41,10 @@
         return found
 
     def list(self, name):
+        """Deliver a list, and its confirmation where one is requested."""
         self.handle(name, discovery.StoreListed(2, self.records))
+        if self.pending_call(name) == 'store':
+            self.handle(name, discovery.StoreChanged(2, ()))
         return self.states[name]
 
     def pending_call(self, name):
@@ -158,6 +161,45 @@
         self.assertEqual((), answer.updates.records)
         self.assertEqual([], fleet.handle(fleet.first, relaying.PollTimer(7)))
 
+    def restart_first(self):
+        """Restart the relay; its first list is older than the others' copy."""
+        fleet = self.fleet
+        fleet.list(fleet.last)
+        self.change(fleet.last, 5, 'routes', b'2')
+        fleet.handle(fleet.last, discovery.ResumeTimer())
+        fleet.states[fleet.first] = fleet.make_state(fleet.first)
+        fleet.handle(fleet.first, discovery.StoreListed(2, fleet.records))
+
+    def test_a_restarted_relay_confirms_its_list_before_it_answers(self):
+        """Guards against a stale list that confirms the copies of others."""
+        fleet = self.fleet
+        self.restart_first()
+        self.assertEqual([], fleet.poll(fleet.last))
+        record = relaying.StoreRecord('routes', 6, b'3')
+        commands = fleet.handle(
+            fleet.first, discovery.StoreChanged(6, (record,))
+        )
+        (answer,) = answers(commands)
+        self.assertTrue(answer.updates.in_touch)
+        self.assertEqual((record,), answer.updates.records)
+
+    def test_a_poll_that_a_stale_list_cannot_confirm_is_not_in_touch(self):
+        """Guards against a stale list that confirms the copies of others."""
+        fleet = self.fleet
+        self.restart_first()
+        fleet.poll(fleet.last)
+        (answer,) = answers(fleet.handle(fleet.first, relaying.PollTimer(7)))
+        self.assertFalse(answer.updates.in_touch)
+
+    def test_a_waiting_poll_is_answered_when_the_confirmation_fails(self):
+        """Guards against polls that wait at a node without the store."""
+        fleet = self.fleet
+        self.restart_first()
+        fleet.poll(fleet.last)
+        commands = fleet.handle(fleet.first, discovery.StoreFailed('timeout'))
+        (answer,) = answers(commands)
+        self.assertFalse(answer.updates.in_touch)
+
     def test_the_next_node_is_polled_when_one_fails(self):
         """Guards against losing all updates with a single process."""
         fleet = self.fleet
