Do not fail on numbers in headers that int refuses

Callers saw: a request whose deadline has 5,000 digits was never answered, and its connection stayed open without a timeout. A searcher's response was lost when its Keep-Alive held a superscript digit or such a number.

Cause: int raises ValueError for over 4,300 digits and for digits that only isdigit accepts; the ingress had recorded the request as in progress before.

Change: both headers are read by decimal_number.parse, which takes up to 15 ASCII digits and raises nothing.

--- a/packages/node/src/gypsumbridge_node/gateway/client_connection.py
+++ b/packages/node/src/gypsumbridge_node/gateway/client_connection.py
@@ -9,6 +9,7 @@
 from twisted.internet import protocol
 from twisted.python import failure
 
+from gypsumbridge_node.gateway import decimal_number
 from gypsumbridge_node.gateway import headers
 from gypsumbridge_node.gateway import http_reply
 from gypsumbridge_node.gateway import opening_factory
@@ -278,8 +279,9 @@
         return None
     for part in value.split(','):
         name, _, number = part.strip().partition('=')
-        if name.lower() == 'timeout' and number.isdigit():
-            return int(number) * 1_000
+        seconds = decimal_number.parse(number.strip())
+        if name.strip().lower() == 'timeout' and seconds is not None:
+            return seconds * 1_000
     return None
 
 
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/ingress.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/ingress.py
@@ -6,6 +6,7 @@
 from gypsumbridge_decisions import forwarding
 from gypsumbridge_decisions import messages
 from gypsumbridge_node import address
+from gypsumbridge_node.gateway import decimal_number
 from gypsumbridge_node.gateway import end_to_end
 from gypsumbridge_node.gateway import ingress_state
 from gypsumbridge_node.gateway import parsed_request
@@ -89,7 +90,9 @@
     call_id = state.last_call_id
     state.connections[call_id] = connection
     state.call_ids[connection] = call_id
-    deadline = parsed.headers.first.get(names.deadline_ms, '')
+    deadline_ms = decimal_number.parse(
+        parsed.headers.first.get(names.deadline_ms, '')
+    )
     own_headers = (
         names.request_id,
         names.deadline_ms,
@@ -104,7 +107,7 @@
             parsed.target,
             end_to_end.end_to_end_headers(parsed.headers.pairs, own_headers),
             parsed.body,
-            int(deadline) if deadline.isdecimal() else DEFAULT_DEADLINE_MS,
+            DEFAULT_DEADLINE_MS if deadline_ms is None else deadline_ms,
             runtime.clock.now_ms(),
             connection.network_ms(),
         )
--- a/tests/node/gateway/test_client_connection.py
+++ b/tests/node/gateway/test_client_connection.py
@@ -83,6 +83,33 @@
         self.assertEqual([b'abc', b'def'], self.bodies())
         self.assertTrue(self.connection.is_usable(0))
 
+    def test_the_idle_time_that_a_server_states_is_kept(self):
+        """Guards against requests on a connection that is being closed."""
+        self.receive_keep_alive(b'timeout=5, max=100')
+        self.assertTrue(self.connection.is_usable(4_600))
+        self.assertFalse(self.connection.is_usable(4_800))
+
+    def test_an_unreadable_idle_time_does_not_cost_the_response(self):
+        """Guards against a whole response that is given up.
+
+        Numbers that `int` cannot convert ended the parsing of the head, and
+        the request was reported as lost.
+        """
+        for value in (b'timeout=\xb2', b'timeout=' + b'9' * 5_000, b'timeout'):
+            with self.subTest(value=value[:10]):
+                self.setUp()
+                self.receive_keep_alive(value)
+                self.assertEqual([b'abc'], self.bodies())
+                self.assertTrue(self.connection.is_usable(10_000))
+
+    def receive_keep_alive(self, value):
+        self.send()
+        self.connection.dataReceived(
+            b'HTTP/1.1 200 OK\r\nX-Id: r1\r\nKeep-Alive: '
+            + value
+            + b'\r\nContent-Length: 3\r\n\r\nabc'
+        )
+
     def test_a_late_response_to_an_earlier_request_is_discarded(self):
         """Guards against a response that belongs to another request."""
         self.send('r2')
--- /dev/null
+++ b/tests/node/gateway/test_ingress.py
@@ -0,0 +1,66 @@
+import types
+import unittest
+
+from gypsumbridge_node.gateway import ingress_state
+from gypsumbridge_node.gateway import server_connection
+from gypsumbridge_node.gateway.tasks import ingress
+from gypsumbridge_platform import header_names
+from tests.node.gateway import bare_runtime
+from tests.node.gateway import socket_transport
+
+
+class IngressTest(unittest.TestCase):
+    def setUp(self):
+        self.accepted = []
+        runtime = bare_runtime.make_runtime()
+        runtime.adapter = types.SimpleNamespace(headers=header_names.HEADERS)
+        runtime.mailboxes = types.SimpleNamespace(
+            forwarding=types.SimpleNamespace(put=self.accepted.append)
+        )
+        self.state = ingress_state.IngressState()
+        factory = server_connection.make_factory(
+            lambda connection, request: ingress.accept(
+                runtime, self.state, connection, request
+            ),
+            lambda connection: None,
+            lambda: self.state.limits,
+            lambda: False,
+        )
+        self.connection = factory.buildProtocol(None)
+        self.connection.callLater = runtime.reactor.callLater
+        self.connection.network_ms = lambda: 0.0
+        self.transport = socket_transport.SocketTransport()
+        self.transport.protocol = self.connection
+        self.transport.setTcpNoDelay = lambda enabled: None
+        self.connection.makeConnection(self.transport)
+
+    def receive(self, deadline):
+        name = header_names.HEADERS.deadline_ms.encode()
+        self.connection.dataReceived(
+            b'GET /a HTTP/1.1\r\nHost: h\r\nGypsumbridge-Request-Id: r\r\n'
+            + name
+            + b': '
+            + deadline
+            + b'\r\n\r\n'
+        )
+
+    def test_a_stated_deadline_is_used(self):
+        """Guards against work for a caller that no longer waits."""
+        self.receive(b'300')
+        self.assertEqual([300], [r.deadline_ms for r in self.accepted])
+
+    def test_an_unreadable_deadline_is_replaced_by_the_default(self):
+        """Guards against a request that is never answered.
+
+        A number of 5,000 digits ended the decoding after the request had
+        been recorded as in progress, and its connection stayed open without
+        an answer.
+        """
+        for deadline in (b'', b'soon', b'-1', b'1.5', b'9' * 5_000):
+            with self.subTest(deadline=deadline[:10]):
+                self.setUp()
+                self.receive(deadline)
+                self.assertEqual(
+                    [ingress.DEFAULT_DEADLINE_MS],
+                    [r.deadline_ms for r in self.accepted],
+                )
