Time out uploads between their bytes

Cause: the timeout of the body was set once after the head and never restarted.

Change: each piece of a body restarts it; the timeout of a head stays as it was.

--- a/packages/node/src/gypsumbridge_node/gateway/server_connection.py
+++ b/packages/node/src/gypsumbridge_node/gateway/server_connection.py
@@ -93,6 +93,8 @@
             return
         if not self.reading and not self.in_progress:
             self._set_timeout_ms(self.limits().header_timeout_ms)
+        elif self.reading_body:
+            self.resetTimeout()
         rest = data
         while rest:
             rest = self._parse(rest)
@@ -218,7 +220,8 @@
             self.writer.write(http_head.encode_interim(STATUS_CONTINUE))
 
     def on_headers_complete(self) -> None:
-        """Apply the idle timeout to the body."""
+        """Apply the idle timeout to the pauses in the body."""
+        self.reading_body = True
         if not self.in_progress and not self.ended:
             self._set_timeout_ms(self.limits().idle_timeout_ms)
 
@@ -296,6 +299,7 @@
         if self.in_budget:
             self.in_budget = False
             self.budget.release(self._reject_over_budget)
+        self.reading_body = False
         self.target = b''
         self.headers: list[tuple[str, str]] = []
         self.header_bytes = 0
--- a/tests/node/gateway/test_server_connection.py
+++ b/tests/node/gateway/test_server_connection.py
@@ -114,6 +114,31 @@
         self.clock.advance(0.2)
         self.assertIn(b' 408 ', self.written())
 
+    def test_a_long_upload_is_read_while_its_bytes_arrive(self):
+        """Guards against a 408 in the middle of a steady upload."""
+        self.receive(b'POST /a HTTP/1.1\r\nContent-Length: 4\r\n\r\n')
+        for _ in range(4):
+            self.clock.advance(14.9)
+            self.receive(b'x')
+        self.assertEqual([b'xxxx'], [r.body for r in self.requests])
+        self.assertEqual(b'', self.written())
+
+    def test_an_upload_that_stops_ends_with_408(self):
+        """Guards against callers that keep connections open."""
+        self.receive(b'POST /a HTTP/1.1\r\nContent-Length: 4\r\n\r\nx')
+        self.clock.advance(14.9)
+        self.receive(b'x')
+        self.clock.advance(15.1)
+        self.assertIn(b' 408 ', self.written())
+
+    def test_bytes_of_a_header_do_not_extend_its_timeout(self):
+        """Guards against callers that send one byte at a time."""
+        self.receive(b'GET /')
+        for _ in range(6):
+            self.clock.advance(0.6)
+            self.receive(b'a')
+        self.assertIn(b' 408 ', self.written())
+
     def test_an_idle_connection_is_closed_without_a_response(self):
         """Guards against a response without a request."""
         self.clock.advance(14.9)
