Keep old idle connections from attempts that wait

Callers would see: a hedge on the unresponsive connection that it was to avoid, and 502 for a request that must not run twice, sent while the searcher closed its idle connection.

Cause: the limit on the idle time was checked when an attempt arrived, not when it had waited. A connection that was opened for it was put among the idle ones first, and the next waiting attempt took any of these.

Change: an opened or released connection goes to the attempt that has waited longest; idle ones only go to attempts that accept their idle time.

--- a/packages/node/src/gypsumbridge_node/gateway/pool_checkout.py
+++ b/packages/node/src/gypsumbridge_node/gateway/pool_checkout.py
@@ -130,18 +130,21 @@
     pool: searcher_pool.SearcherPool,
     connection: client_connection.ClientConnection,
 ) -> None:
-    """Return a connection to its pool, and serve waiting attempts.
+    """Return a connection to its pool, or give it to a waiting attempt.
 
     The connection is closed if its pool was dropped and no attempt waits.
     """
-    if (
-        context.state.pools.get(searchers_state.pool_key(pool.searcher))
-        is not pool
-        and not pool.waiting
-    ):
+    now_ms = context.runtime.clock.now_ms()
+    connection.idle_since_ms = now_ms
+    if pool.waiting and connection.is_usable(now_ms):
+        send_attempt(context, pool, pool.waiting.popleft(), connection)
+        assign_waiting(context, pool)
+        return
+    key = searchers_state.pool_key(pool.searcher)
+    if context.state.pools.get(key) is not pool and not pool.waiting:
         connection.close()
         return
-    pool.idle.add(connection, context.runtime.clock.now_ms())
+    pool.idle.add(connection, now_ms)
     assign_waiting(context, pool)
 
 
@@ -149,10 +152,15 @@
     context: searchers_context.SearchersContext,
     pool: searcher_pool.SearcherPool,
 ) -> None:
-    """Assign idle connections to waiting attempts; open more if needed."""
+    """Assign idle connections to waiting attempts; open more if needed.
+
+    An attempt gets no connection that has been idle for longer than it
+    allows.
+    """
     now_ms = context.runtime.clock.now_ms()
     while pool.waiting:
-        found = pool.idle.checkout(now_ms)
+        max_idle_ms = pool.waiting[0].command.max_idle_ms
+        found = pool.idle.checkout(now_ms, max_idle_ms)
         if found is None:
             break
         send_attempt(context, pool, pool.waiting.popleft(), found)
--- a/tests/node/gateway/test_new_connections.py
+++ b/tests/node/gateway/test_new_connections.py
@@ -12,6 +12,7 @@
 from gypsumbridge_platform import header_names
 from tests.decisions.forwarding import gateway_case
 from tests.node.gateway import bare_runtime
+from tests.node.gateway import socket_transport
 
 
 class NewConnectionsTest(unittest.TestCase):
@@ -21,7 +22,9 @@
         )
         state.nodes = 26
         state.table = gateway_case.make_table()
-        runtime = bare_runtime.make_runtime()
+        runtime = bare_runtime.make_runtime(
+            node=types.SimpleNamespace(failure_domain='d1')
+        )
         self.reactor = runtime.reactor
         self.ended = []
         runtime.mailboxes = types.SimpleNamespace(
@@ -95,6 +98,32 @@
                     forwarding.AttemptOutcome.NOT_SENT, second.outcome
                 )
 
+    def open_next(self):
+        """Complete the oldest pending connection."""
+        _, _, factory, _, _ = self.reactor.tcpClients.pop(0)
+        connection = factory.buildProtocol(None)
+        transport = socket_transport.SocketTransport()
+        transport.protocol = connection
+        connection.makeConnection(transport)
+        self.reactor.advance(0)
+        return connection
+
+    def test_a_waiting_attempt_does_not_get_an_old_idle_connection(self):
+        """Guards against a hedge on a possibly unresponsive connection.
+
+        While attempts waited for new connections, the second one got the
+        idle connection as soon as the first one had its own.
+        """
+        self.context.state.nodes = 1
+        self.send(max_idle_ms=0, attempt_id=1)
+        self.send(max_idle_ms=0, attempt_id=2)
+        opened = self.open_next()
+        self.assertEqual({opened}, set(self.pool.busy))
+        self.assertEqual(1, len(self.pool.waiting))
+        second = self.open_next()
+        self.assertEqual({opened, second}, set(self.pool.busy))
+        self.assertEqual([self.idle], self.pool.idle.connections)
+
     def test_an_idle_connection_is_closed_for_a_new_one(self):
         """Guards against more connections than this node's share."""
         self.assertEqual(1, self.context.state.limit_for('s1'))
