Send waiting attempts elsewhere when their searcher drains

Callers saw, where a searcher's connections were all in use: requests that waited for one were sent after its drain time, or failed when it was gone.

Cause: an update of the searchers changed the choice for new attempts only. Those that waited for a connection kept their searcher until their deadline.

Change: they end as not sent when their searcher is draining or gone, and the forwarding task sends them to another one, uncharged.

--- a/packages/node/src/gypsumbridge_node/gateway/tasks/searchers.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/searchers.py
@@ -124,13 +124,18 @@
     context: searchers_context.SearchersContext,
     update: forwarding.SearchersChanged,
 ) -> None:
-    """Drop unused pools of removed searchers, and warm up new ones."""
+    """Drop unused pools of removed searchers, and warm up new ones.
+
+    Attempts that wait for a connection to a searcher that is draining or
+    gone are sent to other searchers.
+    """
     current = {
         searchers_state.pool_key(found): found for found in update.searchers
     }
     for key in context.state.pools.keys() - current.keys():
         pool = context.state.pools[key]
-        if pool.busy or pool.waiting:
+        pool_checkout.reject_waiting(context, pool)
+        if pool.busy:
             continue
         del context.state.pools[key]
         pool.idle.close_all()
@@ -141,6 +146,10 @@
     for found in update.searchers:
         if not found.draining:
             pool_checkout.pool_for(context, found)
+            continue
+        draining = context.state.pools.get(searchers_state.pool_key(found))
+        if draining is not None:
+            pool_checkout.reject_waiting(context, draining)
     warm_up(context)
 
 
--- a/tests/node/gateway/test_new_connections.py
+++ b/tests/node/gateway/test_new_connections.py
@@ -124,6 +124,30 @@
         self.assertEqual({opened, second}, set(self.pool.busy))
         self.assertEqual([self.idle], self.pool.idle.connections)
 
+    def test_waiting_attempts_do_not_reach_a_searcher_that_drains(self):
+        """Guards against requests that are sent after the drain time.
+
+        An attempt that waits for a connection may wait for seconds.
+        """
+        gone = gateway_case.make_searcher('s1-d2', 's1', 'd2')
+        draining = gateway_case.make_searcher('s1-d1', 's1', draining=True)
+        for searchers_left in ((draining, gone), (gone,)):
+            with self.subTest(searchers=searchers_left):
+                self.setUp()
+                self.send(max_idle_ms=None, attempt_id=1)
+                self.send(max_idle_ms=None, attempt_id=2)
+                self.assertEqual(1, len(self.pool.waiting))
+                searchers.update_searchers(
+                    self.context,
+                    forwarding.SearchersChanged(2, searchers_left),
+                )
+                (ended,) = self.ended
+                self.assertEqual(2, ended.attempt_id)
+                self.assertEqual(
+                    forwarding.AttemptOutcome.NOT_SENT, ended.outcome
+                )
+                self.assertIn(self.idle, self.pool.busy)
+
     def test_an_idle_connection_is_closed_for_a_new_one(self):
         """Guards against more connections than this node's share."""
         self.assertEqual(1, self.context.state.limit_for('s1'))
