Identify and protect the replies of coordinators

Callers could see: an answer made of a coordinator's reply that broke off and the next one on its connection, or the answer of another request.

Cause: such a reply had no checksum and no id. The changes of the store and the updates of relays have a check of their own.

Change: a reply begins with the id of its delegation and the CRC-32 of its response. Nodes of earlier releases ignore both; their replies have neither and are accepted as before. After an answer that cannot be used the connection is closed.

--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/delegation_sending.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/delegation_sending.py
@@ -50,6 +50,7 @@
         ),
         delegation.version,
         delegation.services,
+        delegation_id,
     )
     return [
         delegate_request.DelegateRequest(
--- a/packages/node/src/gypsumbridge_node/gateway/api_client.py
+++ b/packages/node/src/gypsumbridge_node/gateway/api_client.py
@@ -29,7 +29,7 @@
 
     `on_interim` is called for each interim response (1xx) before the result.
     If `on_success` raises FrameError for a body that it cannot decode,
-    `on_failure` is called as well.
+    `on_failure` is called as well, and the connection is closed.
     """
     client.runtime.metrics.count(f'{client.name}.calls')
     call = pending_call.PendingCall(
@@ -103,6 +103,9 @@
     try:
         call.on_success(reply)
     except errors.FrameError as error:
+        # The next response might belong to this call.
+        client.idle.discard(connection)
+        connection.close()
         client.runtime.logger.error(
             f'{client.name} response rejected', extra={'error': str(error)}
         )
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/coordinators.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/coordinators.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from gypsumbridge_decisions import errors
 from gypsumbridge_decisions import forwarding
 from gypsumbridge_node.gateway import api_client
 from gypsumbridge_node.gateway import api_client_state
@@ -41,6 +42,12 @@
 
         def handle_reply(reply: http_reply.HttpReply) -> None:
             decoded = delegation.decode_reply(reply.body)
+            # Nodes of earlier releases state no id.
+            if decoded.delegation_id not in (0, delegation_id):
+                raise errors.FrameError(
+                    'a coordinator replied to another request',
+                    'run nodes of the same release',
+                )
             end(
                 forwarding.DelegationEnded(
                     delegation_id, decoded.response, decoded.refusal
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/delegated.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/delegated.py
@@ -33,8 +33,7 @@
             connection.respond_interim(STATUS_PROCESSING)
 
     def refuse(command: forwarding.RefuseDelegated) -> None:
-        content = delegated_reply.DelegatedReply(command.reason, None)
-        reply(state, command.call_id, content)
+        reply(state, command.call_id, command.reason, None)
 
     def count_in_flight(query: messages.InFlightQuery) -> None:
         runtime.mailboxes.lifecycle.put(
@@ -72,6 +71,7 @@
         if call_id is None:
             return
         del state.connections[call_id]
+        del state.delegation_ids[call_id]
         runtime.mailboxes.forwarding.put(
             forwarding.CallerDisconnected(call_id)
         )
@@ -104,6 +104,7 @@
     call_id = state.last_call_id
     state.connections[call_id] = connection
     state.call_ids[connection] = call_id
+    state.delegation_ids[call_id] = delegated.delegation_id
     request = dataclasses.replace(
         delegated.request,
         call_id=call_id,
@@ -121,8 +122,7 @@
     """Return a function that sends a response to the delegating node."""
 
     def respond(response: forwarding.CallerResponse) -> None:
-        content = delegated_reply.DelegatedReply('', response)
-        reply(state, response.call_id, content)
+        reply(state, response.call_id, '', response)
         if response.objective_route:
             late_ms = runtime.clock.now_ms() - response.due_ms
             runtime.mailboxes.forwarding.put(
@@ -135,11 +135,15 @@
 def reply(
     state: ingress_state.IngressState,
     call_id: int,
-    content: delegated_reply.DelegatedReply,
+    refusal: str,
+    response: forwarding.CallerResponse | None,
 ) -> None:
     """End a delegated request, unless its node has disconnected."""
     connection = state.connections.pop(call_id, None)
     if connection is None:
         return
     del state.call_ids[connection]
+    content = delegated_reply.DelegatedReply(
+        refusal, response, state.delegation_ids.pop(call_id)
+    )
     connection.respond(STATUS_OK, (), delegation.encode_reply(content))
--- a/packages/wire/src/gypsumbridge_wire/delegation.py
+++ b/packages/wire/src/gypsumbridge_wire/delegation.py
@@ -5,19 +5,23 @@
 gather, and ends with DelegatedReply as MessagePack.
 """
 
+import zlib
+
 import msgspec
 
 from gypsumbridge_decisions import errors
 from gypsumbridge_decisions import forwarding
 from gypsumbridge_wire import decode_errors
 from gypsumbridge_wire import delegated_reply
+from gypsumbridge_wire import reply_body
 
 PATH = '/v1/gathers'
 _REMEDY = 'run nodes of the same release'
 
 _encoder = msgspec.msgpack.Encoder()
 _request_decoder = msgspec.msgpack.Decoder(forwarding.DelegatedRequest)
-_reply_decoder = msgspec.msgpack.Decoder(delegated_reply.DelegatedReply)
+_reply_decoder = msgspec.msgpack.Decoder(reply_body.ReplyBody)
+_response_decoder = msgspec.msgpack.Decoder(forwarding.CallerResponse | None)
 
 
 def encode_request(delegated: forwarding.DelegatedRequest) -> bytes:
@@ -38,26 +42,40 @@
 
 def encode_reply(reply: delegated_reply.DelegatedReply) -> bytes:
     """Return the body of a response."""
-    return _encoder.encode(reply)
+    response = _encoder.encode(reply.response)
+    return _encoder.encode(
+        reply_body.ReplyBody(
+            reply.delegation_id,
+            zlib.crc32(response),
+            reply.refusal,
+            msgspec.Raw(response),
+        )
+    )
 
 
 def decode_reply(body: bytes) -> delegated_reply.DelegatedReply:
     """Return the response in a body; FrameError if it does not decode."""
     try:
-        reply = _reply_decoder.decode(body)
+        found = _reply_decoder.decode(body)
+        response = _response_decoder.decode(found.response)
     except decode_errors.DECODE_ERRORS as error:
         raise errors.FrameError(
             f'a coordinator sent a response that does not decode: {error}',
             _REMEDY,
         ) from error
-    if (reply.response is None) == (not reply.refusal):
+    if found.checksum and found.checksum != zlib.crc32(found.response):
+        raise errors.FrameError(
+            'a coordinator sent a response that broke off', _REMEDY
+        )
+    if (response is None) == (not found.refusal):
         raise errors.FrameError(
             'a coordinator sent neither a response nor a refusal', _REMEDY
         )
-    response = reply.response
     if response is not None and response.part_services:
         if len(response.part_services) != len(response.part_signatures):
             raise errors.FrameError(
                 'a coordinator sent parts without a service', _REMEDY
             )
-    return reply
+    return delegated_reply.DelegatedReply(
+        found.refusal, response, found.delegation_id
+    )
--- a/tests/wire/test_delegation.py
+++ b/tests/wire/test_delegation.py
@@ -1,6 +1,8 @@
 import dataclasses
 import unittest
 
+import msgspec
+
 from gypsumbridge_decisions import errors
 from gypsumbridge_decisions import forwarding
 from gypsumbridge_wire import delegated_reply
@@ -21,6 +23,7 @@
     ),
     9,
     ('s1',),
+    12,
 )
 RESPONSE = forwarding.CallerResponse(
     4, 200, (), b'\xffbody', part_signatures=('a', 'b'), missing_parts=1
@@ -33,12 +36,34 @@
         body = delegation.encode_request(REQUEST)
         self.assertEqual(REQUEST, delegation.decode_request(body))
         for reply in (
-            delegated_reply.DelegatedReply('', RESPONSE),
-            delegated_reply.DelegatedReply('draining', None),
+            delegated_reply.DelegatedReply('', RESPONSE, 12),
+            delegated_reply.DelegatedReply('draining', None, 12),
         ):
             body = delegation.encode_reply(reply)
             self.assertEqual(reply, delegation.decode_reply(body))
 
+    def test_replies_are_exchanged_with_older_releases(self):
+        """Guards against lost gathers while a fleet is being upgraded."""
+        older = {'refusal': '', 'response': RESPONSE}
+        self.assertEqual(
+            delegated_reply.DelegatedReply('', RESPONSE),
+            delegation.decode_reply(msgspec.msgpack.encode(older)),
+        )
+        reply = delegated_reply.DelegatedReply('', RESPONSE, 12)
+        read = msgspec.msgpack.decode(delegation.encode_reply(reply))
+        self.assertEqual(
+            ('', 200), (read['refusal'], read['response']['status'])
+        )
+
+    def test_a_changed_response_is_refused(self):
+        """Guards against records of two requests in one response."""
+        reply = delegated_reply.DelegatedReply('', RESPONSE, 12)
+        body = delegation.encode_reply(reply)
+        changed = body.replace(b'\xffbody', b'\xffBODY')
+        self.assertNotEqual(body, changed)
+        with self.assertRaises(errors.FrameError):
+            delegation.decode_reply(changed)
+
     def test_other_bytes_are_refused(self):
         """Guards against an exception that is no FrameError."""
         empty = delegated_reply.DelegatedReply('', None)
