--- a/tests/node/test_http_client.py
+++ b/tests/node/test_http_client.py
@@ -71,6 +71,30 @@
         self.assertIsInstance(self.results[0].value, errors.TooLargeError)
         self.assertLess(sent, 4 * http_client.MAX_RESPONSE_BYTES)
 
+    def test_a_head_without_end_is_given_up(self):
+        """Guards against an endpoint that fills the memory with headers."""
+        for start in (HEAD, HEAD + b'Content-Length: 3\r\n', b'HTTP/1.1 200'):
+            with self.subTest(start=start):
+                _, peer = self.send()
+                peer.send(start)
+                sent = self.send_until_closed(peer, b'X-A: b\r\n' * 1_000)
+                self.loopback.run_until(lambda: self.results)
+                self.assertFalse(hasattr(self.results.pop(), 'body'))
+                self.assertLess(sent, http_client.MAX_RESPONSE_BYTES)
+
+    def test_a_body_larger_than_a_head_is_returned(self):
+        """Guards against a limit on heads that ends bodies."""
+        _, peer = self.send()
+        body = b'z' * 200_000
+        peer.send(HEAD + b'Content-Length: 200000\r\n\r')
+        self.loopback.reactor.iterate(0.01)
+        peer.send(b'\n' + body[:50_000])
+        for start in range(50_000, 200_000, 50_000):
+            self.loopback.reactor.iterate(0.01)
+            peer.send(body[start : start + 50_000])
+        self.loopback.run_until(lambda: self.results)
+        self.assertEqual(body, self.results[0].body)
+
     def test_a_complete_body_is_returned(self):
         """Guards against a body that is cut or changed."""
         _, peer = self.send()
