Measure another HTTP parser for the ingress

Change: make bench compares the ingress with a loop around h11, which is declared for the bench only. httptools stays; the reason is on the design page.

--- a/packages/standins/src/gypsumbridge_standins/bench/__main__.py
+++ b/packages/standins/src/gypsumbridge_standins/bench/__main__.py
@@ -8,6 +8,7 @@
 
 from gypsumbridge_standins.bench import abuse_memory
 from gypsumbridge_standins.bench import gather_cost
+from gypsumbridge_standins.bench import parser_cost
 from gypsumbridge_standins.bench import tier_cost
 
 
@@ -35,6 +36,10 @@
         (out / 'abuse_memory.json').write_text(json.dumps(abuse, indent=1))
     if memory_only:
         return
+    parsers = parser_cost.measure()
+    print('Processor time of reading a request at the ingress, us:')
+    for row in parsers:
+        print(f'  {json.dumps(row)}')
     rows = tier_cost.measure()
     print('Cost of the tier, processor time of the nodes a shard request:')
     for row in rows:
@@ -53,6 +58,7 @@
             f' {row["gateway_us_per_shard"]:.0f} us a shard'
         )
     if out is not None:
+        (out / 'parser_cost.json').write_text(json.dumps(parsers, indent=1))
         (out / 'tier_cost.json').write_text(json.dumps(rows, indent=1))
         (out / 'gather_cost.json').write_text(json.dumps(gathers, indent=1))
 
