Pass over cancelled attempts in a loop, and split the pool

Callers could see: requests that wait for a searcher's connection until their deadline once several hundred cancelled ones stand before them.

Cause: releasing a connection that an attempt did not need gave it to the next one, two calls deep for each, until RecursionError.

Measured: the new test with 1,998 cancelled attempts raised RecursionError before; it passes now with the 8 others of its module.

--- a/packages/node/src/gypsumbridge_node/gateway/idle_connections.py
+++ b/packages/node/src/gypsumbridge_node/gateway/idle_connections.py
@@ -35,6 +35,10 @@
             return self.connections.pop()
         return None
 
+    def put_back(self, connection: client_connection.ClientConnection) -> None:
+        """Return a connection that was checked out and not used."""
+        self.connections.append(connection)
+
     def discard(self, connection: client_connection.ClientConnection) -> None:
         """Remove a connection that was closed, if it is idle."""
         if connection in self.connections:
--- a/packages/node/src/gypsumbridge_node/gateway/pool_checkout.py
+++ b/packages/node/src/gypsumbridge_node/gateway/pool_checkout.py
@@ -1,10 +1,12 @@
-"""Checks out pool connections for attempts, and reports their results."""
+"""Opens the connections of pools, and checks them out for attempts."""
 
 from twisted.python import failure
 
 from gypsumbridge_decisions import forwarding
 from gypsumbridge_node.gateway import attempt_codec
 from gypsumbridge_node.gateway import attempt_job
+from gypsumbridge_node.gateway import attempt_reports
+from gypsumbridge_node.gateway import attempt_sending
 from gypsumbridge_node.gateway import client_connection
 from gypsumbridge_node.gateway import http_reply
 from gypsumbridge_node.gateway import searcher_pool
@@ -14,9 +16,6 @@
 # Limits the wait for a host that does not respond; opening a connection
 # normally takes a few milliseconds.
 CONNECT_TIMEOUT_S = 0.2
-# Limits the memory that the parts of one request can take, since all of them
-# may be received at once.
-MAX_PART_BYTES = 1_048_576
 
 Outcome = forwarding.AttemptOutcome
 Ended = forwarding.AttemptEnded
@@ -34,19 +33,6 @@
     return found
 
 
-def report(
-    context: searchers_context.SearchersContext,
-    job: attempt_job.AttemptJob,
-    ended: Ended,
-) -> None:
-    """Report the result of an attempt to the forwarding task."""
-    context.state.jobs.pop(job.command.attempt_id, None)
-    if job.grace_timer is not None:
-        job.grace_timer.cancel()
-        job.grace_timer = None
-    context.runtime.mailboxes.forwarding.put(ended)
-
-
 def open_connection(
     context: searchers_context.SearchersContext,
     pool: searcher_pool.SearcherPool,
@@ -117,11 +103,7 @@
         return
     job = pool.waiting.popleft()
     detail = f'connect_{type(reason.value).__name__}'
-    report(
-        context,
-        job,
-        Ended(job.command.attempt_id, Outcome.NOT_SENT, detail=detail),
-    )
+    attempt_reports.report_not_sent(context, job, detail)
     assign_waiting(context, pool)
 
 
@@ -136,8 +118,10 @@
     """
     now_ms = context.runtime.clock.now_ms()
     connection.idle_since_ms = now_ms
-    if pool.waiting and connection.is_usable(now_ms):
-        send_attempt(context, pool, pool.waiting.popleft(), connection)
+    while pool.waiting and connection.is_usable(now_ms):
+        job = pool.waiting.popleft()
+        if not attempt_sending.send_attempt(context, pool, job, connection):
+            continue
         assign_waiting(context, pool)
         return
     key = searchers_state.pool_key(pool.searcher)
@@ -163,7 +147,9 @@
         found = pool.idle.checkout(now_ms, max_idle_ms)
         if found is None:
             break
-        send_attempt(context, pool, pool.waiting.popleft(), found)
+        job = pool.waiting.popleft()
+        if not attempt_sending.send_attempt(context, pool, job, found):
+            pool.idle.put_back(found)
     if not pool.waiting:
         return
     limit = context.state.limit_for(pool.searcher.service)
@@ -173,70 +159,6 @@
         open_connection(context, pool)
 
 
-def send_attempt(
-    context: searchers_context.SearchersContext,
-    pool: searcher_pool.SearcherPool,
-    job: attempt_job.AttemptJob,
-    connection: client_connection.ClientConnection,
-) -> None:
-    """Send the request unless its response is no longer needed."""
-    now_ms = context.runtime.clock.now_ms()
-    remaining_ms = job.command.remaining_ms - (now_ms - job.created_ms)
-    if job.grace_timer is not None or remaining_ms <= 0:
-        report(
-            context,
-            job,
-            Ended(
-                job.command.attempt_id,
-                Outcome.NOT_SENT,
-                detail='not_needed',
-            ),
-        )
-        release(context, pool, connection)
-        return
-    job.connection = connection
-    pool.busy[connection] = job
-    request_id = job.command.request.request_id
-    id_header = context.names.request_id
-
-    def expects(reply: http_reply.HttpReply) -> bool:
-        if reply.headers.first.get(id_header) == request_id:
-            return True
-        if (id_header, request_id) in reply.headers.lowered():
-            # The head has several ids, which is reported as a fault.
-            return True
-        context.runtime.metrics.count('searchers.stray_responses')
-        return False
-
-    data = attempt_codec.encode_attempt(
-        context.names,
-        shared_head(context, job.command.request),
-        job.command,
-        remaining_ms,
-    )
-    max_body_bytes = client_connection.MAX_BODY_BYTES
-    if job.command.framed_only:
-        max_body_bytes = MAX_PART_BYTES
-    head_only = job.command.request.method == 'HEAD'
-    connection.send(data, expects, max_body_bytes, head_only)
-
-
-def shared_head(
-    context: searchers_context.SearchersContext,
-    request: forwarding.CallerRequest,
-) -> bytes:
-    """Return the part of the head that the attempts of a request share.
-
-    The parts of a gather are sent one after another, so the head of the
-    latest request is cached.
-    """
-    call_id, head = context.state.last_head
-    if call_id != request.call_id:
-        head = attempt_codec.encode_shared_head(context.names, request)
-        context.state.last_head = (request.call_id, head)
-    return head
-
-
 def handle_reply(
     context: searchers_context.SearchersContext,
     pool: searcher_pool.SearcherPool,
@@ -249,13 +171,13 @@
         connection.close()
         return
     ended = attempt_codec.classify(context.names, job.command, reply)
-    report(context, job, ended)
+    attempt_reports.report(context, job, ended)
     if ended.outcome == Outcome.LOST:
-        count_unusable(context, ended.detail)
+        attempt_reports.count_unusable(context, ended.detail)
     if ended.outcome in (Outcome.MISDIRECTED, Outcome.LOST):
         connection.reusable = False
     if ended.leaving or ended.retry_after_ms:
-        reject_waiting(context, pool)
+        attempt_reports.reject_waiting(context, pool)
     if not connection.reusable:
         connection.close()
         assign_waiting(context, pool)
@@ -263,27 +185,6 @@
     release(context, pool, connection)
 
 
-def reject_waiting(
-    context: searchers_context.SearchersContext,
-    pool: searcher_pool.SearcherPool,
-) -> None:
-    """Fail the attempts that a searcher does not want any more.
-
-    The forwarding task sends them to other searchers.
-    """
-    while pool.waiting:
-        job = pool.waiting.popleft()
-        report(
-            context,
-            job,
-            Ended(
-                job.command.attempt_id,
-                Outcome.NOT_SENT,
-                detail='searcher_closed',
-            ),
-        )
-
-
 def handle_connection_lost(
     context: searchers_context.SearchersContext,
     pool: searcher_pool.SearcherPool,
@@ -295,17 +196,10 @@
     job = pool.busy.pop(connection, None)
     if job is not None:
         if reason not in client_connection.CLOSED_BY_SERVER:
-            count_unusable(context, reason)
-        report(
+            attempt_reports.count_unusable(context, reason)
+        attempt_reports.report(
             context,
             job,
             Ended(job.command.attempt_id, Outcome.LOST, detail=reason),
         )
     assign_waiting(context, pool)
-
-
-def count_unusable(
-    context: searchers_context.SearchersContext, reason: str
-) -> None:
-    """Count a response that this node gave up on, by its reason."""
-    context.runtime.metrics.count(f'searchers.unusable_responses.{reason}')
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/searchers.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/searchers.py
@@ -5,6 +5,8 @@
 
 from gypsumbridge_decisions import forwarding
 from gypsumbridge_node.gateway import attempt_job
+from gypsumbridge_node.gateway import attempt_reports
+from gypsumbridge_node.gateway import attempt_sending
 from gypsumbridge_node.gateway import pool_checkout
 from gypsumbridge_node.gateway import receive_budget
 from gypsumbridge_node.gateway import runtime as runtimes
@@ -72,7 +74,8 @@
     context.state.jobs[command.attempt_id] = job
     found = pool.idle.checkout(now_ms, command.max_idle_ms)
     if found is not None:
-        pool_checkout.send_attempt(context, pool, job, found)
+        if not attempt_sending.send_attempt(context, pool, job, found):
+            pool.idle.put_back(found)
         return
     pool_checkout.open_for_attempt(context, pool, job)
 
@@ -102,7 +105,7 @@
     sent = job.connection is not None
     detach(context, job)
     outcome = Outcome.LOST if sent else Outcome.NOT_SENT
-    pool_checkout.report(
+    attempt_reports.report(
         context, job, Ended(job.command.attempt_id, outcome, detail='silent')
     )
 
@@ -134,7 +137,7 @@
     }
     for key in context.state.pools.keys() - current.keys():
         pool = context.state.pools[key]
-        pool_checkout.reject_waiting(context, pool)
+        attempt_reports.reject_waiting(context, pool)
         if pool.busy:
             continue
         del context.state.pools[key]
@@ -149,7 +152,7 @@
             continue
         draining = context.state.pools.get(searchers_state.pool_key(found))
         if draining is not None:
-            pool_checkout.reject_waiting(context, draining)
+            attempt_reports.reject_waiting(context, draining)
     warm_up(context)
 
 
--- a/tests/node/gateway/test_new_connections.py
+++ b/tests/node/gateway/test_new_connections.py
@@ -148,6 +148,23 @@
                 )
                 self.assertIn(self.idle, self.pool.busy)
 
+    def test_many_cancelled_attempts_are_passed_over(self):
+        """Guards against a recursion for each attempt that waits."""
+        self.send(max_idle_ms=None, attempt_id=1)
+        for attempt_id in range(2, 2_000):
+            self.send(max_idle_ms=None, attempt_id=attempt_id)
+            cancelled = forwarding.CancelAttempt(attempt_id, 350)
+            searchers.cancel(self.context, cancelled)
+        self.send(max_idle_ms=None, attempt_id=2_000)
+        reply = http_reply.HttpReply(
+            200, headers_type.make_headers(()), b'', True
+        )
+        self.idle.expects = None
+        pool_checkout.handle_reply(self.context, self.pool, self.idle, reply)
+        self.assertEqual(1_999, len(self.ended))
+        (job,) = self.pool.busy.values()
+        self.assertEqual(2_000, job.command.attempt_id)
+
     def test_an_idle_connection_is_closed_for_a_new_one(self):
         """Guards against more connections than this node's share."""
         self.assertEqual(1, self.context.state.limit_for('s1'))
