Play leaving and refusing searchers in the fault soak

The plan of seed 31003 was not kept either.

Change: a new kind of planned work, after which the searcher comes back as another process; two checks of what gateways send after a statement; the plan of seed 31003 as a regression case.

--- a/packages/standins/src/gypsumbridge_standins/fault_soak/fault_kinds.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/fault_kinds.py
@@ -30,6 +30,7 @@
     'searchers_kill': searcher_faults.kill,
     'searchers_pause': searcher_faults.pause,
     'drain': searcher_faults.drain,
+    'leave': searcher_faults.leave,
     'unreadable_entry': store_faults.write_unreadable,
     'outage': store_faults.outage,
     'compact': store_faults.compact,
--- a/packages/standins/src/gypsumbridge_standins/fault_soak/processes.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/processes.py
@@ -16,6 +16,7 @@
 from gypsumbridge_standins.fault_soak import soak_state
 from gypsumbridge_standins.users_platform import gateway_cluster
 from gypsumbridge_standins.users_platform import peer_links
+from gypsumbridge_standins.users_platform import platform_state
 
 RUN_LOG_NAME = 'runs-{number}.log'
 PLATFORM_COUNT = 2
@@ -134,13 +135,18 @@
 
 
 def read_runs(state: soak_state.SoakState) -> list[run_record.RunRecord]:
-    """Return the runs that the searchers have logged so far."""
+    """Return the runs and refusals that searchers have logged so far."""
     records = []
     for number in range(PLATFORM_COUNT):
         path = state.cluster.folder / RUN_LOG_NAME.format(number=number)
         for line in log_lines.read_complete_lines(path):
-            at_ms, request_id, searcher_id = line.split()
+            at_ms, request_id, searcher_id, event = line.split()
             records.append(
-                run_record.RunRecord(int(at_ms), request_id, searcher_id)
+                run_record.RunRecord(
+                    int(at_ms),
+                    request_id,
+                    searcher_id,
+                    event == platform_state.REFUSED,
+                )
             )
     return records
--- a/packages/standins/src/gypsumbridge_standins/fault_soak/run.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/run.py
@@ -18,6 +18,7 @@
 from gypsumbridge_standins.fault_soak import run_checks
 from gypsumbridge_standins.fault_soak import soak_plan
 from gypsumbridge_standins.fault_soak import soak_state
+from gypsumbridge_standins.fault_soak import statement_checks
 
 CHECK_INTERVAL_S = 5.0
 
@@ -84,9 +85,14 @@
 
 def add_violations(state: soak_state.SoakState) -> None:
     """Add the violations so far that are not recorded yet."""
-    current_violations = run_checks.check_runs(
-        state, processes.read_runs(state)
-    )
+    records = processes.read_runs(state)
+    runs = [record for record in records if not record.refused]
+    refusals = [record for record in records if record.refused]
+    current_violations = [
+        *run_checks.check_runs(state, runs),
+        *statement_checks.check_leaving(state, runs),
+        *statement_checks.check_refusals(state, refusals),
+    ]
     state.violations += [
         violation
         for violation in current_violations
--- a/packages/standins/src/gypsumbridge_standins/fault_soak/searcher_faults.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/searcher_faults.py
@@ -61,6 +61,31 @@
     state.under_fault.discard(searcher_id)
 
 
+async def leave(state: soak_state.SoakState, fault: faults.Fault) -> None:
+    """Let a searcher say in its answers that it leaves, and restart it.
+
+    Its entry says that it is ready until the end.
+    """
+    searcher_id = choose_searcher(state, fault)
+    if searcher_id in state.under_fault:
+        return
+    state.under_fault.add(searcher_id)
+    number = deployment.DOMAINS.index(searcher_id.partition('-')[2])
+    end = disturbance.begin_span(state, state.leaving, searcher_id)
+    await control.send_command(state, number, faults={searcher_id: 'leaving'})
+    length_s = DRAIN_S + SERVE_AFTER_BOUND_S + fault.for_ms / 1_000
+    await task.deferLater(state.reactor, length_s, lambda: None)
+    end()
+    await control.send_command(state, number, faults={searcher_id: ''})
+    await control.send_command(
+        state,
+        0,
+        states={searcher_id: 'ready'},
+        born={searcher_id: state.clock.wall_ms()},
+    )
+    state.under_fault.discard(searcher_id)
+
+
 async def pause(state: soak_state.SoakState, fault: faults.Fault) -> None:
     """Suspend the searchers of one failure domain."""
     await interrupt(state, fault, signal.SIGSTOP)
--- a/packages/standins/src/gypsumbridge_standins/fault_soak/soak_state.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/soak_state.py
@@ -17,7 +17,8 @@
     `searchers/DOMAIN`. `unplanned` and `planned` hold the spans of faults
     and of planned work by node, or under `store`, `peers` and `searchers`.
     `versions` holds when the store accepted each version of the
-    configuration, and `draining` the spans in which a searcher drains.
+    configuration, and `draining` the spans in which a searcher drains;
+    `leaving` those in which its answers say that it leaves.
     `under_fault` names the targets of faults that exclude each other.
     `forwarded_ms` holds when the link to a gateway forwarded a request; it
     lacks requests that arrived while no process listened there.
@@ -40,6 +41,7 @@
         self.planned: dict[str, list[span.Span]] = {}
         self.versions: dict[int, int] = {}
         self.draining: dict[str, list[span.Span]] = {}
+        self.leaving: dict[str, list[span.Span]] = {}
         self.events: list[str] = []
         self.violations: list[str] = []
         self.under_fault: set[str] = set()
--- a/packages/standins/src/gypsumbridge_standins/users_platform/__main__.py
+++ b/packages/standins/src/gypsumbridge_standins/users_platform/__main__.py
@@ -30,7 +30,8 @@
     configuration, and `searchers` maps ids to service, port and domain.
     `serves` names the searchers that this process runs, by default all of
     them. The `address` of a searcher, if given, is registered in place of
-    its own port. `run_log` is a file that gets a line for each run.
+    its own port, and its `born` as the time of its start. `run_log` is a file
+    that gets a line for each run, and for each refusal that states a time.
     """
     from twisted.internet import reactor
 
@@ -51,22 +52,22 @@
     reactor.run()
 
 
-def make_run_log(path: str | None) -> Callable[[str, str], None]:
+def make_run_log(path: str | None) -> Callable[[str, str, str], None]:
     """Return a function that records runs in a file, if one is named.
 
-    A line holds the monotonic clock in ms, the request's id and the
-    searcher's. It is in the file before the searcher responds, so that a
-    kill does not lose it.
+    A line holds the monotonic clock in ms, the request's id, the searcher's
+    and the kind of the event. It is in the file before the searcher responds,
+    so that a kill does not lose it.
     """
     if path is None:
-        return lambda request_id, searcher_id: None
+        return lambda request_id, searcher_id, event: None
     opened = open(path, 'a', encoding='utf-8', buffering=1)  # noqa: SIM115
 
-    def on_run(request_id: str, searcher_id: str) -> None:
+    def on_event(request_id: str, searcher_id: str, event: str) -> None:
         now_ms = time.monotonic_ns() // 1_000_000
-        opened.write(f'{now_ms} {request_id} {searcher_id}\n')
+        opened.write(f'{now_ms} {request_id} {searcher_id} {event}\n')
 
-    return on_run
+    return on_event
 
 
 def listen(reactor: Any, port: int, on_request: Any) -> None:
@@ -100,6 +101,7 @@
         status,
         warmup_left_ms=0,
         sequence=1,
+        born=searcher.get('born', 0),
     )
     text = base64.b64encode(msgspec.json.encode(body)).decode()
     state.write(SCHEMA.searcher_prefix + searcher_id, text)
@@ -117,6 +119,8 @@
         command = json.loads(request.body) if request.body else {}
         state.faults.update(command.get('faults', {}))
         state.outage = command.get('outage', state.outage)
+        for searcher_id, born in command.get('born', {}).items():
+            plan['searchers'][searcher_id]['born'] = born
         for searcher_id, status in command.get('states', {}).items():
             searcher = plan['searchers'][searcher_id]
             register(state, searcher_id, searcher, status)
--- a/packages/standins/src/gypsumbridge_standins/users_platform/platform_state.py
+++ b/packages/standins/src/gypsumbridge_standins/users_platform/platform_state.py
@@ -5,20 +5,23 @@
 
 from gypsumbridge_platform import item as items
 
+RAN = 'ran'
+REFUSED = 'refused'
+
 
 class PlatformState:
     """The store's items and the searchers' faults and runs.
 
     `history` holds the changes after `oldest_revision`; a watch from an
     earlier revision gets 410. `faults` maps searchers to faults, `runs`
-    lists the searchers that ran each request, and `on_run` is called with
-    the request's id and the searcher's.
+    lists the searchers that ran each request, and `on_event` is called with
+    the request's id, the searcher's, and RAN or REFUSED.
     """
 
     def __init__(
-        self, on_run: Callable[[str, str], None] = lambda *run: None
+        self, on_event: Callable[[str, str, str], None] = lambda *event: None
     ) -> None:
-        self.on_run = on_run
+        self.on_event = on_event
         self.revision = 1
         self.items: dict[str, items.Item] = {}
         self.history: list[items.Item] = []
--- a/packages/standins/src/gypsumbridge_standins/users_platform/searcher_site.py
+++ b/packages/standins/src/gypsumbridge_standins/users_platform/searcher_site.py
@@ -35,7 +35,7 @@
     ),
 }
 # A refusing searcher wants no requests for this long.
-RETRY_AFTER_S = '1.5'
+RETRY_AFTER_MS = 1_500
 RECORDS = 20
 
 
@@ -89,12 +89,13 @@
             connection.respond(503, (echo, (NAMES.not_run, '1')), b'')
             return
         if fault == 'busy':
+            state.on_event(request_id, searcher_id, platform_state.REFUSED)
             refused = (NAMES.not_run, '1')
-            delay = (NAMES.retry_after, RETRY_AFTER_S)
+            delay = (NAMES.retry_after, str(RETRY_AFTER_MS / 1_000))
             connection.respond(503, (echo, refused, delay), b'')
             return
         state.runs.setdefault(request_id, []).append(searcher_id)
-        state.on_run(request_id, searcher_id)
+        state.on_event(request_id, searcher_id, platform_state.RAN)
         body = records_of(service, request.target)
         signature = (NAMES.signature, f'{searcher_id}.{request_id}')
         response = http_head.encode_response(
--- a/tests/processes/test_fault_soak.py
+++ b/tests/processes/test_fault_soak.py
@@ -21,6 +21,9 @@
     # Seed 714. A frozen searcher read requests 3.2 s after they had been
     # sent; the soak reported them as requests sent during a drain.
     'frozen_searcher',
+    # Seed 31003. An entry was deleted in the pause that follows the first
+    # list of a new fleet, and the searcher was used for 3.0 s after that.
+    'removal_in_first_pause',
 )
 # The last seed draws planned work only. In the last two, one gateway of each
 # failure domain watches the store for the others.
