Log what searchers state, and open no connection to those that leave

Callers saw nothing of it; an engineer could not tell from the log why a searcher got no requests, and gypsumctl explain had no line to show.

Cause: a statement changed what the node believes without a log line. The task that opens connections in advance did not know of it, and opened one to a searcher that leaves with each update of the searchers.

Change: one line and one counter for the first statement that closes a searcher, with the request's id; `missing` distinguishes searchers_closed from no_searcher; the pool keeps the statement and is not warmed up.

--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
@@ -182,6 +182,7 @@
     handle_attempt_failure as handle_attempt_failure,
 )
 from gypsumbridge_decisions.forwarding.ending import is_answer as is_answer
+from gypsumbridge_decisions.forwarding.ending import record_end as record_end
 from gypsumbridge_decisions.forwarding.ending import (
     record_measurement as record_measurement,
 )
@@ -335,6 +336,9 @@
 from gypsumbridge_decisions.forwarding.state import (
     make_forwarding_state as make_forwarding_state,
 )
+from gypsumbridge_decisions.forwarding.statements import (
+    record_statements as record_statements,
+)
 from gypsumbridge_decisions.forwarding.stop_accepting import (
     StopAccepting as StopAccepting,
 )
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/ending.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/ending.py
@@ -9,8 +9,10 @@
 from gypsumbridge_decisions.forwarding import exchange as exchanges
 from gypsumbridge_decisions.forwarding import finishing
 from gypsumbridge_decisions.forwarding import part_state
+from gypsumbridge_decisions.forwarding import searcher_health
 from gypsumbridge_decisions.forwarding import sending
 from gypsumbridge_decisions.forwarding import state as states
+from gypsumbridge_decisions.forwarding import statements
 
 _OUTCOME = attempt_outcome.AttemptOutcome
 # A cancelled attempt that lasted this many times the median latency without a
@@ -31,15 +33,15 @@
     if attempt is None:
         return []
     exchange = state.exchanges.get(attempt.call_id)
-    record_measurement(state, attempt, ended, exchange, now_ms)
+    stated = record_end(state, attempt, ended, exchange, now_ms)
     if exchange is None:
-        return []
+        return stated
     part = exchange.part(attempt.service)
     part.running.discard(ended.attempt_id)
     if ended.outcome.is_certainly_not_run():
         part.runs -= 1
     if part.answer is not None:
-        return []
+        return stated
     if is_answer(exchange, ended):
         part.answer = ended
         if exchange.merged_records is not None:
@@ -51,7 +53,7 @@
         )
     if not part.is_open():
         exchange.open_services.discard(part.service)
-    return commands + finish_if_complete(state, exchange, now_ms)
+    return stated + commands + finish_if_complete(state, exchange, now_ms)
 
 
 def is_answer(
@@ -152,27 +154,38 @@
     return finishing.finish(state, exchange, now_ms)
 
 
-def record_measurement(
+def record_end(
     state: states.ForwardingState,
     attempt: attempts.Attempt,
     ended: attempt_ended.AttemptEnded,
     exchange: exchanges.Exchange | None,
     now_ms: int,
-) -> None:
-    """Update the searcher's health and the route's latency window."""
+) -> list[command.Command]:
+    """Record what an attempt shows of its searcher, and what it states."""
     health = state.health.get(attempt.searcher.searcher_id)
     if health is None:
-        return
+        return []
     health.in_flight -= 1
     if attempt.overdue:
         health.overdue -= 1
     if ended.outcome == _OUTCOME.MISDIRECTED:
         health.replaced = True
-        return
-    if ended.leaving:
-        health.leaving = True
-    if ended.retry_after_ms:
-        health.record_refusal(ended.retry_after_ms, now_ms)
+        return []
+    stated = statements.record_statements(
+        health, attempt, ended, exchange, now_ms
+    )
+    record_measurement(state, health, attempt, ended, now_ms)
+    return stated
+
+
+def record_measurement(
+    state: states.ForwardingState,
+    health: searcher_health.SearcherHealth,
+    attempt: attempts.Attempt,
+    ended: attempt_ended.AttemptEnded,
+    now_ms: int,
+) -> None:
+    """Update the searcher's health and the route's latency window."""
     latency_ms = now_ms - attempt.sent_ms
     window = state.latencies.get(attempt.route_name)
     median_ms = window.median_ms if window is not None else latency_ms
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/sending.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/sending.py
@@ -11,6 +11,9 @@
 from gypsumbridge_decisions.forwarding import state as states
 
 NO_SEARCHER = 'no_searcher'
+# All of them have stated that they leave or want no requests now, or were
+# replaced by other searchers at their addresses.
+SEARCHERS_CLOSED = 'searchers_closed'
 # Attempts that a searcher refused without running them, or that never left
 # this node, do not count as runs; this is their limit for each part.
 MAX_SENDS_NOT_RUN = 2
@@ -53,9 +56,11 @@
     """Send the first attempt of a part if the service has a searcher."""
     chosen = choose(state, part, now_ms)
     if chosen is None:
-        part.reason = NO_SEARCHER
+        candidates = state.searchers.get(part.service, ())
+        draining = all(candidate.draining for candidate in candidates)
+        part.reason = NO_SEARCHER if draining else SEARCHERS_CLOSED
         part.usable_at_ms = choosing.next_usable_ms(
-            state.searchers.get(part.service, ()), state.health, now_ms
+            candidates, state.health, now_ms
         )
         return []
     budget_for(state, part.service).count_request(now_ms)
--- a/packages/node/src/gypsumbridge_node/gateway/pool_checkout.py
+++ b/packages/node/src/gypsumbridge_node/gateway/pool_checkout.py
@@ -177,6 +177,9 @@
     if ended.outcome in (Outcome.MISDIRECTED, Outcome.LOST):
         connection.reusable = False
     if ended.leaving or ended.retry_after_ms:
+        now_ms = context.runtime.clock.now_ms()
+        pool.leaving = pool.leaving or ended.leaving
+        pool.closed_until_ms = now_ms + ended.retry_after_ms
         attempt_reports.reject_waiting(context, pool)
     if not connection.reusable:
         connection.close()
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/searchers.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/searchers.py
@@ -171,7 +171,7 @@
         if not plan.gathers_itself:
             pool.idle.close_all()
             continue
-        if pool.size():
+        if pool.size() or pool.is_closed(context.runtime.clock.now_ms()):
             continue
         if forwarding.is_kept_warm(
             pool.searcher,
--- a/tests/decisions/forwarding/test_leaving_searchers.py
+++ b/tests/decisions/forwarding/test_leaving_searchers.py
@@ -1,6 +1,7 @@
 import dataclasses
 
 from gypsumbridge_decisions import forwarding
+from gypsumbridge_decisions import messages
 from tests.decisions.forwarding import gateway_case
 
 ANSWERED = forwarding.AttemptOutcome.ANSWERED
@@ -47,6 +48,45 @@
         self.now_ms += 60_000
         self.assertEqual({'s1-d2'}, self.names_used())
 
+    def statements(self, commands):
+        return [
+            (c.reason, c.fields)
+            for c in commands
+            if isinstance(c, messages.Decision) and c.name == 'searcher_closed'
+        ]
+
+    def test_the_first_statement_of_a_searcher_is_logged(self):
+        """Guards against requests that cannot be explained afterwards."""
+        first, second = self.one_sent(), self.one_sent()
+        ((reason, fields),) = self.statements(self.finish(first, leaving=True))
+        self.assertEqual('leaving', reason)
+        self.assertEqual(
+            ('r-1', 's1-d1', 's1'),
+            (fields['request_id'], fields['searcher'], fields['service']),
+        )
+        self.assertEqual(
+            [], self.statements(self.finish(second, leaving=True))
+        )
+
+    def test_the_time_that_a_searcher_states_is_logged(self):
+        """Guards against requests that cannot be explained afterwards."""
+        first, second = self.one_sent(), self.one_sent()
+        ((reason, fields),) = self.statements(self.refuse(first, 1_500))
+        self.assertEqual('retry_after', reason)
+        self.assertEqual(1_500, fields['closed_for_ms'])
+        self.assertEqual([], self.statements(self.refuse(second, 1_500)))
+
+    def test_a_statement_in_the_answer_of_a_lost_hedge_is_obeyed(self):
+        """Guards against a statement that is read only in used answers."""
+        sent = self.one_sent()
+        (hedge,) = gateway_case.sends(
+            self.handle(forwarding.HedgeTimer(self.last_call_id))
+        )
+        self.finish(hedge)
+        commands = self.finish(sent, leaving=True)
+        self.assertEqual(1, len(self.statements(commands)))
+        self.assertEqual({'s1-d2'}, self.names_used())
+
     def test_the_last_searcher_that_leaves_is_not_used_either(self):
         """Guards against a request that a leaving searcher may drop."""
         for name in ('s1-d1', 's1-d2'):
@@ -57,6 +97,20 @@
         self.assertEqual([], gateway_case.sends(commands))
         (response,) = gateway_case.responses(commands)
         self.assertEqual(503, response.status)
+        self.assertEqual('s1:searchers_closed', self.missing(commands))
+        self.publish([])
+        commands = self.arrive('/one/x', 2_000)
+        self.assertEqual('s1:no_searcher', self.missing(commands))
+
+    def missing(self, commands):
+        """Return the cause in the log line of a finished request."""
+        (found,) = (
+            c.fields['missing']
+            for c in commands
+            if isinstance(c, messages.Decision)
+            and c.name == 'request_finished'
+        )
+        return found
 
     def lapse(self, lapse_ms, **changes):
         """Remove the entry of s1-d1, and publish it again later."""
--- a/tests/node/gateway/test_new_connections.py
+++ b/tests/node/gateway/test_new_connections.py
@@ -165,6 +165,31 @@
         (job,) = self.pool.busy.values()
         self.assertEqual(2_000, job.command.attempt_id)
 
+    def test_no_connection_is_opened_in_advance_to_a_closed_searcher(self):
+        """Guards against connections to a searcher that leaves or is full."""
+        cases = (
+            (200, {}, 1),
+            (200, {'server-leaving': '1'}, 0),
+            (503, {'retry-after': '3', 'gypsumbridge-not-executed': '1'}, 0),
+        )
+        for status, headers, expected in cases:
+            with self.subTest(headers=headers):
+                self.setUp()
+                self.context.state.nodes = 1
+                self.send(max_idle_ms=None)
+                reply = http_reply.HttpReply(
+                    status,
+                    headers_type.make_headers(headers.items()),
+                    b'',
+                    True,
+                )
+                self.idle.reusable = False
+                pool_checkout.handle_reply(
+                    self.context, self.pool, self.idle, reply
+                )
+                searchers.warm_up(self.context)
+                self.assertEqual(expected, len(self.reactor.tcpClients))
+
     def test_an_idle_connection_is_closed_for_a_new_one(self):
         """Guards against more connections than this node's share."""
         self.assertEqual(1, self.context.state.limit_for('s1'))
