Bound every number that other processes write

Callers could see: gathers that wait for a coordinator whose address cannot be parsed, and a node that trusts a relay's confirmation from the future.

Cause: only the entries of searchers had bounds on their values.

An odd entry is refused alone.

--- a/packages/wire/src/gypsumbridge_wire/relay.py
+++ b/packages/wire/src/gypsumbridge_wire/relay.py
@@ -24,6 +24,8 @@
 COMPRESSION_LEVEL = 1
 # Limits the decompressed size; no fleet has a larger state.
 MAX_UPDATES_BYTES = 64 * 1024 * 1024
+# No revision, age or capacity of a node reaches this number.
+MAX_COUNT = 2**53
 _REMEDY = 'run nodes of the same release'
 
 _encoder = msgspec.msgpack.Encoder()
@@ -69,6 +71,12 @@
     if not decompressor.eof:
         # The checksum at the end is missing.
         raise errors.FrameError('a peer sent updates that broke off', _REMEDY)
+    numbers = (updates.revision, updates.age_ms)
+    revisions = (record.revision for record in updates.records)
+    if not all(0 <= number <= MAX_COUNT for number in (*numbers, *revisions)):
+        raise errors.FrameError(
+            'a peer sent updates with a number out of range', _REMEDY
+        )
     return updates
 
 
@@ -89,9 +97,16 @@
         raise errors.FrameError(
             f'the entry of node {node_id} names {node.node_id!r}', _REMEDY
         )
-    if node.address and not addresses.is_address(node.address):
+    for address in (node.address, node.gather_address):
+        if not address or addresses.is_address(address):
+            continue
+        raise errors.FrameError(
+            f'the entry of node {node_id} has the address {address!r}',
+            'set the addresses under listen of that node to ip:port',
+        )
+    if not 0 <= node.capacity <= MAX_COUNT:
         raise errors.FrameError(
-            f'the entry of node {node_id} has the address {node.address!r}',
-            'set peers or advertised_peers of that node to ip:port',
+            f'the entry of node {node_id} has the capacity {node.capacity}',
+            'set capacity of that node to a number from 0 on',
         )
     return node
