Check the hold of a searcher with each choice

Callers could see: requests that a gateway sends, after a pause, to a searcher whose entry had been missing for longer than the hold of 2 s.

Cause: the timer that drops the searcher is handled after the requests that waited in the sockets during the pause, and nothing else knew the time.

Change: discovery publishes until when a searcher without an entry is used, and the choice of a searcher compares that with the clock.

--- a/packages/decisions/src/gypsumbridge_decisions/discovery/applying.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/applying.py
@@ -35,8 +35,9 @@
             changed, more = apply_searcher(state, record, now_ms)
             searchers_changed = searchers_changed or changed
             commands += more
+    published: list[command.Command] = []
     if searchers_changed:
-        commands.append(publish_searchers(state))
+        published.append(publish_searchers(state))
     # The nodes determine to which searchers connections are opened.
     fleet: list[command.Command] = []
     if len(state.nodes) != nodes_before:
@@ -44,7 +45,8 @@
     if peers_changed:
         nodes = tuple(state.relay.peers.values())
         fleet.append(forwarding.NodesChanged(nodes))
-    return fleet + commands
+    # The hold of a new searcher follows its first publication.
+    return fleet + published + commands
 
 
 def publish_searchers(
@@ -121,11 +123,13 @@
             *skip_record(record, str(error)),
             *schedule_removal(state, searcher_id, now_ms),
         ]
-    state.removals.pop(searcher_id, None)
+    commands: list[command.Command] = []
+    if state.removals.pop(searcher_id, None) is not None:
+        commands.append(forwarding.HoldChanged(searcher_id, None))
     if state.searchers.get(searcher_id) == found:
-        return False, []
+        return False, commands
     state.searchers[searcher_id] = found
-    return True, []
+    return True, commands
 
 
 def schedule_removal(
@@ -141,7 +145,10 @@
         due_ms = max(now_ms, min(due_ms, last_ms))
     state.removals[searcher_id] = due_ms
     timer = removal_timer.RemovalTimer()
-    return [messages.Timer(due_ms - now_ms, timer)]
+    return [
+        forwarding.HoldChanged(searcher_id, due_ms),
+        messages.Timer(due_ms - now_ms, timer),
+    ]
 
 
 def remove_due_searchers(
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/command.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/command.py
@@ -14,6 +14,7 @@
     | write_node.WriteNode
     | forwarding.RoutesChanged
     | forwarding.SearchersChanged
+    | forwarding.HoldChanged
     | forwarding.FleetSizeChanged
     | forwarding.NodesChanged
     | discovery_ready.DiscoveryReady
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
@@ -154,6 +154,9 @@
 from gypsumbridge_decisions.forwarding.discovery_updates import (
     change_fleet_size as change_fleet_size,
 )
+from gypsumbridge_decisions.forwarding.discovery_updates import (
+    change_hold as change_hold,
+)
 from gypsumbridge_decisions.forwarding.discovery_updates import (
     change_nodes as change_nodes,
 )
@@ -258,6 +261,9 @@
     latency_window_for as latency_window_for,
 )
 from gypsumbridge_decisions.forwarding.hedging import postpone as postpone
+from gypsumbridge_decisions.forwarding.hold_changed import (
+    HoldChanged as HoldChanged,
+)
 from gypsumbridge_decisions.forwarding.ingress_limits import (
     IngressLimits as IngressLimits,
 )
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/discovery_updates.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/discovery_updates.py
@@ -4,6 +4,7 @@
 from gypsumbridge_decisions.forwarding import command
 from gypsumbridge_decisions.forwarding import departed_searcher
 from gypsumbridge_decisions.forwarding import fleet_size_changed
+from gypsumbridge_decisions.forwarding import hold_changed
 from gypsumbridge_decisions.forwarding import nodes_changed
 from gypsumbridge_decisions.forwarding import routes_changed
 from gypsumbridge_decisions.forwarding import searcher_health
@@ -56,6 +57,8 @@
             found.searcher_id, searcher_health.SearcherHealth()
         )
         returned = state.departed.pop(found.searcher_id, None)
+        if returned is not None:
+            health.held_until_ms = None
         if returned is not None and health.is_remembered(
             returned.departed_ms, now_ms
         ):
@@ -78,6 +81,20 @@
     return [messages.Decision('searchers_changed', 'discovery', fields)]
 
 
+def change_hold(
+    state: states.ForwardingState, update: hold_changed.HoldChanged
+) -> list[command.Command]:
+    """Record until when a searcher without an entry may be used.
+
+    The update that drops it then may be handled late, after a pause of this
+    node, so the time is checked with each choice of a searcher.
+    """
+    health = state.health.get(update.searcher_id)
+    if health is not None:
+        health.held_until_ms = update.until_ms
+    return []
+
+
 def forget_departed(state: states.ForwardingState, now_ms: int) -> None:
     """Drop the health of departed searchers that is not needed any more."""
     busy_ids = {a.searcher.searcher_id for a in state.attempts.values()}
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/handler.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/handler.py
@@ -21,6 +21,7 @@
 from gypsumbridge_decisions.forwarding import fleet_size_changed
 from gypsumbridge_decisions.forwarding import hedge_timer
 from gypsumbridge_decisions.forwarding import hedging
+from gypsumbridge_decisions.forwarding import hold_changed
 from gypsumbridge_decisions.forwarding import nodes_changed
 from gypsumbridge_decisions.forwarding import objective_timer
 from gypsumbridge_decisions.forwarding import response_written
@@ -70,6 +71,8 @@
             return discovery_updates.change_searchers(state, message, now_ms)
         case routes_changed.RoutesChanged():
             return discovery_updates.change_routes(state, message)
+        case hold_changed.HoldChanged():
+            return discovery_updates.change_hold(state, message)
         case fleet_size_changed.FleetSizeChanged():
             return discovery_updates.change_fleet_size(state, message)
         case nodes_changed.NodesChanged():
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/searcher_health.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/searcher_health.py
@@ -30,8 +30,8 @@
     of the same route; `failure_rate` is between 0 and 1. `replaced` is set
     when another searcher has answered at the address, `leaving` when the
     searcher has stated that it is about to exit. It has asked for no requests
-    before `closed_until_ms`. `interval_ms` is the average time between
-    samples.
+    before `closed_until_ms`. While its entry is missing, it is used before
+    `held_until_ms`. `interval_ms` is the average time between samples.
     """
 
     def __init__(self) -> None:
@@ -47,6 +47,7 @@
         self.replaced = False
         self.leaving = False
         self.closed_until_ms = 0
+        self.held_until_ms: int | None = None
 
     def decay(self, now_ms: int) -> None:
         """Move the averages towards their defaults by the elapsed time."""
@@ -83,9 +84,11 @@
         return stated and now_ms < departed_ms + LAPSE_MS
 
     def may_be_sent_requests(self, now_ms: int) -> bool:
-        """Return whether the searcher has not stated the contrary."""
+        """Return whether its entry and its own statements allow requests."""
         if self.replaced or self.leaving:
             return False
+        if self.held_until_ms is not None and now_ms >= self.held_until_ms:
+            return False
         return self.closed_until_ms <= now_ms
 
     def record_refusal(self, retry_after_ms: int, now_ms: int) -> None:
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/discovery_task.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/discovery_task.py
@@ -41,6 +41,7 @@
             relaying.AnswerPoll: mailboxes.relay.put,
             forwarding.RoutesChanged: publish_routes,
             forwarding.SearchersChanged: publish,
+            forwarding.HoldChanged: mailboxes.forwarding.put,
             forwarding.FleetSizeChanged: publish,
             forwarding.NodesChanged: publish,
         },
--- a/tests/decisions/discovery/test_discovery.py
+++ b/tests/decisions/discovery/test_discovery.py
@@ -194,6 +194,23 @@
         self.now_ms += HOLD_MS
         self.assertEqual([], self.handle(discovery.RemovalTimer()))
 
+    def test_the_hold_of_a_searcher_is_published(self):
+        """Guards against a hold that ends late because its timer does."""
+        self.list(searchers_a=b'ready')
+        commands = self.change(searchers_a=None)
+        due_ms = self.now_ms + HOLD_MS
+        self.assertIn(forwarding.HoldChanged('a', due_ms), commands)
+        self.assertEqual([], self.holds(self.change(searchers_a=None)))
+        self.now_ms += HOLD_MS // 2
+        commands = self.change(searchers_a=b'ready')
+        self.assertEqual(
+            [forwarding.HoldChanged('a', None)], self.holds(commands)
+        )
+        self.assertEqual([], self.holds(self.change(searchers_a=b'draining')))
+
+    def holds(self, commands):
+        return [c for c in commands if isinstance(c, forwarding.HoldChanged)]
+
     def test_a_list_without_a_searcher_removes_it_after_the_hold(self):
         """Guards against searchers that stay after the history was lost."""
         self.list(searchers_a=b'ready', searchers_b=b'ready')
--- a/tests/decisions/forwarding/test_leaving_searchers.py
+++ b/tests/decisions/forwarding/test_leaving_searchers.py
@@ -48,6 +48,32 @@
         self.now_ms += 60_000
         self.assertEqual({'s1-d2'}, self.names_used())
 
+    def test_a_paused_node_does_not_use_a_searcher_after_its_hold(self):
+        """Guards against a permission that has run out during a pause.
+
+        After a pause the requests that wait in the sockets are handled
+        before the timer that drops the searcher.
+        """
+        self.handle(forwarding.HoldChanged('s1-d1', self.now_ms + 2_000))
+        self.now_ms += 1_990
+        self.assertIn('s1-d1', self.names_used())
+        self.now_ms += 10
+        self.assertEqual({'s1-d2'}, self.names_used())
+        self.handle(forwarding.HoldChanged('s1-d1', None))
+        self.assertIn('s1-d1', self.names_used())
+
+    def test_a_searcher_that_returns_after_its_hold_is_used(self):
+        """Guards against a searcher that is lost after an outage."""
+        found = self.state.searchers['s1']
+        sent = self.one_sent()
+        self.finish(sent, leaving=True)
+        self.handle(forwarding.HoldChanged('s1-d1', self.now_ms + 2_000))
+        self.now_ms += 2_000
+        self.publish(f for f in found if f.searcher_id != 's1-d1')
+        self.now_ms += 1_000
+        self.publish(dataclasses.replace(f, incarnation=9) for f in found)
+        self.assertIn('s1-d1', self.names_used())
+
     def statements(self, commands):
         return [
             (c.reason, c.fields)
