End a gather as soon as its coverage is out of reach

Cause: a gather ended when no part was in flight, or at its deadline; that the parts in flight could not suffice any more was not looked at.

Change: it fails at once then, which leaves the caller time for another attempt. If too few services have a searcher that may be sent requests, nothing is sent and the answer is 503 with Retry-After.

Measured: the three new tests failed before (no response, and responses to requests that had been sent).

--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
@@ -22,6 +22,9 @@
     choose_services as choose_services,
 )
 from gypsumbridge_decisions.forwarding.arrival import expiry_ms as expiry_ms
+from gypsumbridge_decisions.forwarding.arrival import (
+    is_coverable as is_coverable,
+)
 from gypsumbridge_decisions.forwarding.arrival import set_timers as set_timers
 from gypsumbridge_decisions.forwarding.arrival import (
     start_exchange as start_exchange,
@@ -218,6 +221,9 @@
 from gypsumbridge_decisions.forwarding.finishing import (
     handle_objective_timer as handle_objective_timer,
 )
+from gypsumbridge_decisions.forwarding.finishing import (
+    may_cover_enough as may_cover_enough,
+)
 from gypsumbridge_decisions.forwarding.finishing import (
     record_answer_delay as record_answer_delay,
 )
@@ -319,6 +325,12 @@
 from gypsumbridge_decisions.forwarding.sending import (
     fixed_budget as fixed_budget,
 )
+from gypsumbridge_decisions.forwarding.sending import (
+    has_usable_searcher as has_usable_searcher,
+)
+from gypsumbridge_decisions.forwarding.sending import (
+    record_unusable as record_unusable,
+)
 from gypsumbridge_decisions.forwarding.sending import send as send
 from gypsumbridge_decisions.forwarding.sending import (
     send_extra_attempt as send_extra_attempt,
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/arrival.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/arrival.py
@@ -48,6 +48,8 @@
         partial=bool(group),
     )
     state.exchanges[request.call_id] = exchange
+    if not is_coverable(state, exchange, now_ms):
+        return finishing.finish(state, exchange, now_ms)
     commands = grouping.send_groups(state, exchange, now_ms)
     for part in exchange.parts:
         if part.delegated:
@@ -58,6 +60,28 @@
     return commands + set_timers(state, exchange, now_ms)
 
 
+def is_coverable(
+    state: states.ForwardingState, exchange: exchanges.Exchange, now_ms: int
+) -> bool:
+    """Return whether enough services of a gather can be sent requests.
+
+    Otherwise no request is sent, so that the caller may be told that nothing
+    was run. Groups may lack any number of their parts.
+    """
+    rule = exchange.route.gather
+    if rule is None or exchange.partial:
+        return True
+    missing = [
+        part
+        for part in exchange.parts
+        if not sending.has_usable_searcher(state, part.service, now_ms)
+    ]
+    for part in missing:
+        sending.record_unusable(state, part, now_ms)
+    usable = len(exchange.parts) - len(missing)
+    return usable / len(exchange.parts) >= rule.min_coverage
+
+
 def choose_services(
     state: states.ForwardingState, route: routes.Route
 ) -> tuple[str, ...]:
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/ending.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/ending.py
@@ -43,7 +43,7 @@
     if part.answer is not None:
         return stated
     if is_answer(exchange, ended):
-        part.answer = ended
+        exchange.set_answer(part, ended)
         if exchange.merged_records is not None:
             exchange.merged_records.add(ended.body)
         commands = cancel_attempts(state, part)
@@ -141,12 +141,12 @@
 def finish_if_complete(
     state: states.ForwardingState, exchange: exchanges.Exchange, now_ms: int
 ) -> list[command.Command]:
-    """Answer when no part is in flight.
+    """Answer when no part is in flight, or when too few can be received.
 
     After the objective, the parts that have been received are enough if
     they reach the route's coverage.
     """
-    if exchange.open_services:
+    if exchange.open_services and finishing.may_cover_enough(exchange):
         if not exchange.objective_passed:
             return []
         if not finishing.covers_enough(exchange):
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/exchange.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/exchange.py
@@ -1,5 +1,6 @@
 """State of one request in progress."""
 
+from gypsumbridge_decisions.forwarding import attempt_ended
 from gypsumbridge_decisions.forwarding import caller_request
 from gypsumbridge_decisions.forwarding import part_state
 from gypsumbridge_decisions.forwarding import route as routes
@@ -12,10 +13,11 @@
     `expires_ms` is the deadline of the final response on the node's clock,
     `answer_ms` the time at which a gather is answered without its missing
     parts. `open_services` names the parts whose answer may still arrive.
-    `hedge_postponed` is set after hedges were postponed once.
-    `merged_records` is None unless the route gathers. With `partial`,
-    another node has delegated a group of services and adds the other parts.
-    `groups` holds the ids of the delegations of this request's own groups.
+    `answered` counts the parts that were received. `hedge_postponed` is set
+    after hedges were postponed once. `merged_records` is None unless the
+    route gathers. With `partial`, another node has delegated a group of
+    services and adds the other parts. `groups` holds the ids of the
+    delegations of this request's own groups.
     """
 
     def __init__(
@@ -38,12 +40,22 @@
         self.parts = [part_state.PartState(name) for name in services]
         self.by_service = {part.service: part for part in self.parts}
         self.open_services: set[str] = set()
+        self.answered = 0
         self.hedges = 0
         self.hedge_postponed = False
         self.objective_passed = False
         self.partial = partial
         self.groups: set[int] = set()
 
+    def set_answer(
+        self,
+        part: part_state.PartState,
+        answer: attempt_ended.AttemptEnded,
+    ) -> None:
+        """Record the answer of a part that has none yet."""
+        part.answer = answer
+        self.answered += 1
+
     def part(self, service: str) -> part_state.PartState:
         """Return the part of a service."""
         return self.by_service[service]
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/finishing.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/finishing.py
@@ -23,8 +23,7 @@
 
 def coverage(exchange: exchanges.Exchange) -> float:
     """Return the share of the parts that were received, from 0 to 1."""
-    answered = sum(1 for part in exchange.parts if part.answer is not None)
-    return answered / len(exchange.parts)
+    return exchange.answered / len(exchange.parts)
 
 
 def covers_enough(exchange: exchanges.Exchange) -> bool:
@@ -39,6 +38,19 @@
     return share > 0 and share >= least
 
 
+def may_cover_enough(exchange: exchanges.Exchange) -> bool:
+    """Return whether the parts in flight can make a successful response.
+
+    If not, the caller is better off with an early failure, which leaves it
+    time for another attempt.
+    """
+    rule = exchange.route.gather
+    if rule is None or exchange.partial:
+        return True
+    possible = exchange.answered + len(exchange.open_services)
+    return possible / len(exchange.parts) >= rule.min_coverage
+
+
 def handle_objective_timer(
     state: states.ForwardingState,
     timer: objective_timer.ObjectiveTimer,
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/grouping.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/grouping.py
@@ -163,12 +163,16 @@
         for service, signature in zip(
             response.part_services, response.part_signatures, strict=False
         ):
-            exchange.part(service).answer = attempt_ended.AttemptEnded(
+            part = exchange.part(service)
+            if part.answer is not None:
+                continue
+            answer = attempt_ended.AttemptEnded(
                 0,
                 attempt_outcome.AttemptOutcome.ANSWERED,
                 response.status,
                 signature=signature,
             )
+            exchange.set_answer(part, answer)
     return drop_group(state, found, now_ms)
 
 
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/sending.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/sending.py
@@ -56,17 +56,36 @@
     """Send the first attempt of a part if the service has a searcher."""
     chosen = choose(state, part, now_ms)
     if chosen is None:
-        candidates = state.searchers.get(part.service, ())
-        draining = all(candidate.draining for candidate in candidates)
-        part.reason = NO_SEARCHER if draining else SEARCHERS_CLOSED
-        part.usable_at_ms = choosing.next_usable_ms(
-            candidates, state.health, now_ms
-        )
+        record_unusable(state, part, now_ms)
         return []
     budget_for(state, part.service).count_request(now_ms)
     return [send(state, exchange, part, chosen, now_ms)]
 
 
+def has_usable_searcher(
+    state: states.ForwardingState, service: str, now_ms: int
+) -> bool:
+    """Return whether any searcher of a service may be sent requests."""
+    for candidate in state.searchers.get(service, ()):
+        if candidate.draining:
+            continue
+        if state.health[candidate.searcher_id].may_be_sent_requests(now_ms):
+            return True
+    return False
+
+
+def record_unusable(
+    state: states.ForwardingState, part: part_state.PartState, now_ms: int
+) -> None:
+    """Record why no searcher of a part may be sent requests."""
+    candidates = state.searchers.get(part.service, ())
+    draining = all(candidate.draining for candidate in candidates)
+    part.reason = NO_SEARCHER if draining else SEARCHERS_CLOSED
+    part.usable_at_ms = choosing.next_usable_ms(
+        candidates, state.health, now_ms
+    )
+
+
 def send_extra_attempt(
     state: states.ForwardingState,
     exchange: exchanges.Exchange,
--- a/tests/decisions/forwarding/test_gather.py
+++ b/tests/decisions/forwarding/test_gather.py
@@ -121,6 +121,61 @@
         self.assertEqual(503, response.status)
         self.assertGreater(response.retry_after_ms, 0)
 
+    def lose(self, sent, services):
+        """End the attempts at some services so that none follows them."""
+        commands = []
+        for found in sent:
+            if found.searcher.service not in services:
+                continue
+            (again,) = gateway_case.sends(self.end(found, LOST))
+            commands = self.end(again, LOST)
+        return commands
+
+    def test_a_gather_whose_coverage_is_out_of_reach_ends_at_once(self):
+        """Guards against a caller that waits for a certain failure."""
+        sent = self.arrive_sent()
+        self.assertEqual([], gateway_case.responses(self.lose(sent, ('s1',))))
+        commands = self.lose(sent, ('s2',))
+        (response,) = gateway_case.responses(commands)
+        self.assertEqual(502, response.status)
+        self.assertEqual(2, len(gateway_case.cancels(commands)))
+        self.assertEqual([], self.answer(sent[2], record(1)))
+
+    def test_a_gather_that_cannot_be_covered_sends_nothing(self):
+        """Guards against work of searchers for a certain failure."""
+        searchers = [
+            gateway_case.make_searcher(f's{n}-d1', f's{n}') for n in (1, 2, 3)
+        ]
+        self.publish(searchers)
+        commands = self.arrive()
+        self.assertEqual(3, len(gateway_case.sends(commands)))
+        self.publish(searchers[:2])
+        commands = self.arrive()
+        self.assertEqual([], gateway_case.sends(commands))
+        (response,) = gateway_case.responses(commands)
+        self.assertEqual(503, response.status)
+        self.assertGreater(response.retry_after_ms, 0)
+
+    def test_a_gather_that_waits_for_closed_searchers_says_how_long(self):
+        """Guards against a retry that is refused again."""
+        for _ in range(2):
+            for found in self.arrive_sent():
+                if found.searcher.service in ('s1', 's2'):
+                    self.handle(
+                        forwarding.AttemptEnded(
+                            found.attempt_id,
+                            NOT_RUN,
+                            503,
+                            retry_after_ms=3_000,
+                        )
+                    )
+            self.handle(forwarding.CallerDisconnected(self.last_call_id))
+        self.now_ms += 1_000
+        (response,) = gateway_case.responses(self.arrive())
+        self.assertEqual(
+            (503, 2_000), (response.status, response.retry_after_ms)
+        )
+
     def test_requests_keep_the_routes_in_force_at_their_arrival(self):
         """Guards against parts of two versions in one response."""
         sent = self.arrive_sent()
