Pass on to delegating nodes what searchers state

Callers could see: a searcher that had told a coordinator that it leaves, or wants no requests, was asked by the node that had delegated the gather.

Cause: the statement stayed at the node that got the answer.

Change: a reply carries the statements, over both levels; the node that delegated obeys and logs them.

--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
@@ -314,6 +314,9 @@
 from gypsumbridge_decisions.forwarding.searcher_health import (
     SearcherHealth as SearcherHealth,
 )
+from gypsumbridge_decisions.forwarding.searcher_statement import (
+    SearcherStatement as SearcherStatement,
+)
 from gypsumbridge_decisions.forwarding.searchers_changed import (
     SearchersChanged as SearchersChanged,
 )
@@ -354,6 +357,12 @@
 from gypsumbridge_decisions.forwarding.state import (
     make_forwarding_state as make_forwarding_state,
 )
+from gypsumbridge_decisions.forwarding.statements import (
+    apply_statement as apply_statement,
+)
+from gypsumbridge_decisions.forwarding.statements import (
+    record_relayed as record_relayed,
+)
 from gypsumbridge_decisions.forwarding.statements import (
     record_statements as record_statements,
 )
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/caller_response.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/caller_response.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from gypsumbridge_decisions.forwarding import searcher_statement
+
 
 @dataclasses.dataclass(frozen=True)
 class CallerResponse:
@@ -13,6 +15,7 @@
     of services names the service of each part in `part_services`. A response
     triggered by an objective timer has the name of its route in
     `objective_route` and the time for which the timer was set in `due_ms`.
+    `statements` tells a node that delegates what searchers have stated.
     """
 
     call_id: int
@@ -25,3 +28,4 @@
     part_services: tuple[str, ...] = ()
     objective_route: str = ''
     due_ms: int = 0
+    statements: tuple[searcher_statement.SearcherStatement, ...] = ()
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/delegation_ending.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/delegation_ending.py
@@ -15,6 +15,7 @@
 from gypsumbridge_decisions.forwarding import final_response
 from gypsumbridge_decisions.forwarding import grouping
 from gypsumbridge_decisions.forwarding import state as states
+from gypsumbridge_decisions.forwarding import statements
 
 # A timer that fires this late shows that this node was delayed. The
 # confirmation may have arrived meanwhile.
@@ -69,9 +70,16 @@
     health = delegation_sending.health_of(state, found.coordinator_id)
     if ended.response is not None:
         health.record_answer()
+        stated = statements.record_relayed(
+            state, found, ended.response, now_ms
+        )
         if found.services:
-            return grouping.merge_group(state, found, ended.response, now_ms)
-        return delegating.relay_response(found, ended.response, now_ms)
+            return stated + grouping.merge_group(
+                state, found, ended.response, now_ms
+            )
+        return stated + delegating.relay_response(
+            found, ended.response, now_ms
+        )
     reason = ended.refusal or ended.failure
     log = delegation_sending.log_lost(found, reason)
     if ended.refusal:
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/exchange.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/exchange.py
@@ -4,6 +4,7 @@
 from gypsumbridge_decisions.forwarding import caller_request
 from gypsumbridge_decisions.forwarding import part_state
 from gypsumbridge_decisions.forwarding import route as routes
+from gypsumbridge_decisions.forwarding import searcher_statement
 from gypsumbridge_decisions.forwarding import top_records
 
 
@@ -17,7 +18,8 @@
     after hedges were postponed once. `merged_records` is None unless the
     route gathers. With `partial`, another node has delegated a group of
     services and adds the other parts. `groups` holds the ids of the
-    delegations of this request's own groups.
+    delegations of this request's own groups, and `statements` what
+    searchers have stated in their answers to it.
     """
 
     def __init__(
@@ -46,6 +48,7 @@
         self.objective_passed = False
         self.partial = partial
         self.groups: set[int] = set()
+        self.statements: list[searcher_statement.SearcherStatement] = []
 
     def set_answer(
         self,
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/final_response.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/final_response.py
@@ -26,6 +26,7 @@
         part_signatures=tuple(a.signature for a in answers),
         missing_parts=len(exchange.parts) - len(answers),
         part_services=services if exchange.partial else (),
+        statements=tuple(exchange.statements),
     )
 
 
--- a/tests/decisions/forwarding/test_grouping.py
+++ b/tests/decisions/forwarding/test_grouping.py
@@ -1,6 +1,7 @@
 import dataclasses
 
 from gypsumbridge_decisions import forwarding
+from gypsumbridge_decisions import messages
 from gypsumbridge_decisions import relaying
 from tests.decisions.forwarding import gateway_case
 
@@ -207,6 +208,72 @@
         self.assertEqual(200, response.status)
         self.assertEqual(FAR[:2], response.part_services)
 
+    def test_a_coordinator_passes_on_what_searchers_state(self):
+        """Guards against requests of one node that another was refused."""
+        request = forwarding.CallerRequest(
+            -1, 'r', 'GET', 'a.example', '/all/x', (), b'', 600, self.now_ms
+        )
+        sent = gateway_case.sends(
+            self.handle(
+                forwarding.DelegatedRequest(
+                    request, self.state.table.version, FAR
+                )
+            )
+        )
+        refused, *others = sent
+        self.handle(
+            forwarding.AttemptEnded(
+                refused.attempt_id,
+                forwarding.AttemptOutcome.NOT_RUN,
+                503,
+                retry_after_ms=3_000,
+            )
+        )
+        for found in others:
+            commands = self.answer(found, b'x' * 16)
+        commands = self.handle(forwarding.ExpiryTimer(-1))
+        (response,) = gateway_case.responses(commands)
+        stated = forwarding.SearcherStatement(
+            refused.searcher.searcher_id, False, 3_000
+        )
+        self.assertEqual((stated,), response.statements)
+
+    def test_statements_to_a_coordinator_are_obeyed(self):
+        """Guards against requests of one node that another was refused."""
+        statements = (
+            forwarding.SearcherStatement('s5-1', True, 0),
+            forwarding.SearcherStatement('s6-1', False, 2_000),
+            forwarding.SearcherStatement('unknown', True, 0),
+        )
+        group, near = self.start()
+        self.accept()
+        for found in near:
+            self.answer(found, b'x' * 16)
+        response = dataclasses.replace(REMOTE_REPLY, statements=statements)
+        commands = self.end(response=response)
+        logged = [
+            (c.reason, c.fields['searcher'], c.fields['coordinator'])
+            for c in commands
+            if isinstance(c, messages.Decision) and c.name == 'searcher_closed'
+        ]
+        coordinator = group.coordinator.node_id
+        self.assertEqual(
+            [
+                ('leaving', 's5-1', coordinator),
+                ('retry_after', 's6-1', coordinator),
+            ],
+            logged,
+        )
+        (final,) = gateway_case.responses(commands)
+        self.assertEqual(statements, final.statements)
+        health = self.state.health
+        self.assertFalse(health['s5-1'].may_be_sent_requests(self.now_ms))
+        self.now_ms += 1_990
+        self.assertFalse(health['s6-1'].may_be_sent_requests(self.now_ms))
+        self.now_ms += 10
+        self.assertTrue(health['s6-1'].may_be_sent_requests(self.now_ms))
+        self.assertFalse(health['s5-1'].may_be_sent_requests(self.now_ms))
+
     def test_an_unknown_service_is_refused(self):
         """Guards against parts that are of no route."""
         request = forwarding.CallerRequest(
--- a/tests/wire/test_delegation.py
+++ b/tests/wire/test_delegation.py
@@ -26,7 +26,13 @@
     12,
 )
 RESPONSE = forwarding.CallerResponse(
-    4, 200, (), b'\xffbody', part_signatures=('a', 'b'), missing_parts=1
+    4,
+    200,
+    (),
+    b'\xffbody',
+    part_signatures=('a', 'b'),
+    missing_parts=1,
+    statements=(forwarding.SearcherStatement('s1-d1', False, 1_500),),
 )
 
 
