Recognize a restarted searcher by the sequence of its entry

Callers could see: parts that stay missing, since a searcher that had said it leaves is not used again after a restart under its id and address.

Cause: where entries lack born, as those that the deployments write do, no field showed another process, and the statement held for good.

Change: an entry with a lower sequence than the last one is another process's; it is published and ends the statements of the one before.

--- a/packages/decisions/src/gypsumbridge_decisions/discovery/applying.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/applying.py
@@ -126,10 +126,10 @@
     commands: list[command.Command] = []
     if state.removals.pop(searcher_id, None) is not None:
         commands.append(forwarding.HoldChanged(searcher_id, None))
-    if state.searchers.get(searcher_id) == found:
-        return False, commands
+    previous = state.searchers.get(searcher_id)
     state.searchers[searcher_id] = found
-    return True, commands
+    changed = previous != found or not found.is_same_process(previous)
+    return changed, commands
 
 
 def schedule_removal(
--- a/tests/decisions/discovery/test_discovery.py
+++ b/tests/decisions/discovery/test_discovery.py
@@ -1,3 +1,4 @@
+import dataclasses
 import unittest
 
 from gypsumbridge_decisions import discovery
@@ -194,6 +195,21 @@
         self.now_ms += HOLD_MS
         self.assertEqual([], self.handle(discovery.RemovalTimer()))
 
+    def test_a_restart_is_published_although_its_entry_is_the_same(self):
+        """Guards against a restarted searcher that nobody notices."""
+        schema = self.state.schema
+        self.state.schema = dataclasses.replace(
+            schema,
+            decode_searcher=lambda name, value: dataclasses.replace(
+                schema.decode_searcher(name, b'ready'), sequence=int(value)
+            ),
+        )
+        self.list(searchers_a=b'7')
+        for sequence, expected in ((b'8', None), (b'9', None), (b'1', {'a'})):
+            commands = self.change(searchers_a=sequence)
+            found = self.published(commands)
+            self.assertEqual(expected, found and set(found))
+
     def test_the_hold_of_a_searcher_is_published(self):
         """Guards against a hold that ends late because its timer does."""
         self.list(searchers_a=b'ready')
--- a/tests/decisions/forwarding/test_leaving_searchers.py
+++ b/tests/decisions/forwarding/test_leaving_searchers.py
@@ -209,6 +209,19 @@
         self.publish(searchers)
         self.assertIn('s1-d1', self.names_used())
 
+    def test_a_restart_shows_in_the_sequence_of_the_entries(self):
+        """Guards against a searcher that is lost after it had left.
+
+        Some deployments write entries without the time of the start.
+        """
+        found = self.state.searchers['s1']
+        self.publish(dataclasses.replace(f, sequence=50) for f in found)
+        self.finish(self.one_sent(), leaving=True)
+        self.publish(dataclasses.replace(f, sequence=60) for f in found)
+        self.assertEqual({'s1-d2'}, self.names_used())
+        self.publish(dataclasses.replace(f, sequence=1) for f in found)
+        self.assertIn('s1-d1', self.names_used())
+
     def test_a_searcher_gets_nothing_until_its_stated_time(self):
         """Guards against requests that a full searcher asked not to get."""
         sent = self.one_sent()
