--- a/packages/decisions/src/gypsumbridge_decisions/discovery/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/__init__.py
@@ -31,6 +31,11 @@
     HistoryLost as HistoryLost,
 )
 from gypsumbridge_decisions.discovery.list_store import ListStore as ListStore
+from gypsumbridge_decisions.discovery.listing import apply_list as apply_list
+from gypsumbridge_decisions.discovery.listing import (
+    handle_history_lost as handle_history_lost,
+)
+from gypsumbridge_decisions.discovery.listing import handle_list as handle_list
 from gypsumbridge_decisions.discovery.node_written import (
     NodeWritten as NodeWritten,
 )
@@ -75,17 +80,12 @@
 from gypsumbridge_decisions.discovery.syncing import (
     apply_changes as apply_changes,
 )
-from gypsumbridge_decisions.discovery.syncing import apply_list as apply_list
 from gypsumbridge_decisions.discovery.syncing import (
     clear_missed_updates as clear_missed_updates,
 )
 from gypsumbridge_decisions.discovery.syncing import (
     handle_changes as handle_changes,
 )
-from gypsumbridge_decisions.discovery.syncing import (
-    handle_history_lost as handle_history_lost,
-)
-from gypsumbridge_decisions.discovery.syncing import handle_list as handle_list
 from gypsumbridge_decisions.discovery.syncing import (
     handle_store_failure as handle_store_failure,
 )
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/handler.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/handler.py
@@ -6,6 +6,7 @@
 from gypsumbridge_decisions.discovery import applying
 from gypsumbridge_decisions.discovery import command
 from gypsumbridge_decisions.discovery import history_lost
+from gypsumbridge_decisions.discovery import listing
 from gypsumbridge_decisions.discovery import node_written
 from gypsumbridge_decisions.discovery import peer_updates
 from gypsumbridge_decisions.discovery import removal_timer
@@ -25,11 +26,11 @@
         case resume_timer.ResumeTimer():
             return syncing.resume(state, now_ms)
         case store_listed.StoreListed():
-            return syncing.handle_list(state, message, now_ms)
+            return listing.handle_list(state, message, now_ms)
         case store_changed.StoreChanged():
             return syncing.handle_changes(state, message, now_ms)
         case history_lost.HistoryLost():
-            return syncing.handle_history_lost(state, message.reason, now_ms)
+            return listing.handle_history_lost(state, message.reason, now_ms)
         case store_failed.StoreFailed():
             return syncing.handle_store_failure(state, message.reason, now_ms)
         case relaying.PeerAnswered():
--- /dev/null
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/listing.py
@@ -0,0 +1,77 @@
+"""Lists of the store."""
+
+from gypsumbridge_decisions import messages
+from gypsumbridge_decisions import relaying
+from gypsumbridge_decisions.discovery import command
+from gypsumbridge_decisions.discovery import resume_timer
+from gypsumbridge_decisions.discovery import state as states
+from gypsumbridge_decisions.discovery import store_listed
+from gypsumbridge_decisions.discovery import syncing
+
+# All nodes of a new fleet start together; after this time most of them have
+# written their keys and can be polled.
+SETTLE_MS = 1_500
+
+
+def handle_list(
+    state: states.DiscoveryState,
+    listed: store_listed.StoreListed,
+    now_ms: int,
+) -> list[command.Command]:
+    """Apply a list of the store, and make the next call."""
+    stale_ok = not state.exact_list_needed
+    commands = syncing.record_confirmation(state, now_ms)
+    relaying.readmit_store(state.relay)
+    state.list_needed = False
+    state.list_unconfirmed = stale_ok
+    if listed.revision >= state.revision:
+        commands += apply_list(state, listed, now_ms)
+    if stale_ok:
+        syncing.mark_updates_missed(state)
+    else:
+        syncing.clear_missed_updates(state)
+    if (
+        state.writing_node
+        and state.relay.own.address
+        and not state.settle_timer_set
+    ):
+        # Without the other nodes' keys each node would watch the store.
+        state.settle_timer_set = True
+        state.list_needed = True
+        timer = messages.Timer(SETTLE_MS, resume_timer.ResumeTimer())
+        return [*commands, timer]
+    return [*commands, *syncing.resume(state, now_ms)]
+
+
+def apply_list(
+    state: states.DiscoveryState,
+    listed: store_listed.StoreListed,
+    now_ms: int,
+) -> list[command.Command]:
+    """Replace the records up to the revision of a list."""
+    state.revision = listed.revision
+    state.list_needed = False
+    state.exact_list_needed = False
+    state.relay.log.replace(listed.records, listed.revision)
+    present = state.relay.log.present()
+    keys = {record.key for record in present}
+    prefix = state.schema.searcher_prefix
+    removed = tuple(
+        relaying.StoreRecord(prefix + name, listed.revision, None)
+        for name in state.searchers
+        if prefix + name not in keys
+    )
+    return syncing.apply(state, present + removed, now_ms)
+
+
+def handle_history_lost(
+    state: states.DiscoveryState, reason: str, now_ms: int
+) -> list[command.Command]:
+    """List the store again."""
+    state.list_needed = True
+    # A watch after a stale list could start in the compacted history again.
+    state.exact_list_needed = True
+    decision = messages.Decision(
+        'store_history_lost', reason, {'revision': state.revision}
+    )
+    return [decision, *syncing.resume(state, now_ms)]
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/peer_updates.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/peer_updates.py
@@ -3,6 +3,7 @@
 from gypsumbridge_decisions import messages
 from gypsumbridge_decisions import relaying
 from gypsumbridge_decisions.discovery import command
+from gypsumbridge_decisions.discovery import listing
 from gypsumbridge_decisions.discovery import state as states
 from gypsumbridge_decisions.discovery import store_changed
 from gypsumbridge_decisions.discovery import store_listed
@@ -54,7 +55,7 @@
     """Apply updates that are newer than this node's revision."""
     if updates.complete:
         listed = store_listed.StoreListed(updates.revision, updates.records)
-        return syncing.apply_list(state, listed, now_ms)
+        return listing.apply_list(state, listed, now_ms)
     changed = store_changed.StoreChanged(updates.revision, updates.records)
     return syncing.apply_changes(state, changed, now_ms)
 
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/syncing.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/syncing.py
@@ -9,7 +9,6 @@
 from gypsumbridge_decisions.discovery import resume_timer
 from gypsumbridge_decisions.discovery import state as states
 from gypsumbridge_decisions.discovery import store_changed
-from gypsumbridge_decisions.discovery import store_listed
 from gypsumbridge_decisions.discovery import watch_store
 from gypsumbridge_decisions.discovery import write_node
 
@@ -28,9 +27,6 @@
 MANY_CHANGES = 250
 FIRST_RETRY_MS = 100
 MAX_RETRY_MS = 800
-# All nodes of a new fleet start together; after this time most of them have
-# written their keys and can be polled.
-SETTLE_MS = 1_500
 
 
 def resume(state: states.DiscoveryState, now_ms: int) -> list[command.Command]:
@@ -84,57 +80,6 @@
     return [messages.Decision('update_source_changed', 'rank', fields)]
 
 
-def handle_list(
-    state: states.DiscoveryState,
-    listed: store_listed.StoreListed,
-    now_ms: int,
-) -> list[command.Command]:
-    """Apply a list of the store, and make the next call."""
-    stale_ok = not state.exact_list_needed
-    commands = record_confirmation(state, now_ms)
-    relaying.readmit_store(state.relay)
-    state.list_needed = False
-    state.list_unconfirmed = stale_ok
-    if listed.revision >= state.revision:
-        commands += apply_list(state, listed, now_ms)
-    if stale_ok:
-        mark_updates_missed(state)
-    else:
-        clear_missed_updates(state)
-    if (
-        state.writing_node
-        and state.relay.own.address
-        and not state.settle_timer_set
-    ):
-        # Without the other nodes' keys each node would watch the store.
-        state.settle_timer_set = True
-        state.list_needed = True
-        timer = messages.Timer(SETTLE_MS, resume_timer.ResumeTimer())
-        return [*commands, timer]
-    return [*commands, *resume(state, now_ms)]
-
-
-def apply_list(
-    state: states.DiscoveryState,
-    listed: store_listed.StoreListed,
-    now_ms: int,
-) -> list[command.Command]:
-    """Replace the records up to the revision of a list."""
-    state.revision = listed.revision
-    state.list_needed = False
-    state.exact_list_needed = False
-    state.relay.log.replace(listed.records, listed.revision)
-    present = state.relay.log.present()
-    keys = {record.key for record in present}
-    prefix = state.schema.searcher_prefix
-    removed = tuple(
-        relaying.StoreRecord(prefix + name, listed.revision, None)
-        for name in state.searchers
-        if prefix + name not in keys
-    )
-    return apply(state, present + removed, now_ms)
-
-
 def handle_changes(
     state: states.DiscoveryState,
     changed: store_changed.StoreChanged,
@@ -184,19 +129,6 @@
     ]
 
 
-def handle_history_lost(
-    state: states.DiscoveryState, reason: str, now_ms: int
-) -> list[command.Command]:
-    """List the store again."""
-    state.list_needed = True
-    # A watch after a stale list could start in the compacted history again.
-    state.exact_list_needed = True
-    decision = messages.Decision(
-        'store_history_lost', reason, {'revision': state.revision}
-    )
-    return [decision, *resume(state, now_ms)]
-
-
 def handle_store_failure(
     state: states.DiscoveryState, reason: str, now_ms: int
 ) -> list[command.Command]:
