Let callers wait for searchers that are not registered

Callers saw: after an outage of the store in which the searchers' entries expired, requests were refused with Retry-After 0.05 s, and their only repeat was refused as well, since all nodes see the same entries.

Cause: every refusal had the delay that fits when another node can serve.

Change: where a part has no registered searcher, the delay is up to a third of the caller's time, which its clients honour, and at most the 2 s within which entries are back, spread by the id of the request.

The new test failed before (50 ms for all).

--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
@@ -300,6 +300,9 @@
 from gypsumbridge_decisions.forwarding.retry_budget import (
     RetryBudget as RetryBudget,
 )
+from gypsumbridge_decisions.forwarding.retry_delay import (
+    recovery_delay_ms as recovery_delay_ms,
+)
 from gypsumbridge_decisions.forwarding.route import Route as Route
 from gypsumbridge_decisions.forwarding.route_table import (
     find_route as find_route,
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/final_response.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/final_response.py
@@ -5,6 +5,8 @@
 from gypsumbridge_decisions.forwarding import exchange as exchanges
 from gypsumbridge_decisions.forwarding import part_state
 from gypsumbridge_decisions.forwarding import refusing
+from gypsumbridge_decisions.forwarding import retry_delay
+from gypsumbridge_decisions.forwarding import sending
 
 STATUS_OK = 200
 STATUS_BAD_GATEWAY = 502
@@ -70,14 +72,18 @@
 def retry_after_ms(exchange: exchanges.Exchange, now_ms: int) -> int:
     """Return the delay after which a refused request may succeed.
 
-    It is the longest one that the searchers of a part have stated.
+    It is the longest one that the searchers of a part have stated, or the
+    time for which searchers without an entry are waited for.
     """
     delays = [
         part.usable_at_ms - now_ms
         for part in exchange.parts
         if part.usable_at_ms is not None
     ]
-    return max(refusing.RETRY_AFTER_MS, *delays, 0)
+    if any(part.reason == sending.NO_SEARCHER for part in exchange.parts):
+        left_ms = exchange.expires_ms - now_ms
+        delays.append(retry_delay.recovery_delay_ms(exchange.request, left_ms))
+    return max(retry_delay.OTHER_NODE_MS, *delays, 0)
 
 
 def may_have_run(part: part_state.PartState) -> bool:
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/refusing.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/refusing.py
@@ -4,10 +4,9 @@
 from gypsumbridge_decisions.forwarding import caller_request
 from gypsumbridge_decisions.forwarding import caller_response
 from gypsumbridge_decisions.forwarding import command
+from gypsumbridge_decisions.forwarding import retry_delay
 
 STATUS_UNAVAILABLE = 503
-# The delay after which a caller may retry a refused request at another node.
-RETRY_AFTER_MS = 50
 
 
 def refuse(
@@ -18,7 +17,7 @@
         caller_response.CallerResponse(
             request.call_id,
             STATUS_UNAVAILABLE,
-            retry_after_ms=RETRY_AFTER_MS,
+            retry_after_ms=retry_delay.OTHER_NODE_MS,
         ),
         messages.Decision(
             'request_refused', reason, {'request_id': request.request_id}
--- a/tests/decisions/forwarding/test_gather.py
+++ b/tests/decisions/forwarding/test_gather.py
@@ -156,6 +156,23 @@
         self.assertEqual(503, response.status)
         self.assertGreater(response.retry_after_ms, 0)
 
+    def test_callers_wait_for_searchers_that_are_not_registered(self):
+        """Guards against repeats that every node refuses as well.
+
+        After an outage of the store the entries of the searchers are back
+        within two seconds. Repeats after 50 ms were refused again.
+        """
+        self.publish([])
+        delays = []
+        for _ in range(50):
+            (response,) = gateway_case.responses(self.arrive())
+            delays.append(response.retry_after_ms)
+        self.assertLessEqual(max(delays), 200)
+        self.assertGreaterEqual(min(delays), 150)
+        self.assertGreater(len(set(delays)), 20)
+        (response,) = gateway_case.responses(self.arrive(deadline_ms=60))
+        self.assertEqual(50, response.retry_after_ms)
+
     def test_a_gather_that_waits_for_closed_searchers_says_how_long(self):
         """Guards against a retry that is refused again."""
         for _ in range(2):
