Hold back requests of callers that do not read

Callers could see: a gateway that runs out of memory because one caller sends requests on a connection and reads no response.

Cause: the next request was passed on when the response before had been written, not when it had been sent, and a close waited for the unsent bytes without a limit.

Change: the connection is a producer of its transport; while its buffer is over 64 KiB no further request is passed on. A close is followed by an abort after 5 s.

--- a/packages/node/src/gypsumbridge_node/gateway/server_connection.py
+++ b/packages/node/src/gypsumbridge_node/gateway/server_connection.py
@@ -18,6 +18,7 @@
 from gypsumbridge_node.gateway import socket_options
 from gypsumbridge_node.gateway import socket_writer
 from gypsumbridge_node.gateway import upgrade_offer
+from gypsumbridge_node.gateway import write_flow
 
 STATUS_CONTINUE = 100
 STATUS_BAD_REQUEST = 400
@@ -33,6 +34,8 @@
 UNSUPPORTED_METHODS = frozenset({b'CONNECT', b'PRI'})
 # Reading is paused while this many pipelined requests wait.
 MAX_PIPELINED = 8
+# A peer that reads nothing for this long after the close loses what is left.
+CLOSE_TIMEOUT_MS = 5_000
 
 
 class ServerConnection(protocol.Protocol, policies.TimeoutMixin):
@@ -45,7 +48,8 @@
     What was received of an incomplete request counts against the `budget`,
     and is freed when the connection is closed. A request that cannot be read
     is answered after those before it, and closes the connection. Offers to
-    upgrade the connection are ignored.
+    upgrade the connection are ignored. While the peer does not read its
+    responses, no further request is passed on.
     """
 
     def __init__(
@@ -84,6 +88,7 @@
         """Set up the socket and start the idle timeout."""
         self.transport.setTcpNoDelay(True)
         self.writer = socket_writer.SocketWriter(self.transport)
+        self.flow = write_flow.WriteFlow(self.transport, self._next)
         self.factory.connections.add(self)
         self._set_timeout_ms(self.limits().idle_timeout_ms)
 
@@ -135,9 +140,12 @@
 
     def timeoutConnection(self) -> None:
         """Close a connection that is idle or sends a request too slowly."""
+        if self.ended:
+            self.transport.abortConnection()
+            return
         if self.in_progress:
             return
-        if self.reading:
+        if self.reading and not self.flow.blocked:
             self._reject(STATUS_TIMEOUT)
             return
         self.close()
@@ -145,6 +153,7 @@
     def connectionLost(self, reason: failure.Failure) -> None:
         """Report a caller that disconnected during a request."""
         self.setTimeout(None)
+        self.flow.end()
         self.ended = self.input_ended = True
         # The parser and this object refer to each other.
         self.parser = None
@@ -191,6 +200,8 @@
         """Close the connection after sending all written data."""
         self.ended = self.input_ended = True
         self._clear_message()
+        self.flow.end()
+        self._set_timeout_ms(CLOSE_TIMEOUT_MS)
         self.transport.loseConnection()
 
     def close_if_idle(self) -> None:
@@ -249,7 +260,7 @@
         self._next()
 
     def _next(self) -> None:
-        if self.in_progress or self.ended:
+        if self.in_progress or self.ended or self.flow.blocked:
             return
         if not self.waiting:
             self._answer_rejection()
--- a/tests/node/gateway/test_server_connection.py
+++ b/tests/node/gateway/test_server_connection.py
@@ -8,6 +8,8 @@
 from gypsumbridge_node.gateway import server_connection
 from tests.node.gateway import socket_transport
 
+# Twisted pauses a producer over this size of its write buffer.
+BUFFER_BYTES = 65_536
 LIMITS = forwarding.IngressLimits(
     max_header_bytes=200,
     max_body_bytes=100,
@@ -139,6 +141,51 @@
             self.receive(b'a')
         self.assertIn(b' 408 ', self.written())
 
+    def test_a_caller_that_does_not_read_gets_no_further_responses(self):
+        """Guards against responses that fill the memory of the node.
+
+        A caller may send requests without reading what they return.
+        """
+        self.transport.socket.room = 0
+        request = b'GET /a HTTP/1.1\r\n\r\n'
+        for _ in range(200):
+            self.receive(request)
+        served = 0
+        while len(self.requests) > served:
+            served += 1
+            self.connection.respond(200, (), b'x' * 10_000)
+            if self.transport.producer is None:
+                continue
+            if len(self.transport.value()) > BUFFER_BYTES:
+                self.transport.producer.pauseProducing()
+        self.assertLess(len(self.transport.value()), 2 * BUFFER_BYTES)
+        self.assertFalse(self.connection.in_progress)
+        self.transport.producer.resumeProducing()
+        self.assertEqual(served + 1, len(self.requests))
+
+    def test_a_response_that_is_not_read_ends_the_connection(self):
+        """Guards against connections and memory that are never freed."""
+        self.receive(b'GET /a HTTP/1.1\r\n\r\n')
+        self.transport.socket.room = 0
+        self.transport.loseConnection = lambda: None
+        aborted = []
+        self.transport.abortConnection = lambda: aborted.append(True)
+        self.connection.respond(200, (), b'x' * 10_000)
+        self.clock.advance(LIMITS.idle_timeout_ms / 1000)
+        self.assertEqual([], aborted)
+        self.clock.advance(server_connection.CLOSE_TIMEOUT_MS / 1000)
+        self.assertEqual([True], aborted)
+
+    def test_a_closed_connection_sends_what_was_written(self):
+        """Guards against a last response that is cut by a producer."""
+        self.receive(b'GET /a HTTP/1.1\r\n\r\n')
+        self.transport.socket.room = 0
+        self.transport.producer.pauseProducing()
+        self.closing = True
+        self.connection.respond(200, (), b'A')
+        self.assertIsNone(self.transport.producer)
+        self.assertIn(b'Connection: close', self.transport.value())
+
     def test_an_idle_connection_is_closed_without_a_response(self):
         """Guards against a response without a request."""
         self.clock.advance(14.9)
