Spread the connections that nodes open in advance

Cause: connections opened in advance were closed as idle before they were used, and each node opened them again with every change of routes or searchers. A searcher whose queue is long accepts fewer than it declares.

Change: the openings are spread over 10 ms for each node that makes one, at most 10 s, and a connection that was closed as idle before it was used is not opened again. A lost one is.

Three new tests failed before.

--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
@@ -381,6 +381,9 @@
 from gypsumbridge_decisions.forwarding.warming import (
     is_kept_warm as is_kept_warm,
 )
+from gypsumbridge_decisions.forwarding.warming import (
+    warm_up_delay_ms as warm_up_delay_ms,
+)
 from gypsumbridge_decisions.forwarding.weighted_service import (
     WeightedService as WeightedService,
 )
--- a/packages/node/src/gypsumbridge_node/gateway/attempt_sending.py
+++ b/packages/node/src/gypsumbridge_node/gateway/attempt_sending.py
@@ -26,6 +26,7 @@
     if job.grace_timer is not None or remaining_ms <= 0:
         attempt_reports.report_not_sent(context, job, 'not_needed')
         return False
+    pool.warmed = False
     job.connection = connection
     pool.busy[connection] = job
     request_id = job.command.request.request_id
--- a/packages/node/src/gypsumbridge_node/gateway/client_connection.py
+++ b/packages/node/src/gypsumbridge_node/gateway/client_connection.py
@@ -28,7 +28,9 @@
 MAX_HEADERS = 256
 MAX_FRAMING_SHARE = 8
 # The reasons of a close that this side did not cause.
-CLOSED_BY_SERVER = frozenset({'closed', 'reset'})
+CLOSED = 'closed'
+RESET = 'reset'
+CLOSED_BY_SERVER = frozenset({CLOSED, RESET})
 BODY_TOO_LARGE = 'body_too_large'
 # A server may close an idle connection slightly before the time that it
 # states.
@@ -166,7 +168,7 @@
         # The parser and this object refer to each other.
         self.parser = None
         self._clear_message()
-        name = 'closed' if clean else 'reset'
+        name = CLOSED if clean else RESET
         self.on_close(self, self.abort_reason or name)
 
     def on_message_begin(self) -> None:
--- a/packages/node/src/gypsumbridge_node/gateway/pool_checkout.py
+++ b/packages/node/src/gypsumbridge_node/gateway/pool_checkout.py
@@ -98,6 +98,7 @@
 ) -> None:
     """Fail the first waiting attempt after a connection failed to open."""
     pool.opening -= 1
+    pool.warmed = False
     context.runtime.metrics.count('searchers.connections_failed')
     if not pool.waiting:
         return
@@ -196,6 +197,8 @@
 ) -> None:
     """Report the attempt in flight on a connection that was closed."""
     pool.idle.discard(connection)
+    if reason != client_connection.CLOSED:
+        pool.warmed = False
     job = pool.busy.pop(connection, None)
     if job is not None:
         if reason not in client_connection.CLOSED_BY_SERVER:
--- a/packages/node/src/gypsumbridge_node/gateway/searcher_pool.py
+++ b/packages/node/src/gypsumbridge_node/gateway/searcher_pool.py
@@ -22,6 +22,9 @@
             client_connection.ClientConnection, attempt_job.AttemptJob
         ] = {}
         self.opening = 0
+        # Set when a connection was opened in advance, until one is used or
+        # lost in another way than by the searcher's idle timeout.
+        self.warmed = False
         self.leaving = False
         self.closed_until_ms = 0
         self.waiting: collections.deque[attempt_job.AttemptJob] = (
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/searchers.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/searchers.py
@@ -10,6 +10,7 @@
 from gypsumbridge_node.gateway import pool_checkout
 from gypsumbridge_node.gateway import receive_budget
 from gypsumbridge_node.gateway import runtime as runtimes
+from gypsumbridge_node.gateway import searcher_pool
 from gypsumbridge_node.gateway import searchers_context
 from gypsumbridge_node.gateway import searchers_state
 
@@ -159,8 +160,10 @@
 def warm_up(context: searchers_context.SearchersContext) -> None:
     """Open a connection to each searcher kept warm that has none.
 
-    The idle connections of services that only coordinators gather from are
-    closed on other nodes, since they count against the searchers' limits.
+    One that was opened in advance and closed as idle before it was used is
+    not opened again. The idle connections of services that only coordinators
+    gather from are closed on other nodes, since they count against the
+    searchers' limits.
     """
     state = context.state
     if state.table is None:
@@ -171,13 +174,38 @@
         if not plan.gathers_itself:
             pool.idle.close_all()
             continue
-        if pool.size() or pool.is_closed(context.runtime.clock.now_ms()):
+        if pool.size() or pool.warmed:
             continue
-        if forwarding.is_kept_warm(
+        if not forwarding.is_kept_warm(
             pool.searcher,
             state.table,
             state.nodes,
             own_domain,
             plan,
         ):
-            pool_checkout.open_connection(context, pool)
+            continue
+        pool.warmed = True
+        delay_ms = forwarding.warm_up_delay_ms(
+            context.runtime.settings.node.node_id,
+            pool.searcher.searcher_id,
+            plan.count() if plan.is_shared else state.nodes,
+        )
+        context.runtime.reactor.callLater(
+            delay_ms / 1000, open_in_advance, context, pool
+        )
+
+
+def open_in_advance(
+    context: searchers_context.SearchersContext,
+    pool: searcher_pool.SearcherPool,
+) -> None:
+    """Open a connection unless the pool has one, or is not wanted now."""
+    key = searchers_state.pool_key(pool.searcher)
+    if context.state.pools.get(key) is not pool or pool.size():
+        return
+    plan = context.state.coordination.plan_for(pool.searcher.service)
+    if not plan.gathers_itself:
+        return
+    if pool.is_closed(context.runtime.clock.now_ms()):
+        return
+    pool_checkout.open_connection(context, pool)
--- a/tests/decisions/forwarding/test_warming.py
+++ b/tests/decisions/forwarding/test_warming.py
@@ -26,3 +26,20 @@
         """Guards against connections that are never used."""
         self.assertFalse(self.warm(9, service='unused'))
         self.assertFalse(self.warm(9, draining=True))
+
+    def test_the_nodes_of_a_fleet_connect_one_after_another(self):
+        """Guards against a searcher whose queue fills with connections."""
+        for nodes in (9, 300, 8_300):
+            with self.subTest(nodes=nodes):
+                delays = [
+                    forwarding.warm_up_delay_ms(f'n{number}', 's1-d1', nodes)
+                    for number in range(nodes)
+                ]
+                longest_ms = min(10 * nodes, 10_000)
+                self.assertLess(max(delays), longest_ms)
+                self.assertGreaterEqual(min(delays), 0)
+                busiest = max(
+                    sum(1 for d in delays if start <= d < start + 100)
+                    for start in range(0, longest_ms, 100)
+                )
+                self.assertLess(busiest, 20 + 2 * nodes * 100 // longest_ms)
--- a/tests/node/gateway/test_new_connections.py
+++ b/tests/node/gateway/test_new_connections.py
@@ -23,7 +23,7 @@
         state.nodes = 26
         state.table = gateway_case.make_table()
         runtime = bare_runtime.make_runtime(
-            node=types.SimpleNamespace(failure_domain='d1')
+            node=types.SimpleNamespace(failure_domain='d1', node_id='n1')
         )
         self.reactor = runtime.reactor
         self.ended = []
@@ -188,8 +188,36 @@
                     self.context, self.pool, self.idle, reply
                 )
                 searchers.warm_up(self.context)
+                self.reactor.advance(1)
                 self.assertEqual(expected, len(self.reactor.tcpClients))
 
+    def test_a_connection_that_was_not_used_is_not_opened_again(self):
+        """Guards against all nodes that connect to a searcher at once.
+
+        On adal-registry-large the connections that had been opened in
+        advance were closed as idle before the traffic began. All 195 nodes
+        opened them again with the next routes, and the searchers reset
+        2,371 of them in two seconds.
+        """
+        self.context.state.nodes = 1
+        self.idle.reusable = False
+        self.pool.idle.close_all()
+        for _ in range(3):
+            searchers.warm_up(self.context)
+            self.reactor.advance(1)
+            self.assertEqual(1, len(self.reactor.tcpClients))
+            self.pool.opening = 0
+        self.pool.warmed = False
+        searchers.warm_up(self.context)
+        self.reactor.advance(1)
+        self.assertEqual(2, len(self.reactor.tcpClients))
+
+    def test_a_used_connection_is_opened_again(self):
+        """Guards against a first request that waits for a connection."""
+        self.pool.warmed = True
+        self.send(max_idle_ms=None)
+        self.assertFalse(self.pool.warmed)
+
     def test_an_idle_connection_is_closed_for_a_new_one(self):
         """Guards against more connections than this node's share."""
         self.assertEqual(1, self.context.state.limit_for('s1'))
