--- a/packages/standins/src/gypsumbridge_standins/bench/parser_cost.py
+++ b/packages/standins/src/gypsumbridge_standins/bench/parser_cost.py
@@ -15,14 +15,16 @@
 
 from gypsumbridge_decisions import forwarding
 from gypsumbridge_node.gateway import server_connection
+from gypsumbridge_platform import header_names
 
 REQUESTS = 2_000
 ROUNDS = 7
+NAMES = header_names.HEADERS
 HEAD = (
-    b'Host: a.example\r\nUser-Agent: bench\r\nAccept: */*\r\n'
-    b'Gypsumbridge-Request-Id: 9c41d07be2a35f68\r\n'
-    b'Gypsumbridge-Deadline-Ms: 300\r\n'
-)
+    'Host: a.example\r\nUser-Agent: bench\r\nAccept: */*\r\n'
+    f'{NAMES.request_id}: 9c41d07be2a35f68\r\n'
+    f'{NAMES.deadline_ms}: 300\r\n'
+).encode()
 OFFER = (
     b'Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n'
     b'HTTP2-Settings: AAMAAABkAAQAAP__\r\n'
