Name only unusable services in the log line of a refused gather

Engineers saw: a gather that was refused before anything was sent listed all of its services as running, among them those with a searcher.

Cause: a part without a reason counted as sent and not answered yet.

Change: a request of which nothing was sent lists only the parts that have a reason.

Measured: the test of a gather that cannot be covered has a new assertion on the line; it failed before with s1 and s2 as running. 128 tests of forwarding pass.

--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/exchange.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/exchange.py
@@ -59,6 +59,10 @@
         part.answer = answer
         self.answered += 1
 
+    def is_sent(self) -> bool:
+        """Return whether any part was sent to a searcher or delegated."""
+        return any(part.sends or part.delegated for part in self.parts)
+
     def part(self, service: str) -> part_state.PartState:
         """Return the part of a service."""
         return self.by_service[service]
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/finishing.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/finishing.py
@@ -168,11 +168,14 @@
         'hedges': exchange.hedges,
         'groups': len(exchange.groups),
     }
-    missing = [
-        f'{part.service}:{part.reason or "running"}'
+    # The parts of a gather that was refused were not sent.
+    without_reason = 'running' if exchange.is_sent() else ''
+    reasons = {
+        part.service: part.reason or without_reason
         for part in exchange.parts
         if part.answer is None
-    ]
+    }
+    missing = [f'{name}:{why}' for name, why in reasons.items() if why]
     if missing:
         fields['missing'] = ','.join(missing)
     return fields
--- a/tests/decisions/forwarding/test_gather.py
+++ b/tests/decisions/forwarding/test_gather.py
@@ -1,4 +1,5 @@
 from gypsumbridge_decisions import forwarding
+from gypsumbridge_decisions import messages
 from tests.decisions.forwarding import gateway_case
 
 LOST = forwarding.AttemptOutcome.LOST
@@ -152,6 +153,15 @@
         self.publish(searchers[:2])
         commands = self.arrive()
         self.assertEqual([], gateway_case.sends(commands))
+        (finished,) = (
+            c
+            for c in commands
+            if isinstance(c, messages.Decision)
+            and c.name == 'request_finished'
+        )
+        self.assertEqual(
+            's3:no_searcher,s4:no_searcher', finished.fields['missing']
+        )
         (response,) = gateway_case.responses(commands)
         self.assertEqual(503, response.status)
         self.assertGreater(response.retry_after_ms, 0)
