Add the types of customers, quotas and a clock that counts suspension

Cause: the parts for customers' keys, quotas, evacuations and eras of the store are built side by side and need one set of types. Change: customers and homes in the route table, messages of the quota decisions, a report of a confirmed copy, and Clock.boot_ms. Nothing uses them yet.

--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
@@ -86,6 +86,13 @@
 from gypsumbridge_decisions.forwarding.coordinator_plan import (
     plan_coordinators as plan_coordinators,
 )
+from gypsumbridge_decisions.forwarding.copy_confirmed import (
+    CopyConfirmed as CopyConfirmed,
+)
+from gypsumbridge_decisions.forwarding.customer import Customer as Customer
+from gypsumbridge_decisions.forwarding.customer_table import (
+    CustomerTable as CustomerTable,
+)
 from gypsumbridge_decisions.forwarding.delegate_request import (
     DelegateRequest as DelegateRequest,
 )
@@ -192,6 +199,9 @@
 from gypsumbridge_decisions.forwarding.ending import (
     record_measurement as record_measurement,
 )
+from gypsumbridge_decisions.forwarding.evacuation_changed import (
+    EvacuationChanged as EvacuationChanged,
+)
 from gypsumbridge_decisions.forwarding.exchange import Exchange as Exchange
 from gypsumbridge_decisions.forwarding.expiry_timer import (
     ExpiryTimer as ExpiryTimer,
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/caller_request.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/caller_request.py
@@ -13,7 +13,9 @@
     end-to-end headers to forward. The caller waits for `deadline_ms` from
     `arrived_ms` on the node's clock. `network_ms` is the part of the
     latency at the caller that this node does not see: one round trip, or
-    two when the connection was opened for this request.
+    two when the connection was opened for this request. `key_digest` is the
+    digest of the caller's key until its customer is known, and empty after
+    that or without a key; `customer` is the customer's name.
     """
 
     call_id: int
@@ -26,3 +28,5 @@
     deadline_ms: int
     arrived_ms: int
     network_ms: float = 0.0
+    key_digest: bytes = b''
+    customer: str = ''
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/route.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/route.py
@@ -16,7 +16,9 @@
     `objective_ms` is the latency within which a response has its full
     value, `timeout_ms` the longest time until the final response, `rank`
     the urgency (0 is most urgent) and `max_attempts` the maximum number of
-    searchers of one service on which a request may run.
+    searchers of one service on which a request may run. Requests of a
+    `public` route need no key. With `homes`, requests run only in these
+    regions.
     """
 
     name: str
@@ -29,3 +31,5 @@
     rank: int
     max_attempts: int
     gather: gather_rule.GatherRule | None = None
+    public: bool = False
+    homes: tuple[str, ...] = ()
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/route_table.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/route_table.py
@@ -4,6 +4,7 @@
 import dataclasses
 import functools
 
+from gypsumbridge_decisions.forwarding import customer_table
 from gypsumbridge_decisions.forwarding import ingress_limits
 from gypsumbridge_decisions.forwarding import route
 
@@ -13,13 +14,14 @@
     """Routes by host and prefix, and the connection limit of each service.
 
     `connection_limits` bounds the connections to one searcher, over all
-    nodes together.
+    nodes together. Without `customers`, no request needs a key.
     """
 
     version: int
     routes: Mapping[str, Mapping[str, route.Route]]
     connection_limits: Mapping[str, int]
     limits: ingress_limits.IngressLimits
+    customers: customer_table.CustomerTable | None = None
 
     @functools.cached_property
     def services(self) -> frozenset[str]:
--- a/packages/node/src/gypsumbridge_node/runtime_factory.py
+++ b/packages/node/src/gypsumbridge_node/runtime_factory.py
@@ -28,7 +28,11 @@
     `extra_fields` holds the fields that only this `kind` of runtime has.
     """
     logger = logbook.Logger(settings.node.node_id)
-    clock = clocks.make_clock(time.monotonic_ns, time.time_ns)
+    clock = clocks.make_clock(
+        time.monotonic_ns,
+        time.time_ns,
+        lambda: time.clock_gettime_ns(time.CLOCK_BOOTTIME),
+    )
     decisions = decision_log.DecisionLog(
         logger, clock, settings.log.decision_lines_per_second
     )
