Forget failed calls to the store from before the first list

Cause: a node whose first call to the store failed held a searcher that was removed during the first pause for the full 2 s from when it learned of it. Change: the first list of a process resets the mark of a failed call.

--- a/packages/decisions/src/gypsumbridge_decisions/discovery/listing.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/listing.py
@@ -24,6 +24,10 @@
     relaying.readmit_store(state.relay)
     state.list_needed = False
     state.list_unconfirmed = stale_ok
+    if state.revision == 0:
+        # No searcher was known before the first list, so no entry of one can
+        # have expired while the store did not answer.
+        state.store_failed = False
     if listed.revision >= state.revision:
         commands += apply_list(state, listed, now_ms)
     if stale_ok:
--- a/tests/decisions/discovery/test_discovery.py
+++ b/tests/decisions/discovery/test_discovery.py
@@ -141,6 +141,17 @@
         commands = self.change(searchers_a=None)
         self.assertLess(self.removal_due_ms(commands), DRAIN_MS)
 
+    def test_a_failed_call_before_the_first_list_does_not_extend_a_hold(self):
+        """Guards against requests to a searcher after its drain time.
+
+        Fault soak, plan removal_in_first_pause: the store was not up yet when
+        the node started. A removal in the first pause was held in full then,
+        and requests were sent up to 3,351 ms after it.
+        """
+        self.pause_after_first_list(failed_before=True)
+        commands = self.list(routes=b'1')
+        self.assertLess(self.removal_due_ms(commands), DRAIN_MS)
+
     def test_a_removal_after_a_confirmed_list_is_held_in_full(self):
         """Guards against dropping live searchers whose entries expired."""
         self.pause_after_first_list()
@@ -154,12 +165,14 @@
         commands = self.change(searchers_a=None)
         self.assertEqual(noticed_ms + HOLD_MS, self.removal_due_ms(commands))
 
-    def pause_after_first_list(self):
+    def pause_after_first_list(self, failed_before=False):
         """Begin again as a node of a new fleet, and end its first pause."""
         self.own = relaying.PeerNode('n1', '10.0.0.1:70', 'd1', 1.0)
         self.state = discovery.make_discovery_state(
             relaying.make_relay_state(self.own, 10), SCHEMA, DRAIN_MS
         )
+        if failed_before:
+            self.handle(discovery.StoreFailed('connection_closed'))
         commands = self.list(routes=b'1', searchers_a=b'ready')
         (pause,) = (
             c
