Identify customers by their keys, and name them to searchers

Cause: in a deployment with customers, each request has to be counted for the customer whose key it carries, and a key must not go further than the node that receives it. Change: the adapter decodes customers, their keys and limits, public routes and homes. Ingress removes the headers of key and customer in any spelling and keeps the key's digest. Forwarding checks the digest after the route is found, rejects an unknown or absent key with 401, or refuses it with 503 if the node may be behind, and likewise an unknown route where there are customers. The customer's name and rank go on to searchers and coordinators, the digest does not. `delegating.admit` is where a quota can delay a request.

--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
@@ -51,6 +51,9 @@
 from gypsumbridge_decisions.forwarding.cancel_delegation import (
     CancelDelegation as CancelDelegation,
 )
+from gypsumbridge_decisions.forwarding.checked_request import (
+    CheckedRequest as CheckedRequest,
+)
 from gypsumbridge_decisions.forwarding.choosing import (
     choose_searcher as choose_searcher,
 )
@@ -89,16 +92,32 @@
 from gypsumbridge_decisions.forwarding.copy_confirmed import (
     CopyConfirmed as CopyConfirmed,
 )
+from gypsumbridge_decisions.forwarding.copy_freshness import (
+    CopyFreshness as CopyFreshness,
+)
 from gypsumbridge_decisions.forwarding.customer import Customer as Customer
+from gypsumbridge_decisions.forwarding.customer_check import (
+    check_customer as check_customer,
+)
+from gypsumbridge_decisions.forwarding.customer_check import (
+    refuse_unknown_key as refuse_unknown_key,
+)
+from gypsumbridge_decisions.forwarding.customer_check import (
+    refuse_unknown_route as refuse_unknown_route,
+)
 from gypsumbridge_decisions.forwarding.customer_table import (
     CustomerTable as CustomerTable,
 )
+from gypsumbridge_decisions.forwarding.customer_table import (
+    make_customer_table as make_customer_table,
+)
 from gypsumbridge_decisions.forwarding.delegate_request import (
     DelegateRequest as DelegateRequest,
 )
 from gypsumbridge_decisions.forwarding.delegated_request import (
     DelegatedRequest as DelegatedRequest,
 )
+from gypsumbridge_decisions.forwarding.delegating import admit as admit
 from gypsumbridge_decisions.forwarding.delegating import (
     cancel_delegated as cancel_delegated,
 )
@@ -182,6 +201,9 @@
 from gypsumbridge_decisions.forwarding.discovery_updates import (
     refresh_shares as refresh_shares,
 )
+from gypsumbridge_decisions.forwarding.discovery_updates import (
+    report_skipped_keys as report_skipped_keys,
+)
 from gypsumbridge_decisions.forwarding.ending import (
     cancel_attempts as cancel_attempts,
 )
@@ -283,6 +305,9 @@
 from gypsumbridge_decisions.forwarding.ingress_limits import (
     IngressLimits as IngressLimits,
 )
+from gypsumbridge_decisions.forwarding.key_digest import (
+    digest_keys as digest_keys,
+)
 from gypsumbridge_decisions.forwarding.latency_window import (
     LatencyWindow as LatencyWindow,
 )
@@ -296,6 +321,7 @@
 from gypsumbridge_decisions.forwarding.policy import (
     ForwardingPolicy as ForwardingPolicy,
 )
+from gypsumbridge_decisions.forwarding.ranking import rank_of as rank_of
 from gypsumbridge_decisions.forwarding.refuse_delegated import (
     RefuseDelegated as RefuseDelegated,
 )
@@ -360,6 +386,9 @@
 from gypsumbridge_decisions.forwarding.service_group import (
     ServiceGroup as ServiceGroup,
 )
+from gypsumbridge_decisions.forwarding.skipped_keys import (
+    SkippedKeys as SkippedKeys,
+)
 from gypsumbridge_decisions.forwarding.split import Split as Split
 from gypsumbridge_decisions.forwarding.state import (
     ASSUMED_NODES as ASSUMED_NODES,
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/caller_request.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/caller_request.py
@@ -15,7 +15,8 @@
     latency at the caller that this node does not see: one round trip, or
     two when the connection was opened for this request. `key_digest` is the
     digest of the caller's key until its customer is known, and empty after
-    that or without a key; `customer` is the customer's name.
+    that or without a key; `customer` is the customer's name. `rank` is the
+    customer's, which goes before the route's; None without one.
     """
 
     call_id: int
@@ -28,5 +29,6 @@
     deadline_ms: int
     arrived_ms: int
     network_ms: float = 0.0
-    key_digest: bytes = b''
+    key_digest: bytes = dataclasses.field(default=b'', repr=False)
     customer: str = ''
+    rank: int | None = None
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/coordinating.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/coordinating.py
@@ -32,6 +32,7 @@
         return refuse_delegated(request.call_id, 'overloaded')
     table = state.table_of(message.version)
     if table is None:
+        state.freshness.record_version(message.version)
         return refuse_delegated(request.call_id, 'version')
     path = request.target.partition('?')[0]
     route = route_table.find_route(table, request.host, path)
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/delegating.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/delegating.py
@@ -7,11 +7,14 @@
 from gypsumbridge_decisions.forwarding import caller_request
 from gypsumbridge_decisions.forwarding import caller_response
 from gypsumbridge_decisions.forwarding import cancel_delegation
+from gypsumbridge_decisions.forwarding import checked_request
 from gypsumbridge_decisions.forwarding import command
+from gypsumbridge_decisions.forwarding import customer_check
 from gypsumbridge_decisions.forwarding import delegation as delegations
 from gypsumbridge_decisions.forwarding import delegation_sending
 from gypsumbridge_decisions.forwarding import expiry_timer
 from gypsumbridge_decisions.forwarding import final_response
+from gypsumbridge_decisions.forwarding import ranking
 from gypsumbridge_decisions.forwarding import refusing
 from gypsumbridge_decisions.forwarding import route as routes
 from gypsumbridge_decisions.forwarding import route_table
@@ -27,8 +30,12 @@
     state: states.ForwardingState,
     request: caller_request.CallerRequest,
     now_ms: int,
+    boot_ms: int,
 ) -> list[command.Command]:
-    """Refuse a caller's request, delegate it, or send its attempts."""
+    """Refuse a caller's request, delegate it, or send its attempts.
+
+    `boot_ms` is the time on the clock that counts suspended time.
+    """
     if state.draining:
         return refusing.refuse(request, 'draining')
     table = state.table
@@ -37,11 +44,29 @@
     path = request.target.partition('?')[0]
     route = route_table.find_route(table, request.host, path)
     if route is None:
-        return refusing.reject(request, arrival.STATUS_NO_ROUTE, 'no_route')
+        return customer_check.refuse_unknown_route(
+            state, table, request, boot_ms
+        )
+    checked = customer_check.check_customer(table, route, request)
+    if checked is None:
+        return customer_check.refuse_unknown_key(
+            state, table, request, boot_ms
+        )
     expires_ms = arrival.expiry_ms(request, route)
     if expires_ms <= now_ms:
         return refusing.refuse(request, 'deadline_passed')
-    return start_request(state, request, route, table.version, now_ms)
+    return admit(state, checked, now_ms)
+
+
+def admit(
+    state: states.ForwardingState,
+    checked: checked_request.CheckedRequest,
+    now_ms: int,
+) -> list[command.Command]:
+    """Start a request whose customer is known."""
+    return start_request(
+        state, checked.request, checked.route, checked.version, now_ms
+    )
 
 
 def start_request(
@@ -137,6 +162,9 @@
         'after_ms': after_ms,
         'coordinator': found.coordinator_id,
     }
+    if found.request.customer:
+        fields['customer'] = found.request.customer
+    rank = ranking.rank_of(found.request, found.route)
     return [
         dataclasses.replace(
             response,
@@ -145,7 +173,5 @@
             due_ms=0,
         ),
         messages.Decision('delegation_finished', 'answered', fields),
-        messages.Observe(
-            f'forwarding.latency.rank_{found.route.rank}', after_ms
-        ),
+        messages.Observe(f'forwarding.latency.rank_{rank}', after_ms),
     ]
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/discovery_updates.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/discovery_updates.py
@@ -6,6 +6,7 @@
 from gypsumbridge_decisions.forwarding import fleet_size_changed
 from gypsumbridge_decisions.forwarding import hold_changed
 from gypsumbridge_decisions.forwarding import nodes_changed
+from gypsumbridge_decisions.forwarding import route_table
 from gypsumbridge_decisions.forwarding import routes_changed
 from gypsumbridge_decisions.forwarding import searcher_health
 from gypsumbridge_decisions.forwarding import searchers_changed
@@ -34,10 +35,34 @@
                 'hosts': len(update.table.routes),
                 'services': len(update.table.connection_limits),
             },
-        )
+        ),
+        *report_skipped_keys(update.table),
     ]
 
 
+def report_skipped_keys(
+    table: route_table.RouteTable,
+) -> list[command.Command]:
+    """Log and count the keys that identify no customer."""
+    if table.customers is None:
+        return []
+    commands: list[command.Command] = []
+    for skipped in table.customers.skipped:
+        fields: dict[str, str | int | float] = {
+            'version': table.version,
+            'customers': ','.join(skipped.customers),
+            'keys': skipped.keys,
+        }
+        commands += [
+            messages.Decision('customer_keys_skipped', skipped.reason, fields),
+            messages.Count(
+                f'forwarding.customer_keys_skipped.{skipped.reason}',
+                skipped.keys,
+            ),
+        ]
+    return commands
+
+
 def change_searchers(
     state: states.ForwardingState,
     update: searchers_changed.SearchersChanged,
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/exchange.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/exchange.py
@@ -3,6 +3,7 @@
 from gypsumbridge_decisions.forwarding import attempt_ended
 from gypsumbridge_decisions.forwarding import caller_request
 from gypsumbridge_decisions.forwarding import part_state
+from gypsumbridge_decisions.forwarding import ranking
 from gypsumbridge_decisions.forwarding import route as routes
 from gypsumbridge_decisions.forwarding import searcher_statement
 from gypsumbridge_decisions.forwarding import top_records
@@ -19,7 +20,8 @@
     route gathers. With `partial`, another node has delegated a group of
     services and adds the other parts. `groups` holds the ids of the
     delegations of this request's own groups, and `statements` what
-    searchers have stated in their answers to it.
+    searchers have stated in their answers to it. `rank` is the customer's,
+    or else the route's.
     """
 
     def __init__(
@@ -34,6 +36,7 @@
         self.request = request
         self.route = route
         self.version = version
+        self.rank = ranking.rank_of(request, route)
         self.expires_ms = expires_ms
         self.answer_ms = expires_ms
         self.merged_records: top_records.TopRecords | None = None
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/finishing.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/finishing.py
@@ -138,7 +138,7 @@
     fields = describe(exchange, response.status, now_ms)
     missing = sum(1 for part in exchange.parts if part.answer is None)
     reason = 'answered' if response.status < 500 else 'failed'
-    rank = exchange.route.rank
+    rank = exchange.rank
     return [
         response,
         *cancel_all(state, exchange, CANCEL_GRACE_MS),
@@ -168,6 +168,8 @@
         'hedges': exchange.hedges,
         'groups': len(exchange.groups),
     }
+    if exchange.request.customer:
+        fields['customer'] = exchange.request.customer
     # The parts of a gather that was refused were not sent.
     without_reason = 'running' if exchange.is_sent() else ''
     reasons = {
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/handler.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/handler.py
@@ -9,6 +9,7 @@
 from gypsumbridge_decisions.forwarding import caller_request
 from gypsumbridge_decisions.forwarding import command
 from gypsumbridge_decisions.forwarding import coordinating
+from gypsumbridge_decisions.forwarding import copy_confirmed
 from gypsumbridge_decisions.forwarding import delegated_request
 from gypsumbridge_decisions.forwarding import delegating
 from gypsumbridge_decisions.forwarding import delegation_accepted
@@ -33,12 +34,21 @@
 
 
 def handle(
-    state: states.ForwardingState, message: Any, now_ms: int
+    state: states.ForwardingState,
+    message: Any,
+    now_ms: int,
+    boot_ms: int | None = None,
 ) -> list[command.Command]:
-    """Return the commands that follow from a message."""
+    """Return the commands that follow from a message.
+
+    `boot_ms` is the time on the clock that counts suspended time. Without
+    it, the host is taken to be never suspended.
+    """
+    if boot_ms is None:
+        boot_ms = now_ms
     match message:
         case caller_request.CallerRequest():
-            return delegating.receive(state, message, now_ms)
+            return delegating.receive(state, message, now_ms, boot_ms)
         case attempt_ended.AttemptEnded():
             return ending.handle_attempt_end(state, message, now_ms)
         case hedge_timer.HedgeTimer():
@@ -77,6 +87,9 @@
             return discovery_updates.change_fleet_size(state, message)
         case nodes_changed.NodesChanged():
             return discovery_updates.change_nodes(state, message)
+        case copy_confirmed.CopyConfirmed():
+            state.freshness.record_confirmation(message, now_ms, boot_ms)
+            return []
         case stop_accepting.StopAccepting():
             state.draining = True
             return []
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/refusing.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/refusing.py
@@ -1,5 +1,8 @@
 """Responses to requests that are not sent to any searcher."""
 
+from collections.abc import Mapping
+import types
+
 from gypsumbridge_decisions import messages
 from gypsumbridge_decisions.forwarding import caller_request
 from gypsumbridge_decisions.forwarding import caller_response
@@ -7,10 +10,13 @@
 from gypsumbridge_decisions.forwarding import retry_delay
 
 STATUS_UNAVAILABLE = 503
+NO_FIELDS: Mapping[str, str | int] = types.MappingProxyType({})
 
 
 def refuse(
-    request: caller_request.CallerRequest, reason: str
+    request: caller_request.CallerRequest,
+    reason: str,
+    fields: Mapping[str, str | int] = NO_FIELDS,
 ) -> list[command.Command]:
     """Refuse a request that was not sent to any searcher."""
     return [
@@ -20,14 +26,19 @@
             retry_after_ms=retry_delay.OTHER_NODE_MS,
         ),
         messages.Decision(
-            'request_refused', reason, {'request_id': request.request_id}
+            'request_refused',
+            reason,
+            {'request_id': request.request_id, **fields},
         ),
         messages.Count(f'forwarding.refused.{reason}'),
     ]
 
 
 def reject(
-    request: caller_request.CallerRequest, status: int, reason: str
+    request: caller_request.CallerRequest,
+    status: int,
+    reason: str,
+    fields: Mapping[str, str | int] = NO_FIELDS,
 ) -> list[command.Command]:
     """Reject a request that would fail again if it were retried."""
     return [
@@ -39,6 +50,7 @@
                 'request_id': request.request_id,
                 'host': request.host,
                 'target': request.target,
+                **fields,
             },
         ),
         messages.Count(f'forwarding.rejected.{reason}'),
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/state.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/state.py
@@ -4,6 +4,7 @@
 from gypsumbridge_decisions.forwarding import attempt
 from gypsumbridge_decisions.forwarding import coordination
 from gypsumbridge_decisions.forwarding import coordinator_health
+from gypsumbridge_decisions.forwarding import copy_freshness
 from gypsumbridge_decisions.forwarding import delegation
 from gypsumbridge_decisions.forwarding import departed_searcher
 from gypsumbridge_decisions.forwarding import exchange
@@ -40,6 +41,7 @@
         self.nodes = ASSUMED_NODES
         self.table: route_table.RouteTable | None = None
         self.previous_table: route_table.RouteTable | None = None
+        self.freshness = copy_freshness.CopyFreshness()
         self.coordination = coordination.Coordination(policy.node_id)
         self.coordinators: dict[str, coordinator_health.CoordinatorHealth] = {}
         self.last_coordinator = 0
--- a/packages/node/src/gypsumbridge_node/gateway/attempt_codec.py
+++ b/packages/node/src/gypsumbridge_node/gateway/attempt_codec.py
@@ -26,6 +26,8 @@
     `encode_attempt` appends the headers of the attempt.
     """
     own = ((names.request_id, request.request_id),)
+    if request.customer:
+        own += ((names.customer, request.customer),)
     return http_head.encode_open_head(
         http_request.HttpRequest(
             request.method, request.target, request.headers + own, request.body
--- a/packages/node/src/gypsumbridge_node/gateway/header_names.py
+++ b/packages/node/src/gypsumbridge_node/gateway/header_names.py
@@ -7,7 +7,8 @@
 class HeaderNames:
     """Header names in lower case.
 
-    `request_id` and `deadline_ms` are sent by the caller.
+    `request_id`, `deadline_ms` and `key`, the customer's key, are sent by the
+    caller. `customer` is sent to a searcher and names the customer.
     `expected_searcher` is sent to a searcher, which refuses to run the
     request if its own id differs. `signature`, `searcher_id` and `not_run`
     are sent by a searcher; `not_run` states that it did not run the
@@ -26,3 +27,5 @@
     retry_after: str
     part_signatures: str
     missing_parts: str
+    key: str
+    customer: str
--- a/packages/node/src/gypsumbridge_node/gateway/headers.py
+++ b/packages/node/src/gypsumbridge_node/gateway/headers.py
@@ -8,11 +8,12 @@
 class Headers:
     """`pairs` holds the headers as received, `first` the first value of each.
 
-    The names in `first` are in lower case.
+    The names in `first` are in lower case. Neither is in the representation,
+    since one of them may hold a customer's key.
     """
 
-    pairs: tuple[tuple[str, str], ...]
-    first: dict[str, str]
+    pairs: tuple[tuple[str, str], ...] = dataclasses.field(repr=False)
+    first: dict[str, str] = dataclasses.field(repr=False)
 
     def lowered(self) -> tuple[tuple[str, str], ...]:
         """Return all headers with their names in lower case."""
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/forwarding_task.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/forwarding_task.py
@@ -49,6 +49,9 @@
             if not message.refusal:
                 return
             message = forwarding.StopAccepting()
-        execute(forwarding.handle(state, message, runtime.clock.now_ms()))
+        clock = runtime.clock
+        execute(
+            forwarding.handle(state, message, clock.now_ms(), clock.boot_ms())
+        )
 
     mailboxes.forwarding.start(handle)
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/ingress.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/ingress.py
@@ -6,6 +6,7 @@
 from gypsumbridge_decisions import forwarding
 from gypsumbridge_decisions import messages
 from gypsumbridge_node import address
+from gypsumbridge_node.gateway import caller_key
 from gypsumbridge_node.gateway import decimal_number
 from gypsumbridge_node.gateway import end_to_end
 from gypsumbridge_node.gateway import ingress_state
@@ -98,6 +99,7 @@
         names.deadline_ms,
         names.expected_searcher,
     )
+    headers, key_digest = caller_key.separate_key(names, parsed.headers.pairs)
     runtime.mailboxes.forwarding.put(
         forwarding.CallerRequest(
             call_id,
@@ -105,11 +107,12 @@
             parsed.method,
             host.rpartition(':')[0].lower() if ':' in host else host.lower(),
             parsed.target,
-            end_to_end.end_to_end_headers(parsed.headers.pairs, own_headers),
+            end_to_end.end_to_end_headers(headers, own_headers),
             parsed.body,
             DEFAULT_DEADLINE_MS if deadline_ms is None else deadline_ms,
             runtime.clock.now_ms(),
             connection.network_ms(),
+            key_digest,
         )
     )
 
--- a/tests/platform_adapter/test_decoding.py
+++ b/tests/platform_adapter/test_decoding.py
@@ -4,6 +4,7 @@
 
 from gypsumbridge_decisions import discovery
 from gypsumbridge_decisions import errors
+from gypsumbridge_decisions import forwarding
 from gypsumbridge_decisions import relaying
 from gypsumbridge_platform import routes
 from gypsumbridge_platform import searchers
@@ -65,6 +66,18 @@
 }
 
 
+CUSTOMER = {
+    'name': 'gold',
+    'apiKeys': ['key-1', 'key-2', 'key-1'],
+    'priority': 1,
+    'ratePerS': 2.5,
+    'burst': 10,
+    'allowedRegions': ['r1', 'r2'],
+}
+ODD_LIMITS = (-1, -0.5, '5', None, True, [], 10**400, float('nan'))
+ODD_NAMES = ('', ' ', 'a\r\nX: y', 'a\n', 'a\x00', 'a\u0434', 'a ', 'x' * 999)
+
+
 def encode(value):
     return json.dumps(value).encode()
 
@@ -187,6 +200,80 @@
                     routes.decode_routes(value)
 
 
+class CustomersTest(unittest.TestCase):
+    def decode(self, customers, **route):
+        config = json.loads(json.dumps(CONFIG))
+        config['routes'][0].update(route)
+        return routes.decode_routes(encode({**config, 'tenants': customers}))
+
+    def test_customers_decode_with_their_limits(self):
+        """Guards against exchanged limits and against unlimited ones."""
+        table = self.decode(
+            [
+                CUSTOMER,
+                {'name': 'basic', 'apiKeys': [], 'allowedRegions': []},
+            ],
+            public=True,
+            allowedRegions=['r1'],
+        )
+        gold = forwarding.Customer('gold', 1, 2.5, 10.0, ('r1', 'r2'))
+        basic = forwarding.Customer('basic')
+        self.assertEqual(
+            {'gold': gold, 'basic': basic}, table.customers.customers
+        )
+        self.assertEqual(
+            gold, table.customers.find(forwarding.digest_keys(('key-1',)))
+        )
+        self.assertFalse(basic.is_limited())
+        route = table.routes['a.example']['/all/']
+        self.assertEqual((True, ('r1',)), (route.public, route.homes))
+        other = table.routes['a.example']['/once/']
+        self.assertEqual((False, ()), (other.public, other.homes))
+
+    def test_an_empty_list_differs_from_no_list(self):
+        """Guards against serving everyone once the last customer left."""
+        self.assertIsNone(routes.decode_routes(encode(CONFIG)).customers)
+        self.assertEqual({}, self.decode([]).customers.customers)
+
+    def test_a_key_that_two_customers_have_identifies_neither(self):
+        """Guards against requests that are counted for the wrong one."""
+        other = {'name': 'basic', 'apiKeys': ['key-1', 'key-3']}
+        table = self.decode([CUSTOMER, other]).customers
+        for key, name in (('key-1', None), ('key-2', 'gold')):
+            found = table.find(forwarding.digest_keys((key,)))
+            self.assertEqual(name, found and found.name)
+        self.assertEqual(
+            (forwarding.SkippedKeys(('basic', 'gold'), 'listed_twice', 1),),
+            table.skipped,
+        )
+
+    def test_unreadable_customers_leave_the_configuration_in_force(self):
+        """Guards against a limit that silently becomes none."""
+        changes = (
+            *({'ratePerS': value} for value in ODD_LIMITS),
+            *({'burst': value} for value in ODD_LIMITS),
+            *({'priority': value} for value in (-1, 0.5, 'high', None, True)),
+            *({'name': value} for value in ODD_NAMES),
+            {'apiKeys': 'key-1'},
+            {'apiKeys': [5]},
+            {'apiKeys': None},
+            {'allowedRegions': 'r1'},
+        )
+        for change in changes:
+            with self.subTest(change=change):
+                with self.assertRaises(errors.FrameError) as caught:
+                    self.decode([{**CUSTOMER, **change}])
+                self.assertNotIn('key-1', str(caught.exception))
+        for customers in (None, {}, [None], [CUSTOMER, CUSTOMER]):
+            with self.subTest(customers=customers):
+                with self.assertRaises(errors.FrameError):
+                    self.decode(customers)
+        for value in (None, 0, 'yes'):
+            with self.subTest(public=value):
+                with self.assertRaises(errors.FrameError):
+                    self.decode([CUSTOMER], public=value)
+
+
 class StoreCallsTest(unittest.TestCase):
     def test_pages_follow_the_last_key(self):
         """Guards against a list that ends after its first page."""
--- a/tests/platform_adapter/test_hostile_values.py
+++ b/tests/platform_adapter/test_hostile_values.py
@@ -22,6 +22,7 @@
 from tests.wire import hostile
 from tests.wire import test_relay
 
+CONFIG = {**test_decoding.CONFIG, 'tenants': [test_decoding.CUSTOMER]}
 MAX_COUNT = 2**53
 MAX_SLOTS = 65_535
 ODD = st.one_of(
@@ -115,9 +116,9 @@
     @hostile.SETTINGS
     @hypothesis.given(
         st.one_of(
-            with_one_odd_value(test_decoding.CONFIG).map(encode),
+            with_one_odd_value(CONFIG).map(encode),
             hostile.JSON.map(encode),
-            hostile.mutated(st.just(encode(test_decoding.CONFIG))),
+            hostile.mutated(st.just(encode(CONFIG))),
         )
     )
     def test_configurations(self, data):
@@ -133,11 +134,26 @@
         self.assert_count(limits.idle_timeout_ms, 1)
         for limit in table.connection_limits.values():
             self.assert_count(limit)
+        if table.customers is not None:
+            self.check_customers(table.customers)
         for by_prefix in table.routes.values():
             for route in by_prefix.values():
                 self.check_route(route)
 
+    def check_customers(self, table):
+        for name, customer in table.customers.items():
+            self.assertEqual(name, customer.name)
+            self.assertTrue(name.isascii() and name.isprintable())
+            self.assertTrue(0 <= customer.rate_per_s < math.inf)
+            self.assertTrue(0 <= customer.burst < math.inf)
+            if customer.rank is not None:
+                self.assert_count(customer.rank)
+        self.assertLessEqual(
+            set(table.names_by_digest.values()), set(table.customers)
+        )
+
     def check_route(self, route):
+        self.assertIs(bool, type(route.public))
         self.assert_count(route.timeout_ms)
         self.assert_count(route.objective_ms)
         self.assert_count(route.rank)
--- a/tests/platform_adapter/test_names.py
+++ b/tests/platform_adapter/test_names.py
@@ -5,7 +5,8 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 # A selection of the platform's names, which only the adapter may contain.
 NAMES = re.compile(
-    r'gypsumbridge-(request|deadline|server|expect|not|instance|part|missing)'
+    r'gypsumbridge-(request|deadline|server|expect|not|instance|part|missing'
+    r'|credential|tenant)|tenants|apiKeys|ratePerS|allowedRegions'
     r'|kv-(key|range|watch|txn|lease|keep)|op/config|routeType|trafficSplit'
     r'|targetLatencyMs|maxAttempts|minCoverage|topK|warmupLeftMs'
     r'|storeRevision|hasMore|internalPortRange|GYPSUMBRIDGE_NODE_FILE',
--- a/tests/wire/test_delegation.py
+++ b/tests/wire/test_delegation.py
@@ -20,6 +20,8 @@
         300,
         7,
         1.5,
+        customer='gold',
+        rank=0,
     ),
     9,
     ('s1',),
