Report when the copy of the store was confirmed and proven current

Cause: whether a node may refuse an unknown key, and whether a holder may grant, depends on how long ago its copy of the store was the newest. No task but discovery knew that.

Change: discovery publishes CopyConfirmed to the forwarding mailbox after each answer of the store or of a relay that confirms the copy. A proof is as old as the call whose answer gave it, on the clock that counts suspended time, less the age that a relay states (RelayedUpdates.proof_age_ms, taken when the answer is encoded and rounded up to 10 ms). A list that may be stale, a watch whose answer may be cut off (250 changes or more) and a relay of a release without the field prove nothing. Forwarding stores the message.

--- a/packages/decisions/src/gypsumbridge_decisions/discovery/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/__init__.py
@@ -48,6 +48,13 @@
 from gypsumbridge_decisions.discovery.peer_updates import (
     handle_peer_failure as handle_peer_failure,
 )
+from gypsumbridge_decisions.discovery.proving import NEVER_MS as NEVER_MS
+from gypsumbridge_decisions.discovery.proving import (
+    record_proof as record_proof,
+)
+from gypsumbridge_decisions.discovery.proving import (
+    report_confirmation as report_confirmation,
+)
 from gypsumbridge_decisions.discovery.removal_hold import (
     removal_hold_ms as removal_hold_ms,
 )
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/command.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/command.py
@@ -17,6 +17,7 @@
     | forwarding.HoldChanged
     | forwarding.FleetSizeChanged
     | forwarding.NodesChanged
+    | forwarding.CopyConfirmed
     | discovery_ready.DiscoveryReady
     | relaying.WatchPeer
     | relaying.AnswerPoll
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/listing.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/listing.py
@@ -3,6 +3,7 @@
 from gypsumbridge_decisions import messages
 from gypsumbridge_decisions import relaying
 from gypsumbridge_decisions.discovery import command
+from gypsumbridge_decisions.discovery import proving
 from gypsumbridge_decisions.discovery import resume_timer
 from gypsumbridge_decisions.discovery import state as states
 from gypsumbridge_decisions.discovery import store_listed
@@ -30,6 +31,8 @@
         syncing.mark_updates_missed(state)
     else:
         syncing.clear_missed_updates(state)
+        proving.record_proof(state, listed.sent_ms)
+        commands += proving.report_confirmation(state)
     if (
         state.writing_node
         and state.relay.own.address
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/peer_updates.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/peer_updates.py
@@ -4,6 +4,7 @@
 from gypsumbridge_decisions import relaying
 from gypsumbridge_decisions.discovery import command
 from gypsumbridge_decisions.discovery import listing
+from gypsumbridge_decisions.discovery import proving
 from gypsumbridge_decisions.discovery import state as states
 from gypsumbridge_decisions.discovery import store_changed
 from gypsumbridge_decisions.discovery import store_listed
@@ -46,6 +47,10 @@
         commands += relaying.answer_waiting(state.relay, status)
     if updates.in_touch:
         syncing.clear_missed_updates(state)
+        if answered.sent_ms is not None and updates.proof_age_ms is not None:
+            sent_ms = answered.sent_ms - updates.proof_age_ms
+            proving.record_proof(state, sent_ms)
+        commands += proving.report_confirmation(state)
     return [*commands, *syncing.resume(state, now_ms)]
 
 
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/state.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/state.py
@@ -18,7 +18,8 @@
     latest. While updates may be missing, because of a peer or after a stale
     list, `missed_since_ms` is the time of the last answer before that;
     `store_failed` is set when a call of this node to the store has failed
-    since.
+    since. The copy was the store's newest at `proven_ms` or later, on the
+    clock that counts suspended time; None if that was never proven.
     """
 
     def __init__(
@@ -39,6 +40,7 @@
         self.settle_timer_set = False
         self.failures = 0
         self.confirmed_ms = 0
+        self.proven_ms: int | None = None
         self.missed_since_ms: int | None = None
         self.store_failed = False
         self.routes_version: int | None = None
@@ -58,6 +60,7 @@
             in_touch=current and not self.list_unconfirmed,
             age_ms=age_ms,
             confirming=current and self.list_unconfirmed,
+            proven_ms=self.proven_ms,
         )
 
 
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/store_listed.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/store_listed.py
@@ -10,8 +10,10 @@
     """All keys; changes after `revision` may or may not be included.
 
     The pages of a list need not be of one revision; `revision` is the lowest
-    of theirs.
+    of theirs. `sent_ms` is when the first page was requested, on the clock
+    that counts suspended time; None where it is not known.
     """
 
     revision: int
     records: tuple[relaying.StoreRecord, ...]
+    sent_ms: int | None = None
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/syncing.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/syncing.py
@@ -6,6 +6,7 @@
 from gypsumbridge_decisions.discovery import command
 from gypsumbridge_decisions.discovery import discovery_ready
 from gypsumbridge_decisions.discovery import list_store
+from gypsumbridge_decisions.discovery import proving
 from gypsumbridge_decisions.discovery import resume_timer
 from gypsumbridge_decisions.discovery import state as states
 from gypsumbridge_decisions.discovery import store_changed
@@ -94,6 +95,10 @@
     state.list_unconfirmed = False
     commands += apply_changes(state, changed, now_ms)
     clear_missed_updates(state)
+    if len(changed.records) < MANY_CHANGES:
+        # The store may have more changes than one response holds.
+        proving.record_proof(state, changed.sent_ms)
+        commands += proving.report_confirmation(state)
     if not 0 < len(changed.records) < MANY_CHANGES:
         return [*commands, *resume(state, now_ms)]
     relayed = relaying.is_relayed(state.relay, len(state.nodes))
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/handler.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/handler.py
@@ -9,6 +9,7 @@
 from gypsumbridge_decisions.forwarding import caller_request
 from gypsumbridge_decisions.forwarding import command
 from gypsumbridge_decisions.forwarding import coordinating
+from gypsumbridge_decisions.forwarding import copy_confirmed
 from gypsumbridge_decisions.forwarding import delegated_request
 from gypsumbridge_decisions.forwarding import delegating
 from gypsumbridge_decisions.forwarding import delegation_accepted
@@ -77,6 +78,9 @@
             return discovery_updates.change_fleet_size(state, message)
         case nodes_changed.NodesChanged():
             return discovery_updates.change_nodes(state, message)
+        case copy_confirmed.CopyConfirmed():
+            state.copy_confirmed = message
+            return []
         case stop_accepting.StopAccepting():
             state.draining = True
             return []
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/state.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/state.py
@@ -4,6 +4,7 @@
 from gypsumbridge_decisions.forwarding import attempt
 from gypsumbridge_decisions.forwarding import coordination
 from gypsumbridge_decisions.forwarding import coordinator_health
+from gypsumbridge_decisions.forwarding import copy_confirmed
 from gypsumbridge_decisions.forwarding import delegation
 from gypsumbridge_decisions.forwarding import departed_searcher
 from gypsumbridge_decisions.forwarding import exchange
@@ -30,6 +31,8 @@
     `previous_table` is kept for nodes that delegate with the older version.
     `coordinators` is keyed by node id, `delegations` by an id of their own;
     `delegated_calls` holds that id for each request delegated as a whole.
+    `copy_confirmed` is the latest confirmation of this node's copy of the
+    store.
     """
 
     def __init__(
@@ -55,6 +58,7 @@
         self.budgets: dict[str, retry_budget.RetryBudget] = {}
         self.latencies: dict[str, latency_window.LatencyWindow] = {}
         self.splits: dict[str, split.Split] = {}
+        self.copy_confirmed: copy_confirmed.CopyConfirmed | None = None
         self.draining = False
         self.timer_lag_ms = 0.0
         self.timer_lag_at_ms = started_ms
--- a/packages/decisions/src/gypsumbridge_decisions/relaying/relayed_updates.py
+++ b/packages/decisions/src/gypsumbridge_decisions/relaying/relayed_updates.py
@@ -12,7 +12,10 @@
     With `complete`, the records are those of all keys, and a key without a
     record has been deleted. `in_touch` is false while the sender gets no
     updates itself, so that the receiver polls another source. The store
-    confirmed `age_ms` ago that there was nothing newer.
+    confirmed `age_ms` ago that there was nothing newer. `proof_age_ms` is an
+    upper bound on the age of the sender's proof of that, on the clock that
+    counts suspended time, when the updates were encoded; None if there is no
+    proof, or if the sender's release states none.
     """
 
     revision: int
@@ -20,3 +23,4 @@
     complete: bool
     in_touch: bool
     age_ms: int
+    proof_age_ms: int | None = None
--- a/packages/decisions/src/gypsumbridge_decisions/relaying/serving.py
+++ b/packages/decisions/src/gypsumbridge_decisions/relaying/serving.py
@@ -68,4 +68,5 @@
         relayed_updates.RelayedUpdates(
             status.revision, records, complete, status.in_touch, status.age_ms
         ),
+        status.proven_ms,
     )
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/discovery_task.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/discovery_task.py
@@ -24,6 +24,9 @@
         mailboxes.ingress.put(update)
         runtime.metrics.gauge('discovery.routes_version', update.table.version)
 
+    def publish_confirmation(update: forwarding.CopyConfirmed) -> None:
+        mailboxes.forwarding.put(update)
+
     def report_ready(command: discovery.DiscoveryReady) -> None:
         mailboxes.lifecycle.put(
             messages.ServingCondition('discovery', messages.MissingReason.NONE)
@@ -44,6 +47,7 @@
             forwarding.HoldChanged: mailboxes.forwarding.put,
             forwarding.FleetSizeChanged: publish,
             forwarding.NodesChanged: publish,
+            forwarding.CopyConfirmed: publish_confirmation,
         },
     )
 
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/peers.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/peers.py
@@ -29,10 +29,11 @@
                 runtime, 'peers', command.peer.address
             )
         node_id = command.peer.node_id
+        sent_ms = runtime.clock.boot_ms()
 
         def handle_updates(reply: http_reply.HttpReply) -> None:
             updates = relay.decode_updates(reply.body)
-            mailbox.put(relaying.PeerAnswered(node_id, updates))
+            mailbox.put(relaying.PeerAnswered(node_id, updates, sent_ms))
 
         target = relay.encode_target(command.after_revision, command.wait_ms)
         api_client.send_call(
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/relay.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/relay.py
@@ -1,5 +1,7 @@
 """The task that answers the polls of other nodes with store updates."""
 
+import dataclasses
+
 from gypsumbridge_decisions import forwarding
 from gypsumbridge_decisions import relaying
 from gypsumbridge_node import address
@@ -10,6 +12,7 @@
 
 STATUS_OK = 200
 STATUS_NOT_FOUND = 404
+PROOF_AGE_STEP_MS = 10
 
 
 def start_relay_task(runtime: runtimes.GatewayRuntime) -> None:
@@ -18,7 +21,8 @@
     waiting: dict[int, server_connection.ServerConnection] = {}
     last_poll_id = 0
     # Polls that start from the same revision often get the same updates, so
-    # the latest encoded answer is kept.
+    # the latest encoded answer is kept. The age of the proof is rounded up,
+    # or it would differ in most answers.
     last_encoded: tuple[relaying.RelayedUpdates | None, bytes] = (None, b'')
 
     def handle_poll(
@@ -47,11 +51,9 @@
         connection = waiting.pop(command.poll_id, None)
         if connection is None:
             return
-        if last_encoded[0] != command.updates:
-            last_encoded = (
-                command.updates,
-                relay.encode_updates(command.updates),
-            )
+        updates = state_proof_age(command, runtime.clock.boot_ms())
+        if last_encoded[0] != updates:
+            last_encoded = (updates, relay.encode_updates(updates))
         runtime.metrics.count('relay.answers')
         connection.respond(STATUS_OK, (), last_encoded[1])
 
@@ -64,3 +66,20 @@
     )
     host, port = address.split_address(runtime.settings.listen.peers)
     runtime.reactor.listenTCP(port, factory, interface=host)
+
+
+def state_proof_age(
+    command: relaying.AnswerPoll, now_ms: int
+) -> relaying.RelayedUpdates:
+    """Return the updates with the age of their proof, rounded up.
+
+    `now_ms` is the time at which they are encoded, on the clock that counts
+    suspended time.
+    """
+    if command.proven_ms is None:
+        return command.updates
+    age_ms = max(0, now_ms - command.proven_ms)
+    steps = -(-age_ms // PROOF_AGE_STEP_MS)
+    return dataclasses.replace(
+        command.updates, proof_age_ms=steps * PROOF_AGE_STEP_MS
+    )
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/store.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/store.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Mapping
+import dataclasses
 from typing import Any
 
 from gypsumbridge_decisions import discovery
@@ -73,6 +74,7 @@
     report_failure = make_failure_report(runtime, LIST_FAILURES)
     pages: list[store_page.StorePage] = []
     stale_ok = False
+    sent_ms = 0
 
     def list_page(after: str) -> None:
         request = adapter.encode_list(after, stale_ok)
@@ -81,8 +83,9 @@
         )
 
     def start_list(command: discovery.ListStore) -> None:
-        nonlocal stale_ok
+        nonlocal stale_ok, sent_ms
         stale_ok = command.stale_ok
+        sent_ms = runtime.clock.boot_ms()
         pages.clear()
         list_page('')
 
@@ -99,7 +102,7 @@
         revision = min(found.revision for found in pages)
         pages.clear()
         runtime.mailboxes.discovery.put(
-            discovery.StoreListed(revision, records)
+            discovery.StoreListed(revision, records, sent_ms)
         )
 
     return start_list
@@ -115,10 +118,15 @@
     margin_ms = min(timeout_ms, WATCH_MARGIN_MS)
     report_failure = make_failure_report(runtime, WATCH_FAILURES)
 
-    def handle_changes(reply: http_reply.HttpReply) -> None:
-        runtime.mailboxes.discovery.put(adapter.decode_watch(reply.body))
-
     def watch(command: discovery.WatchStore) -> None:
+        sent_ms = runtime.clock.boot_ms()
+
+        def handle_changes(reply: http_reply.HttpReply) -> None:
+            changed = adapter.decode_watch(reply.body)
+            runtime.mailboxes.discovery.put(
+                dataclasses.replace(changed, sent_ms=sent_ms)
+            )
+
         request = adapter.encode_watch(command.after_revision, command.wait_ms)
         api_client.send_call(
             client,
--- a/packages/wire/src/gypsumbridge_wire/relay.py
+++ b/packages/wire/src/gypsumbridge_wire/relay.py
@@ -71,7 +71,7 @@
     if not decompressor.eof:
         # The checksum at the end is missing.
         raise errors.FrameError('a peer sent updates that broke off', _REMEDY)
-    numbers = (updates.revision, updates.age_ms)
+    numbers = (updates.revision, updates.age_ms, updates.proof_age_ms or 0)
     revisions = (record.revision for record in updates.records)
     if not all(0 <= number <= MAX_COUNT for number in (*numbers, *revisions)):
         raise errors.FrameError(
--- a/tests/node/gateway/test_edges.py
+++ b/tests/node/gateway/test_edges.py
@@ -155,7 +155,7 @@
             pieces = data.draw(pieces_of(answer))
             record = relaying.StoreRecord('a', 6, b'x')
             self.assertEqual(
-                [discovery.StoreChanged(7, (record,))],
+                [discovery.StoreChanged(7, (record,), bare_runtime.NOW_MS)],
                 self.read(pieces, closes=False),
             )
             return
--- a/tests/node/gateway/test_run_together_calls.py
+++ b/tests/node/gateway/test_run_together_calls.py
@@ -43,9 +43,13 @@
     )
 
 
+# The time of the runtime when the calls are sent.
+SENT_MS = bare_runtime.NOW_MS
+
+
 def expect_changes(revision):
     record = relaying.StoreRecord('a', revision, b'x')
-    return discovery.StoreChanged(revision, (record,))
+    return discovery.StoreChanged(revision, (record,), SENT_MS)
 
 
 class RunTogetherCallsTest(unittest.TestCase):
@@ -147,7 +151,7 @@
             self.poll,
             encode(relay.encode_updates(test_relay.UPDATES)),
             encode(relay.encode_updates(test_relay.UPDATES)),
-            relaying.PeerAnswered('n2', test_relay.UPDATES),
+            relaying.PeerAnswered('n2', test_relay.UPDATES, SENT_MS),
             relaying.PeerFailed,
         )
 
