Play customers in the platform's stand-in, and explain their refusals

Change: the stand-in's configuration has customers, its searchers record the headers of key and customer that reach them, and `gypsumctl explain` says what the reasons of these refusals mean.

--- a/packages/ctl/src/gypsumbridge_ctl/commands/explain.py
+++ b/packages/ctl/src/gypsumbridge_ctl/commands/explain.py
@@ -7,6 +7,7 @@
 from gypsumbridge_ctl import ctl_error
 from gypsumbridge_ctl import exit_code
 from gypsumbridge_ctl import output
+from gypsumbridge_ctl.commands import hints
 
 # Log fields that hold the id of a request.
 ID_FIELDS = ('request_id', 'query', 'mutation')
@@ -71,7 +72,9 @@
         for key, value in record.items()
         if key not in COMMON_FIELDS and key not in ID_FIELDS
     )
-    return (
+    line = (
         f'{record.get("time")} {record.get("logger")}'
         f' {record.get("message")} ({record.get("reason", "")}) {fields}'
     )
+    hint = hints.hint_for(record)
+    return f'{line} [{hint}]' if hint else line
--- /dev/null
+++ b/packages/ctl/src/gypsumbridge_ctl/commands/hints.py
@@ -0,0 +1,26 @@
+"""What the reasons of refusals mean to an operator."""
+
+from collections.abc import Mapping
+from typing import Any
+
+# For reasons of `request_rejected` and `request_refused`.
+_HINTS = {
+    'unknown_key': (
+        'status 401: no customer of this version has the key, or the request'
+        ' has none and the route is not public'
+    ),
+    'maybe_unknown_key': (
+        'status 503: the node may be behind this version, so another node may'
+        ' know the key'
+    ),
+    'maybe_unknown_route': (
+        'status 503: the node may be behind this version, so another node may'
+        ' know the route'
+    ),
+}
+
+
+def hint_for(record: Mapping[str, Any]) -> str:
+    """Return an explanation of a log record's reason, or an empty text."""
+    reason = record.get('reason')
+    return _HINTS.get(reason, '') if isinstance(reason, str) else ''
--- a/packages/standins/src/gypsumbridge_standins/users_platform/__main__.py
+++ b/packages/standins/src/gypsumbridge_standins/users_platform/__main__.py
@@ -132,7 +132,11 @@
             state.compact()
         if 'config' in command:
             write_config(state, command['config'])
-        report = {'runs': state.runs, 'calls': state.calls}
+        report = {
+            'runs': state.runs,
+            'calls': state.calls,
+            'customer_headers': state.customer_headers,
+        }
         connection.respond(200, (), json.dumps(report).encode())
 
     return handle
--- a/packages/standins/src/gypsumbridge_standins/users_platform/operator_config.py
+++ b/packages/standins/src/gypsumbridge_standins/users_platform/operator_config.py
@@ -7,6 +7,7 @@
 
 from gypsumbridge_platform import backend_body
 from gypsumbridge_platform import config_body
+from gypsumbridge_platform import customer_body
 from gypsumbridge_platform import limits_body
 from gypsumbridge_platform import route_body
 
@@ -25,13 +26,18 @@
     version: int,
     services: Iterable[str],
     routes: Iterable[route_body.RouteBody],
+    customers: Iterable[customer_body.CustomerBody] | None = None,
 ) -> dict[str, Any]:
-    """Return a configuration as the operator writes it."""
+    """Return a configuration as the operator writes it.
+
+    Without `customers`, no request needs a key.
+    """
     body = config_body.ConfigBody(
         version,
         list(routes),
         [backend_body.BackendBody(name, MAX_CONNECTIONS) for name in services],
         LIMITS,
+        msgspec.UNSET if customers is None else list(customers),
     )
     return msgspec.to_builtins(body)
 
--- a/packages/standins/src/gypsumbridge_standins/users_platform/platform_state.py
+++ b/packages/standins/src/gypsumbridge_standins/users_platform/platform_state.py
@@ -14,8 +14,10 @@
 
     `history` holds the changes after `oldest_revision`; a watch from an
     earlier revision gets 410. `faults` maps searchers to faults, `runs`
-    lists the searchers that ran each request, and `on_event` is called with
-    the request's id, the searcher's, and RAN or REFUSED.
+    lists the searchers that ran each request, `customer_headers` the headers
+    of key and customer, in any spelling, that reached them with it, and
+    `on_event` is called with the request's id, the searcher's, and RAN or
+    REFUSED.
     """
 
     def __init__(
@@ -31,6 +33,7 @@
         self.waiting_watches: list[Any] = []
         self.faults: dict[str, str] = {}
         self.runs: dict[str, list[str]] = {}
+        self.customer_headers: dict[str, list[tuple[str, str]]] = {}
 
     def write(self, key: str, value: str | None) -> None:
         """Store a value, which is in base64, or delete the key if None."""
--- a/packages/standins/src/gypsumbridge_standins/users_platform/searcher_site.py
+++ b/packages/standins/src/gypsumbridge_standins/users_platform/searcher_site.py
@@ -95,6 +95,13 @@
             connection.respond(503, (echo, refused, delay), b'')
             return
         state.runs.setdefault(request_id, []).append(searcher_id)
+        received = [
+            (name, value)
+            for name, value in request.headers.lowered()
+            if name.replace('_', '-') in (NAMES.key, NAMES.customer)
+        ]
+        if received:
+            state.customer_headers.setdefault(request_id, []).extend(received)
         state.on_event(request_id, searcher_id, platform_state.RAN)
         body = records_of(service, request.target)
         signature = (NAMES.signature, f'{searcher_id}.{request_id}')
--- a/tests/ctl/test_explain.py
+++ b/tests/ctl/test_explain.py
@@ -48,3 +48,16 @@
         """Guards against empty output for a misspelt file name."""
         with self.assertRaises(ctl_error.CtlError):
             self.run_explain('a', [self.first.with_name('none.log')])
+
+    def test_refusals_of_keys_are_explained(self):
+        """Guards against an operator who takes 503 for a wrong key."""
+        for reason, text in (
+            ('unknown_key', 'status 401: no customer'),
+            ('maybe_unknown_key', 'status 503: the node may be behind'),
+            ('maybe_unknown_route', 'status 503: the node may be behind'),
+        ):
+            with self.subTest(reason=reason):
+                record = {'request_id': 'k', 'reason': reason, 'version': 7}
+                self.first.write_text(json.dumps(record))
+                _, (line,) = self.run_explain('k', [self.first])
+                self.assertIn(f'({reason}) version=7 [{text}', line)
