--- a/tests/decisions/forwarding/test_customer_check.py
+++ b/tests/decisions/forwarding/test_customer_check.py
@@ -218,6 +218,8 @@
         for value in (request, make_table()):
             self.assertNotIn(repr(GOLD)[2:-1], repr(value))
             self.assertNotIn(GOLD.hex(), repr(value))
+        record = relaying.StoreRecord('op/config', 1, b'gold-key')
+        self.assertNotIn('gold-key', repr(record))
 
     def test_differing_or_unusable_keys_are_no_key(self):
         """Guards against a request that is counted for one of two."""
@@ -250,6 +252,16 @@
                     messages.Count(f'forwarding.rank_{rank}.200'), commands
                 )
 
+    def test_each_attempt_has_the_customer(self):
+        """Guards against a retry or a hedge that is booked for nobody."""
+        (first,) = gateway_case.sends(self.arrive_with(GOLD))
+        retried = self.end(first, forwarding.AttemptOutcome.NOT_SENT)
+        self.arrive_with(GOLD)
+        hedged = self.handle(forwarding.HedgeTimer(self.last_call_id))
+        for commands in (retried, hedged):
+            (sent,) = gateway_case.sends(commands)
+            self.assertEqual('gold', sent.request.customer)
+
     def delegate(self, digest):
         self.handle(
             forwarding.NodesChanged(
--- a/tests/decisions/forwarding/test_grouping.py
+++ b/tests/decisions/forwarding/test_grouping.py
@@ -73,6 +73,27 @@
         self.assertEqual('d2', group.coordinator.failure_domain)
         self.assertEqual(set(NEAR), self.services_of(sent))
 
+    def test_a_group_has_the_customer(self):
+        """Guards against remote parts that are gathered for nobody."""
+        customers = forwarding.make_customer_table(
+            [forwarding.Customer('gold', 3)], [('gold', 'k')]
+        )
+        table = dataclasses.replace(
+            gateway_case.make_table(9, (ROUTE,)), customers=customers
+        )
+        self.handle(forwarding.RoutesChanged(table))
+        arrived = forwarding.CallerRequest(
+            5, 'r', 'GET', 'a.example', '/all/x', (), b'', 600, self.now_ms
+        )
+        digest = forwarding.digest_keys(('k',))
+        commands = self.handle(dataclasses.replace(arrived, key_digest=digest))
+        (group,) = gateway_case.delegations(commands)
+        request = group.delegated.request
+        self.assertEqual(
+            ('gold', 3, b''),
+            (request.customer, request.rank, request.key_digest),
+        )
+
     def test_both_halves_make_one_answer(self):
         """Guards against records or signatures that are lost or doubled."""
         _, sent = self.start()
