--- a/packages/standins/src/gypsumbridge_standins/users_platform/operator_config.py
+++ b/packages/standins/src/gypsumbridge_standins/users_platform/operator_config.py
@@ -48,6 +48,7 @@
     timeout_ms: int,
     target_latency_ms: int,
     idempotent: bool = True,
+    public: bool = False,
 ) -> route_body.RouteBody:
     """Return a route to one service."""
     return route_body.RouteBody(
@@ -59,6 +60,7 @@
         target_latency_ms=target_latency_ms,
         max_attempts=MAX_ATTEMPTS,
         backend=service,
+        public=public,
     )
 
 
