--- a/tests/ctl/test_explain.py
+++ b/tests/ctl/test_explain.py
@@ -48,3 +48,14 @@
         """Guards against empty output for a misspelt file name."""
         with self.assertRaises(ctl_error.CtlError):
             self.run_explain('a', [self.first.with_name('none.log')])
+
+    def test_refusals_of_keys_are_explained(self):
+        """Guards against an operator who takes 503 for a wrong key."""
+        for reason, status in (
+            ('unknown_key', 401),
+            ('maybe_unknown_key', 503),
+        ):
+            record = {'request_id': 'k', 'reason': reason, 'version': 7}
+            self.first.write_text(json.dumps(record))
+            _, (line,) = self.run_explain('k', [self.first])
+            self.assertIn(f'({reason}) version=7 [status {status}: ', line)
--- a/tests/node/gateway/test_ingress.py
+++ b/tests/node/gateway/test_ingress.py
@@ -1,6 +1,8 @@
 import types
 import unittest
 
+from gypsumbridge_decisions import forwarding
+from gypsumbridge_node.gateway import headers
 from gypsumbridge_node.gateway import ingress_state
 from gypsumbridge_node.gateway import server_connection
 from gypsumbridge_node.gateway.tasks import ingress
@@ -34,6 +36,15 @@
         self.transport.setTcpNoDelay = lambda enabled: None
         self.connection.makeConnection(self.transport)
 
+    def receive_headers(self, *lines, start=b'GET /a', trailer=b''):
+        """Return the request that arrives with these header lines."""
+        self.setUp()
+        lines = (b'Host: h', b'Gypsumbridge-Request-Id: r', b'A_b: 1', *lines)
+        head = b'\r\n'.join((start + b' HTTP/1.1', *lines, b'', b''))
+        self.connection.dataReceived(head + trailer)
+        (request,) = self.accepted
+        return request
+
     def receive(self, deadline):
         name = header_names.HEADERS.deadline_ms.encode()
         self.connection.dataReceived(
@@ -64,3 +75,39 @@
                     [ingress.DEFAULT_DEADLINE_MS],
                     [r.deadline_ms for r in self.accepted],
                 )
+
+    def test_a_callers_headers_of_key_and_customer_are_removed(self):
+        """Guards against a key or a forged customer that searchers read."""
+        lines = [
+            spelling % name + b': forged'
+            for spelling in (b'Gypsumbridge-%s', b'gypsumbridge_%s')
+            for name in (b'Credential', b'TENANT', b'tenant', b'Tenant')
+        ]
+        chunked = b'Transfer-Encoding: chunked'
+        trailer = b'0\r\n' + b'\r\n'.join((*lines, b'', b''))
+        for request in (
+            self.receive_headers(*lines),
+            self.receive_headers(chunked, start=b'POST /a', trailer=trailer),
+        ):
+            self.assertEqual((('Host', 'h'), ('A_b', '1')), request.headers)
+            self.assertEqual('', request.customer)
+
+    def test_a_key_is_reduced_to_its_digest(self):
+        """Guards against a key that goes on, and one of several keys."""
+        name = b'GYPSUMBRIDGE-Credential: '
+        unusable = forwarding.digest_keys(('',))
+        for values, digest in (
+            ((), b''),
+            ((b' k-1 ',), forwarding.digest_keys(('k-1',))),
+            ((b'k-1', b'k-1'), forwarding.digest_keys(('k-1',))),
+            ((b'',), unusable),
+            ((b'k-1', b'k-2'), unusable),
+            ((b'k-1\xff',), unusable),
+            ((b'k-1' * 1_000,), unusable),
+        ):
+            with self.subTest(values=values):
+                request = self.receive_headers(*(name + v for v in values))
+                self.assertEqual(digest, request.key_digest)
+                self.assertNotIn('k-1', str(request))
+        received = headers.make_headers((('Gypsumbridge-Credential', 'k-1'),))
+        self.assertNotIn('k-1', repr(received))
--- a/tests/platform_adapter/test_decoding.py
+++ b/tests/platform_adapter/test_decoding.py
@@ -4,6 +4,7 @@
 
 from gypsumbridge_decisions import discovery
 from gypsumbridge_decisions import errors
+from gypsumbridge_decisions import forwarding
 from gypsumbridge_decisions import relaying
 from gypsumbridge_platform import routes
 from gypsumbridge_platform import searchers
@@ -65,6 +66,25 @@
 }
 
 
+CUSTOMER = {
+    'name': 'gold',
+    'apiKeys': ['key-1', 'key-2', 'key-1'],
+    'priority': 1,
+    'ratePerS': 2.5,
+    'burst': 10,
+    'allowedRegions': ['r1', 'r2'],
+}
+ODD_LIMITS = (-1, -0.5, '5', None, True, [], 10**400, float('nan'))
+ODD_FIELDS = {
+    'name': ('', ' ', 'a\r\nX: y', 'a\n', 'a\x00', 'a\u0434', 'a ', 'x' * 999),
+    'apiKeys': ('key-1', [5], None),
+    'priority': (-1, 0.5, 'high', None, True),
+    'ratePerS': ODD_LIMITS,
+    'burst': ODD_LIMITS,
+    'allowedRegions': ('r1', [1], None),
+}
+
+
 def encode(value):
     return json.dumps(value).encode()
 
@@ -187,6 +207,57 @@
                     routes.decode_routes(value)
 
 
+class CustomersTest(unittest.TestCase):
+    def decode(self, customers, **route):
+        config = json.loads(json.dumps(CONFIG))
+        config['routes'][0].update(route)
+        return routes.decode_routes(encode({**config, 'tenants': customers}))
+
+    def test_customers_decode_with_keys_and_limits(self):
+        """Guards against exchanged limits, and a key of two customers."""
+        basic = {'name': 'basic', 'apiKeys': ['key-1'], 'allowedRegions': []}
+        table = self.decode(
+            [CUSTOMER, basic], public=True, allowedRegions=['r']
+        )
+        gold = forwarding.Customer('gold', 1, 2.5, 10.0, ('r1', 'r2'))
+        self.assertEqual(
+            {'gold': gold, 'basic': forwarding.Customer('basic')},
+            table.customers.customers,
+        )
+        for key, expected in (('key-1', None), ('key-2', gold)):
+            digest = forwarding.digest_keys((key,))
+            self.assertEqual(expected, table.customers.find(digest))
+        by_prefix = table.routes['a.example']
+        for prefix, expected in (
+            ('/all/', (True, ('r',))),
+            ('/once/', (False, ())),
+        ):
+            route = by_prefix[prefix]
+            self.assertEqual(expected, (route.public, route.homes))
+
+    def test_an_empty_list_differs_from_no_list(self):
+        """Guards against serving everyone once the last customer left."""
+        self.assertIsNone(routes.decode_routes(encode(CONFIG)).customers)
+        self.assertEqual({}, self.decode([]).customers.customers)
+
+    def test_unreadable_customers_leave_the_configuration_in_force(self):
+        """Guards against a limit that silently becomes none."""
+        odd = [
+            {**CUSTOMER, field: value}
+            for field, values in ODD_FIELDS.items()
+            for value in values
+        ]
+        several = (None, {}, [None], [CUSTOMER, CUSTOMER])
+        for customers in (*([customer] for customer in odd), *several):
+            with self.subTest(customers=customers):
+                with self.assertRaises(errors.FrameError) as caught:
+                    self.decode(customers)
+                self.assertNotIn('key-1', str(caught.exception))
+        for value in (None, 0, 'yes'):
+            with self.assertRaises(errors.FrameError):
+                self.decode([CUSTOMER], public=value)
+
+
 class StoreCallsTest(unittest.TestCase):
     def test_pages_follow_the_last_key(self):
         """Guards against a list that ends after its first page."""
