Evacuate failure domains and keep requests in their homes

Change: discovery publishes the failure domains under op/evacuate/, also from lists and relays, before the searchers. SearcherHealth.may_be_sent_requests refuses their searchers, and placement.may_be_sent adds the homes of the route and the customer; choosing, coverage, hedges, groups and plans of coordinators ask it. The searchers task reports attempts that wait for a connection, or arrive late, as not sent and closes idle connections. After an evacuation each node raises the searchers' share of the requests over 3 s. Refusals, begins and ends are logged and counted.

--- a/packages/decisions/src/gypsumbridge_decisions/discovery/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/__init__.py
@@ -26,6 +26,20 @@
 from gypsumbridge_decisions.discovery.discovery_ready import (
     DiscoveryReady as DiscoveryReady,
 )
+from gypsumbridge_decisions.discovery.evacuating import (
+    apply_evacuation as apply_evacuation,
+)
+from gypsumbridge_decisions.discovery.evacuating import domain_of as domain_of
+from gypsumbridge_decisions.discovery.evacuating import (
+    is_evacuation as is_evacuation,
+)
+from gypsumbridge_decisions.discovery.evacuating import (
+    log_changes as log_changes,
+)
+from gypsumbridge_decisions.discovery.evacuating import (
+    missing_keys as missing_keys,
+)
+from gypsumbridge_decisions.discovery.evacuating import publish as publish
 from gypsumbridge_decisions.discovery.handler import handle as handle
 from gypsumbridge_decisions.discovery.history_lost import (
     HistoryLost as HistoryLost,
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/applying.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/applying.py
@@ -1,10 +1,11 @@
-"""Application of store records to routes, searchers and nodes."""
+"""Application of store records: routes, searchers, nodes, evacuations."""
 
 from gypsumbridge_decisions import errors
 from gypsumbridge_decisions import forwarding
 from gypsumbridge_decisions import messages
 from gypsumbridge_decisions import relaying
 from gypsumbridge_decisions.discovery import command
+from gypsumbridge_decisions.discovery import evacuating
 from gypsumbridge_decisions.discovery import removal_timer
 from gypsumbridge_decisions.discovery import state as states
 
@@ -22,6 +23,7 @@
     searchers_changed = False
     nodes_before = len(state.nodes)
     peers_changed = False
+    evacuated_before = frozenset(state.evacuated)
     for record in records:
         if record.key == state.schema.routes_key:
             commands += apply_routes(state, record)
@@ -35,11 +37,22 @@
             changed, more = apply_searcher(state, record, now_ms)
             searchers_changed = searchers_changed or changed
             commands += more
+            continue
+        if evacuating.is_evacuation(state, record.key):
+            domain = evacuating.domain_of(state, record.key)
+            if domain is None:
+                commands += skip_record(record, evacuating.MALFORMED)
+                continue
+            evacuating.apply_evacuation(state, domain, record)
     published: list[command.Command] = []
     if searchers_changed:
         published.append(publish_searchers(state))
-    # The nodes determine to which searchers connections are opened.
+    # The evacuations and the nodes determine to which searchers connections
+    # are opened.
     fleet: list[command.Command] = []
+    if state.evacuated != evacuated_before:
+        fleet.append(evacuating.publish(state))
+        commands += evacuating.log_changes(state, evacuated_before)
     if len(state.nodes) != nodes_before:
         fleet.append(forwarding.FleetSizeChanged(len(state.nodes)))
     if peers_changed:
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/command.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/command.py
@@ -15,6 +15,7 @@
     | forwarding.RoutesChanged
     | forwarding.SearchersChanged
     | forwarding.HoldChanged
+    | forwarding.EvacuationChanged
     | forwarding.FleetSizeChanged
     | forwarding.NodesChanged
     | discovery_ready.DiscoveryReady
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/listing.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/listing.py
@@ -3,6 +3,7 @@
 from gypsumbridge_decisions import messages
 from gypsumbridge_decisions import relaying
 from gypsumbridge_decisions.discovery import command
+from gypsumbridge_decisions.discovery import evacuating
 from gypsumbridge_decisions.discovery import resume_timer
 from gypsumbridge_decisions.discovery import state as states
 from gypsumbridge_decisions.discovery import store_listed
@@ -56,10 +57,16 @@
     present = state.relay.log.present()
     keys = {record.key for record in present}
     prefix = state.schema.searcher_prefix
+    missing = [
+        *evacuating.missing_keys(state, keys),
+        *(
+            prefix + name
+            for name in state.searchers
+            if prefix + name not in keys
+        ),
+    ]
     removed = tuple(
-        relaying.StoreRecord(prefix + name, listed.revision, None)
-        for name in state.searchers
-        if prefix + name not in keys
+        relaying.StoreRecord(key, listed.revision, None) for key in missing
     )
     return syncing.apply(state, present + removed, now_ms)
 
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/schema.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/schema.py
@@ -13,7 +13,8 @@
 
     The decoders raise FrameError for an invalid value.
     `decode_searcher` and `decode_node` get the id, which is the key without
-    its prefix.
+    its prefix. A key with `evacuation_prefix`, unless that is empty, requests
+    the evacuation of the failure domain that the rest of the key names.
     """
 
     routes_key: str
@@ -22,3 +23,4 @@
     decode_routes: Callable[[bytes], forwarding.RouteTable]
     decode_searcher: Callable[[str, bytes], forwarding.Searcher]
     decode_node: Callable[[str, bytes], relaying.PeerNode]
+    evacuation_prefix: str = ''
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/state.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/state.py
@@ -18,7 +18,7 @@
     latest. While updates may be missing, because of a peer or after a stale
     list, `missed_since_ms` is the time of the last answer before that;
     `store_failed` is set when a call of this node to the store has failed
-    since.
+    since. `evacuated` holds the failure domains under evacuation.
     """
 
     def __init__(
@@ -45,6 +45,7 @@
         self.searchers: dict[str, forwarding.Searcher] = {}
         self.removals: dict[str, int] = {}
         self.nodes: set[str] = set()
+        self.evacuated: set[str] = set()
         self.writing_node = False
         self.node_written = False
 
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
@@ -25,6 +25,9 @@
 from gypsumbridge_decisions.forwarding.arrival import (
     is_coverable as is_coverable,
 )
+from gypsumbridge_decisions.forwarding.arrival import (
+    refuse_unsent as refuse_unsent,
+)
 from gypsumbridge_decisions.forwarding.arrival import set_timers as set_timers
 from gypsumbridge_decisions.forwarding.arrival import (
     start_exchange as start_exchange,
@@ -161,6 +164,9 @@
 from gypsumbridge_decisions.forwarding.departed_searcher import (
     DepartedSearcher as DepartedSearcher,
 )
+from gypsumbridge_decisions.forwarding.discovery_updates import (
+    change_evacuation as change_evacuation,
+)
 from gypsumbridge_decisions.forwarding.discovery_updates import (
     change_fleet_size as change_fleet_size,
 )
@@ -293,12 +299,26 @@
     ObjectiveTimer as ObjectiveTimer,
 )
 from gypsumbridge_decisions.forwarding.part_state import PartState as PartState
+from gypsumbridge_decisions.forwarding.placement import (
+    allowed_domains as allowed_domains,
+)
+from gypsumbridge_decisions.forwarding.placement import Domains as Domains
+from gypsumbridge_decisions.forwarding.placement import (
+    may_be_sent as may_be_sent,
+)
+from gypsumbridge_decisions.forwarding.placement import placed as placed
+from gypsumbridge_decisions.forwarding.placement import (
+    placed_nodes as placed_nodes,
+)
 from gypsumbridge_decisions.forwarding.policy import (
     ForwardingPolicy as ForwardingPolicy,
 )
 from gypsumbridge_decisions.forwarding.refuse_delegated import (
     RefuseDelegated as RefuseDelegated,
 )
+from gypsumbridge_decisions.forwarding.refusing import (
+    log_unplaced as log_unplaced,
+)
 from gypsumbridge_decisions.forwarding.refusing import refuse as refuse
 from gypsumbridge_decisions.forwarding.refusing import reject as reject
 from gypsumbridge_decisions.forwarding.response_written import (
@@ -338,6 +358,7 @@
 )
 from gypsumbridge_decisions.forwarding.sending import budget_for as budget_for
 from gypsumbridge_decisions.forwarding.sending import choose as choose
+from gypsumbridge_decisions.forwarding.sending import EVACUATED as EVACUATED
 from gypsumbridge_decisions.forwarding.sending import (
     fixed_budget as fixed_budget,
 )
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/arrival.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/arrival.py
@@ -11,6 +11,8 @@
 from gypsumbridge_decisions.forwarding import hedge_timer
 from gypsumbridge_decisions.forwarding import hedging
 from gypsumbridge_decisions.forwarding import objective_timer
+from gypsumbridge_decisions.forwarding import placement
+from gypsumbridge_decisions.forwarding import refusing
 from gypsumbridge_decisions.forwarding import route as routes
 from gypsumbridge_decisions.forwarding import sending
 from gypsumbridge_decisions.forwarding import split
@@ -46,20 +48,53 @@
         group or choose_services(state, route),
         expiry_ms(request, route),
         partial=bool(group),
+        domains=placement.allowed_domains(
+            state.policy, state.table_for(version), request, route
+        ),
     )
     state.exchanges[request.call_id] = exchange
     if not is_coverable(state, exchange, now_ms):
-        return finishing.finish(state, exchange, now_ms)
+        return refuse_unsent(state, exchange, now_ms)
     commands = grouping.send_groups(state, exchange, now_ms)
     for part in exchange.parts:
         if part.delegated:
             continue
         commands += sending.send_first_attempt(state, exchange, part, now_ms)
     if not exchange.open_services:
-        return commands + finishing.finish(state, exchange, now_ms)
+        return commands + refuse_unsent(state, exchange, now_ms)
     return commands + set_timers(state, exchange, now_ms)
 
 
+def refuse_unsent(
+    state: states.ForwardingState, exchange: exchanges.Exchange, now_ms: int
+) -> list[command.Command]:
+    """Refuse a request of which nothing was sent.
+
+    The operator is told if an evacuation or the homes are the reason. A
+    group is not a request of its own.
+    """
+    commands: list[command.Command] = []
+    if exchange.partial:
+        return finishing.finish(state, exchange, now_ms)
+    places = {
+        sending.EVACUATED: state.coordination.evacuated,
+        sending.OUTSIDE_HOMES: exchange.domains or placement.NOWHERE,
+    }
+    for reason, domains in places.items():
+        services = [
+            part.service for part in exchange.parts if part.reason == reason
+        ]
+        if services:
+            commands += refusing.log_unplaced(
+                exchange.request,
+                exchange.route.name,
+                reason,
+                services,
+                domains,
+            )
+    return commands + finishing.finish(state, exchange, now_ms)
+
+
 def is_coverable(
     state: states.ForwardingState, exchange: exchanges.Exchange, now_ms: int
 ) -> bool:
@@ -74,10 +109,12 @@
     missing = [
         part
         for part in exchange.parts
-        if not sending.has_usable_searcher(state, part.service, now_ms)
+        if not sending.has_usable_searcher(
+            state, exchange, part.service, now_ms
+        )
     ]
     for part in missing:
-        sending.record_unusable(state, part, now_ms)
+        sending.record_unusable(state, exchange, part, now_ms)
     usable = len(exchange.parts) - len(missing)
     return usable / len(exchange.parts) >= rule.min_coverage
 
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/choosing.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/choosing.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 import functools
 
+from gypsumbridge_decisions.forwarding import placement
 from gypsumbridge_decisions.forwarding import policy as policies
 from gypsumbridge_decisions.forwarding import searcher as searchers
 from gypsumbridge_decisions.forwarding import searcher_health
@@ -27,24 +28,29 @@
     policy: policies.ForwardingPolicy,
     excluded: Collection[str],
     now_ms: int,
+    domains: placement.Domains = None,
 ) -> searchers.Searcher | None:
     """Return the searcher with the lowest expected latency, or None.
 
-    Draining, leaving, replaced and excluded searchers are never chosen, nor
-    those that have asked for no requests now; ejected ones only when there is
-    no other.
+    Excluded searchers and those that may not be sent this request are never
+    chosen; ejected ones, and ones passed over after an evacuation, only when
+    there is no other.
     """
     best = None
     best_cost = (True, 0.0)
     for candidate in candidates:
-        if candidate.draining or candidate.searcher_id in excluded:
+        if candidate.searcher_id in excluded:
             continue
         measured = health[candidate.searcher_id]
-        if not measured.may_be_sent_requests(now_ms):
+        if not placement.may_be_sent(candidate, measured, domains, now_ms):
             continue
         measured.decay(now_ms)
         cost = (
-            measured.ejected_until_ms > now_ms,
+            measured.ejected_until_ms > now_ms
+            or (
+                measured.returned_ms is not None
+                and measured.is_passed_over(now_ms)
+            ),
             expected_cost(candidate, measured, policy),
         )
         if best is None or cost < best_cost:
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/coordination.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/coordination.py
@@ -15,11 +15,15 @@
 
 
 class Coordination:
-    """The plan of each gathered service, from this node's point of view."""
+    """The plan of each gathered service, from this node's point of view.
+
+    No plan relies on the searchers of `evacuated` failure domains.
+    """
 
     def __init__(self, own_id: str) -> None:
         self.own_id = own_id
         self.nodes: tuple[peer_node.PeerNode, ...] = ()
+        self.evacuated: frozenset[str] = frozenset()
         self.plans: dict[str, coordinator_plan.CoordinatorPlan] = {}
 
     def refresh(
@@ -27,13 +31,17 @@
         table: route_table.RouteTable | None,
         searchers_by_service: Mapping[str, Sequence[searchers.Searcher]],
     ) -> None:
-        """Recompute the plans after a change of routes, nodes or searchers."""
+        """Recompute the plans after a change of what they depend on."""
         self.plans = {}
         if table is None:
             return
         for services in table.gathered:
             plan = coordinator_plan.plan_coordinators(
-                services, searchers_by_service, self.nodes, self.own_id
+                services,
+                searchers_by_service,
+                self.nodes,
+                self.own_id,
+                self.evacuated,
             )
             self.plans.update(dict.fromkeys(services, plan))
 
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/coordinator_plan.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/coordinator_plan.py
@@ -55,12 +55,13 @@
     searchers_by_service: Mapping[str, Sequence[searchers.Searcher]],
     nodes: Sequence[peer_node.PeerNode],
     own_id: str,
+    evacuated: frozenset[str] = frozenset(),
 ) -> CoordinatorPlan:
     """Return the plan for the gathers from a set of services.
 
     Nodes with the same information compute the same coordinators.
     """
-    domains = covered_domains(services, searchers_by_service)
+    domains = covered_domains(services, searchers_by_service, evacuated)
     found = [
         node
         for node in nodes
@@ -83,8 +84,9 @@
 def covered_domains(
     services: Iterable[str],
     searchers_by_service: Mapping[str, Sequence[searchers.Searcher]],
+    evacuated: frozenset[str],
 ) -> frozenset[str]:
-    """Return the failure domains with searchers of most services."""
+    """Return the usable failure domains with searchers of most services."""
     covered: collections.Counter[str] = collections.Counter()
     for service in services:
         covered.update(
@@ -92,6 +94,7 @@
                 searcher.failure_domain
                 for searcher in searchers_by_service.get(service, ())
                 if not searcher.draining
+                and searcher.failure_domain not in evacuated
             }
         )
     least = MIN_COVERED_SHARE * max(covered.values(), default=0)
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/delegating.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/delegating.py
@@ -12,6 +12,7 @@
 from gypsumbridge_decisions.forwarding import delegation_sending
 from gypsumbridge_decisions.forwarding import expiry_timer
 from gypsumbridge_decisions.forwarding import final_response
+from gypsumbridge_decisions.forwarding import placement
 from gypsumbridge_decisions.forwarding import refusing
 from gypsumbridge_decisions.forwarding import route as routes
 from gypsumbridge_decisions.forwarding import route_table
@@ -52,7 +53,7 @@
     now_ms: int,
 ) -> list[command.Command]:
     """Delegate a request if it is a gather for another node, or run it."""
-    chosen = choose_coordinator(state, route, now_ms)
+    chosen = choose_coordinator(state, request, route, version, now_ms)
     if chosen is None:
         return arrival.start_exchange(state, request, route, version, now_ms)
     expires_ms = arrival.expiry_ms(request, route)
@@ -73,20 +74,32 @@
 
 
 def choose_coordinator(
-    state: states.ForwardingState, route: routes.Route, now_ms: int
+    state: states.ForwardingState,
+    request: caller_request.CallerRequest,
+    route: routes.Route,
+    version: int,
+    now_ms: int,
 ) -> peer_node.PeerNode | None:
     """Return the least busy coordinator, a nearby one if there is any.
 
-    Returns None if this node gathers the parts itself.
+    Returns None if this node gathers the parts itself, as it does if no
+    coordinator is in the request's homes.
     """
     if route.gather is None:
         return None
     plan = state.coordination.plan_for(route.targets[0].service)
     if plan.gathers_itself:
         return None
-    return delegation_sending.choose_least_busy(
-        state, plan.nearby, now_ms
-    ) or delegation_sending.choose_least_busy(state, plan.remote, now_ms)
+    domains = placement.allowed_domains(
+        state.policy, state.table_for(version), request, route
+    )
+    for nodes in (plan.nearby, plan.remote):
+        chosen = delegation_sending.choose_least_busy(
+            state, placement.placed_nodes(nodes, domains), now_ms
+        )
+        if chosen is not None:
+            return chosen
+    return None
 
 
 def cancel_delegated(
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/discovery_updates.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/discovery_updates.py
@@ -3,6 +3,7 @@
 from gypsumbridge_decisions import messages
 from gypsumbridge_decisions.forwarding import command
 from gypsumbridge_decisions.forwarding import departed_searcher
+from gypsumbridge_decisions.forwarding import evacuation_changed
 from gypsumbridge_decisions.forwarding import fleet_size_changed
 from gypsumbridge_decisions.forwarding import hold_changed
 from gypsumbridge_decisions.forwarding import nodes_changed
@@ -66,6 +67,8 @@
         if before is None or not found.is_same_process(before):
             # The searcher was restarted or moved, so it is usable again.
             health.reset_statements()
+        evacuated = found.failure_domain in state.coordination.evacuated
+        health.set_evacuated(evacuated, now_ms)
     for gone in previous.values():
         state.departed[gone.searcher_id] = departed_searcher.DepartedSearcher(
             gone, now_ms
@@ -81,6 +84,25 @@
     return [messages.Decision('searchers_changed', 'discovery', fields)]
 
 
+def change_evacuation(
+    state: states.ForwardingState,
+    update: evacuation_changed.EvacuationChanged,
+    now_ms: int,
+) -> list[command.Command]:
+    """Stop using the searchers under evacuation, and return to the others.
+
+    What is in flight ends by itself.
+    """
+    state.coordination.evacuated = update.failure_domains
+    for candidates in state.searchers.values():
+        for found in candidates:
+            state.health[found.searcher_id].set_evacuated(
+                found.failure_domain in update.failure_domains, now_ms
+            )
+    refresh_shares(state)
+    return []
+
+
 def change_hold(
     state: states.ForwardingState, update: hold_changed.HoldChanged
 ) -> list[command.Command]:
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/ending.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/ending.py
@@ -201,4 +201,7 @@
     if attempt.abandoned and latency_ms < unresponsive_ms:
         return
     unreachable = ended.outcome == _OUTCOME.NOT_SENT
+    if unreachable and health.evacuated:
+        # This node itself kept the attempt from being sent.
+        return
     health.record_failure(now_ms, unreachable)
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/exchange.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/exchange.py
@@ -3,6 +3,7 @@
 from gypsumbridge_decisions.forwarding import attempt_ended
 from gypsumbridge_decisions.forwarding import caller_request
 from gypsumbridge_decisions.forwarding import part_state
+from gypsumbridge_decisions.forwarding import placement
 from gypsumbridge_decisions.forwarding import route as routes
 from gypsumbridge_decisions.forwarding import searcher_statement
 from gypsumbridge_decisions.forwarding import top_records
@@ -19,7 +20,8 @@
     route gathers. With `partial`, another node has delegated a group of
     services and adds the other parts. `groups` holds the ids of the
     delegations of this request's own groups, and `statements` what
-    searchers have stated in their answers to it.
+    searchers have stated in their answers to it. It is sent to the failure
+    `domains` of its homes only, or to any without homes.
     """
 
     def __init__(
@@ -30,6 +32,7 @@
         services: tuple[str, ...],
         expires_ms: int,
         partial: bool = False,
+        domains: placement.Domains = None,
     ) -> None:
         self.request = request
         self.route = route
@@ -47,6 +50,7 @@
         self.hedge_postponed = False
         self.objective_passed = False
         self.partial = partial
+        self.domains = domains
         self.groups: set[int] = set()
         self.statements: list[searcher_statement.SearcherStatement] = []
 
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/final_response.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/final_response.py
@@ -11,6 +11,10 @@
 STATUS_OK = 200
 STATUS_BAD_GATEWAY = 502
 STATUS_TIMEOUT = 504
+# With these reasons another node would refuse the request as well.
+SEEN_BY_ALL_NODES = frozenset(
+    {sending.NO_SEARCHER, sending.EVACUATED, sending.OUTSIDE_HOMES}
+)
 
 
 def success(exchange: exchanges.Exchange) -> caller_response.CallerResponse:
@@ -73,14 +77,14 @@
     """Return the delay after which a refused request may succeed.
 
     It is the longest one that the searchers of a part have stated, or the
-    time for which searchers without an entry are waited for.
+    time for which a state that all nodes see alike is waited for.
     """
     delays = [
         part.usable_at_ms - now_ms
         for part in exchange.parts
         if part.usable_at_ms is not None
     ]
-    if any(part.reason == sending.NO_SEARCHER for part in exchange.parts):
+    if any(part.reason in SEEN_BY_ALL_NODES for part in exchange.parts):
         left_ms = exchange.expires_ms - now_ms
         delays.append(retry_delay.recovery_delay_ms(exchange.request, left_ms))
     return max(retry_delay.OTHER_NODE_MS, *delays, 0)
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/grouping.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/grouping.py
@@ -17,6 +17,7 @@
 from gypsumbridge_decisions.forwarding import delegation_sending
 from gypsumbridge_decisions.forwarding import ending
 from gypsumbridge_decisions.forwarding import exchange as exchanges
+from gypsumbridge_decisions.forwarding import placement
 from gypsumbridge_decisions.forwarding import sending
 from gypsumbridge_decisions.forwarding import service_group
 from gypsumbridge_decisions.forwarding import state as states
@@ -104,14 +105,22 @@
     exchange: exchanges.Exchange,
     now_ms: int,
 ) -> dict[str, frozenset[str]]:
-    """Return the failure domains of each service without a nearby searcher."""
+    """Return the failure domains of each service without a nearby searcher.
+
+    Only those in which the request may run are returned; their coordinators
+    may therefore be sent the request as well.
+    """
     found: dict[str, frozenset[str]] = {}
     for part in exchange.parts:
         domains = frozenset(
             searcher.failure_domain
             for searcher in state.searchers.get(part.service, ())
-            if not searcher.draining
-            and state.health[searcher.searcher_id].may_be_sent_requests(now_ms)
+            if placement.may_be_sent(
+                searcher,
+                state.health[searcher.searcher_id],
+                exchange.domains,
+                now_ms,
+            )
         )
         if domains and state.policy.failure_domain not in domains:
             found[part.service] = domains
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/handler.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/handler.py
@@ -16,6 +16,7 @@
 from gypsumbridge_decisions.forwarding import delegation_ending
 from gypsumbridge_decisions.forwarding import discovery_updates
 from gypsumbridge_decisions.forwarding import ending
+from gypsumbridge_decisions.forwarding import evacuation_changed
 from gypsumbridge_decisions.forwarding import expiry_timer
 from gypsumbridge_decisions.forwarding import finishing
 from gypsumbridge_decisions.forwarding import fleet_size_changed
@@ -71,6 +72,8 @@
             return discovery_updates.change_searchers(state, message, now_ms)
         case routes_changed.RoutesChanged():
             return discovery_updates.change_routes(state, message)
+        case evacuation_changed.EvacuationChanged():
+            return discovery_updates.change_evacuation(state, message, now_ms)
         case hold_changed.HoldChanged():
             return discovery_updates.change_hold(state, message)
         case fleet_size_changed.FleetSizeChanged():
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/policy.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/policy.py
@@ -1,5 +1,6 @@
 """Policy of the forwarding decisions."""
 
+from collections.abc import Mapping
 import dataclasses
 
 
@@ -9,7 +10,7 @@
 
     `retry_ratio` and `retry_allowance` bound the attempts beyond the first
     of each request, for each service and window of `window_ms`, over all
-    nodes together.
+    nodes together. `regions` maps each failure domain to its region.
     """
 
     node_id: str
@@ -17,3 +18,4 @@
     retry_ratio: float
     retry_allowance: float
     window_ms: int
+    regions: Mapping[str, str] = dataclasses.field(default_factory=dict)
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/refusing.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/refusing.py
@@ -1,5 +1,8 @@
 """Responses to requests that are not sent to any searcher."""
 
+from collections.abc import Iterable
+from collections.abc import Sequence
+
 from gypsumbridge_decisions import messages
 from gypsumbridge_decisions.forwarding import caller_request
 from gypsumbridge_decisions.forwarding import caller_response
@@ -7,6 +10,8 @@
 from gypsumbridge_decisions.forwarding import retry_delay
 
 STATUS_UNAVAILABLE = 503
+# A gather may lack dozens of services for the same reason.
+MAX_LOGGED_SERVICES = 5
 
 
 def refuse(
@@ -26,6 +31,35 @@
     ]
 
 
+def log_unplaced(
+    request: caller_request.CallerRequest,
+    route: str,
+    reason: str,
+    services: Sequence[str],
+    domains: Iterable[str],
+) -> list[command.Command]:
+    """Log and count a request without a searcher in a usable place.
+
+    `services` are those without one; `domains` are the failure domains that
+    are evacuated, or those of the request's homes.
+    """
+    return [
+        messages.Decision(
+            'request_refused',
+            reason,
+            {
+                'request_id': request.request_id,
+                'route': route,
+                'customer': request.customer,
+                'services': ','.join(services[:MAX_LOGGED_SERVICES]),
+                'services_without_searcher': len(services),
+                'failure_domains': ','.join(sorted(domains)),
+            },
+        ),
+        messages.Count(f'forwarding.refused.{reason}'),
+    ]
+
+
 def reject(
     request: caller_request.CallerRequest, status: int, reason: str
 ) -> list[command.Command]:
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/searcher_health.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/searcher_health.py
@@ -19,6 +19,10 @@
 MAX_EJECTION_MS = 4_000
 # An entry that lapses although its searcher is alive is back by then.
 LAPSE_MS = 10_000
+# The time over which a searcher of a failure domain that was under evacuation
+# gets its share of the requests back. It may be cold, and all nodes learn at
+# the same moment that it can be used.
+RETURN_MS = 3_000
 # Limits the time that a searcher may state in its Retry-After header.
 MAX_RETRY_AFTER_MS = 600_000
 
@@ -32,6 +36,9 @@
     searcher has stated that it is about to exit. It has asked for no requests
     before `closed_until_ms`. While its entry is missing, it is used before
     `held_until_ms`. `interval_ms` is the average time between samples.
+    While its failure domain is `evacuated`, it gets no requests; after that
+    it returns gradually from `returned_ms` on, and `return_credit` is the
+    share of a request that it has been withheld since.
     """
 
     def __init__(self) -> None:
@@ -48,6 +55,9 @@
         self.leaving = False
         self.closed_until_ms = 0
         self.held_until_ms: int | None = None
+        self.evacuated = False
+        self.returned_ms: int | None = None
+        self.return_credit = 0.0
 
     def decay(self, now_ms: int) -> None:
         """Move the averages towards their defaults by the elapsed time."""
@@ -83,7 +93,42 @@
         stated = self.replaced or self.leaving
         return stated and now_ms < departed_ms + LAPSE_MS
 
+    def set_evacuated(self, evacuated: bool, now_ms: int) -> None:
+        """Record whether the searcher's failure domain is evacuated.
+
+        What was measured before is kept.
+        """
+        if self.evacuated and not evacuated:
+            self.returned_ms = now_ms
+            self.return_credit = 0.0
+        self.evacuated = evacuated
+
+    def is_passed_over(self, now_ms: int) -> bool:
+        """Return whether other searchers go first this time.
+
+        After an evacuation the share of the requests for which the searcher
+        is considered grows from 0 to 1 within `RETURN_MS`.
+        """
+        if self.returned_ms is None:
+            return False
+        share = (now_ms - self.returned_ms) / RETURN_MS
+        if share >= 1.0:
+            self.returned_ms = None
+            return False
+        self.return_credit += share
+        if self.return_credit < 1.0:
+            return True
+        self.return_credit -= 1.0
+        return False
+
     def may_be_sent_requests(self, now_ms: int) -> bool:
+        """Return whether requests are allowed.
+
+        Evacuations, its entry and its own statements may exclude them.
+        """
+        return not self.evacuated and self.is_open(now_ms)
+
+    def is_open(self, now_ms: int) -> bool:
         """Return whether its entry and its own statements allow requests."""
         if self.replaced or self.leaving:
             return False
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/sending.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/sending.py
@@ -5,6 +5,7 @@
 from gypsumbridge_decisions.forwarding import command
 from gypsumbridge_decisions.forwarding import exchange as exchanges
 from gypsumbridge_decisions.forwarding import part_state
+from gypsumbridge_decisions.forwarding import placement
 from gypsumbridge_decisions.forwarding import retry_budget
 from gypsumbridge_decisions.forwarding import searcher as searchers
 from gypsumbridge_decisions.forwarding import send_attempt
@@ -14,6 +15,10 @@
 # All of them have stated that they leave or want no requests now, or were
 # replaced by other searchers at their addresses.
 SEARCHERS_CLOSED = 'searchers_closed'
+# All of them that the request's homes allow are in evacuated failure domains.
+EVACUATED = 'evacuated'
+# None of them is in a failure domain that the request's homes allow.
+OUTSIDE_HOMES = 'outside_homes'
 # Attempts that a searcher refused without running them, or that never left
 # this node, do not count as runs; this is their limit for each part.
 MAX_SENDS_NOT_RUN = 2
@@ -54,36 +59,53 @@
     now_ms: int,
 ) -> list[command.Command]:
     """Send the first attempt of a part if the service has a searcher."""
-    chosen = choose(state, part, now_ms)
+    chosen = choose(state, exchange, part, now_ms)
     if chosen is None:
-        record_unusable(state, part, now_ms)
+        record_unusable(state, exchange, part, now_ms)
         return []
     budget_for(state, part.service).count_request(now_ms)
     return [send(state, exchange, part, chosen, now_ms)]
 
 
 def has_usable_searcher(
-    state: states.ForwardingState, service: str, now_ms: int
+    state: states.ForwardingState,
+    exchange: exchanges.Exchange,
+    service: str,
+    now_ms: int,
 ) -> bool:
-    """Return whether any searcher of a service may be sent requests."""
+    """Return whether any searcher of a service may be sent a request."""
     for candidate in state.searchers.get(service, ()):
-        if candidate.draining:
-            continue
-        if state.health[candidate.searcher_id].may_be_sent_requests(now_ms):
+        measured = state.health[candidate.searcher_id]
+        if placement.may_be_sent(
+            candidate, measured, exchange.domains, now_ms
+        ):
             return True
     return False
 
 
 def record_unusable(
-    state: states.ForwardingState, part: part_state.PartState, now_ms: int
+    state: states.ForwardingState,
+    exchange: exchanges.Exchange,
+    part: part_state.PartState,
+    now_ms: int,
 ) -> None:
-    """Record why no searcher of a part may be sent requests."""
-    candidates = state.searchers.get(part.service, ())
-    draining = all(candidate.draining for candidate in candidates)
-    part.reason = NO_SEARCHER if draining else SEARCHERS_CLOSED
-    part.usable_at_ms = choosing.next_usable_ms(
-        candidates, state.health, now_ms
-    )
+    """Record why no searcher of a part may be sent the request."""
+    live = [
+        candidate
+        for candidate in state.searchers.get(part.service, ())
+        if not candidate.draining
+    ]
+    usable = placement.placed(live, state.health, exchange.domains)
+    part.reason = SEARCHERS_CLOSED
+    if not live:
+        part.reason = NO_SEARCHER
+    elif not usable:
+        domains = exchange.domains
+        at_home = domains is None or any(
+            candidate.failure_domain in domains for candidate in live
+        )
+        part.reason = EVACUATED if at_home else OUTSIDE_HOMES
+    part.usable_at_ms = choosing.next_usable_ms(usable, state.health, now_ms)
 
 
 def send_extra_attempt(
@@ -108,7 +130,7 @@
         return []
     if part.sends >= route.max_attempts + MAX_SENDS_NOT_RUN:
         return []
-    chosen = choose(state, part, now_ms)
+    chosen = choose(state, exchange, part, now_ms)
     if chosen is None:
         return []
     if charged and not budget_for(state, part.service).spend(now_ms):
@@ -122,18 +144,20 @@
     part: part_state.PartState,
     now_ms: int,
 ) -> list[command.Command]:
-    """Send a part once more to the only searcher of its service.
+    """Send a part once more to the only searcher that it may be sent to.
 
     A new connection is used, since the one of the first attempt may have
     lost data without being closed.
     """
-    candidates = state.searchers.get(part.service, [])
+    candidates = placement.placed(
+        state.searchers.get(part.service, ()), state.health, exchange.domains
+    )
     if len(candidates) != 1 or part.sends != 1:
         return []
     if now_ms >= exchange.expires_ms or exchange.route.max_attempts < 2:
         return []
     chosen = choosing.choose_searcher(
-        candidates, state.health, state.policy, (), now_ms
+        candidates, state.health, state.policy, (), now_ms, exchange.domains
     )
     if chosen is None or not budget_for(state, part.service).spend(now_ms):
         return []
@@ -141,7 +165,10 @@
 
 
 def choose(
-    state: states.ForwardingState, part: part_state.PartState, now_ms: int
+    state: states.ForwardingState,
+    exchange: exchanges.Exchange,
+    part: part_state.PartState,
+    now_ms: int,
 ) -> searchers.Searcher | None:
     """Return the best searcher that this part has not tried."""
     return choosing.choose_searcher(
@@ -150,6 +177,7 @@
         state.policy,
         part.tried,
         now_ms,
+        exchange.domains,
     )
 
 
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/state.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/state.py
@@ -67,6 +67,10 @@
                 return table
         return None
 
+    def table_for(self, version: int) -> route_table.RouteTable | None:
+        """Return the routes of a version, or else the newest ones."""
+        return self.table_of(version) or self.table
+
 
 def make_forwarding_state(
     policy: policies.ForwardingPolicy, started_ms: int
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/statements.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/statements.py
@@ -75,7 +75,7 @@
     now_ms: int,
 ) -> list[command.Command]:
     """Close a searcher for this node, and log it if it was open."""
-    was_open = health.may_be_sent_requests(now_ms)
+    was_open = health.is_open(now_ms)
     if stated.closed_for_ms:
         health.record_refusal(stated.closed_for_ms, now_ms)
     if stated.leaving:
--- a/packages/node/src/gypsumbridge_node/gateway/attempt_reports.py
+++ b/packages/node/src/gypsumbridge_node/gateway/attempt_reports.py
@@ -35,13 +35,14 @@
 def reject_waiting(
     context: searchers_context.SearchersContext,
     pool: searcher_pool.SearcherPool,
+    detail: str = 'searcher_closed',
 ) -> None:
-    """Fail the attempts that a searcher does not want any more.
+    """Fail the attempts that wait for a searcher that may not be used.
 
     The forwarding task sends them to other searchers.
     """
     while pool.waiting:
-        report_not_sent(context, pool.waiting.popleft(), 'searcher_closed')
+        report_not_sent(context, pool.waiting.popleft(), detail)
 
 
 def count_unusable(
--- a/packages/node/src/gypsumbridge_node/gateway/pool_checkout.py
+++ b/packages/node/src/gypsumbridge_node/gateway/pool_checkout.py
@@ -115,7 +115,8 @@
 ) -> None:
     """Return a connection to its pool, or give it to a waiting attempt.
 
-    The connection is closed if its pool was dropped and no attempt waits.
+    The connection is closed if no attempt waits and its pool was dropped, or
+    the searcher's failure domain is evacuated.
     """
     now_ms = context.runtime.clock.now_ms()
     connection.idle_since_ms = now_ms
@@ -126,7 +127,10 @@
         assign_waiting(context, pool)
         return
     key = searchers_state.pool_key(pool.searcher)
-    if context.state.pools.get(key) is not pool and not pool.waiting:
+    dropped = context.state.pools.get(key) is not pool
+    if context.state.is_evacuated(pool.searcher):
+        dropped = True
+    if dropped and not pool.waiting:
         connection.close()
         return
     pool.idle.add(connection, now_ms)
--- a/packages/node/src/gypsumbridge_node/gateway/searchers_state.py
+++ b/packages/node/src/gypsumbridge_node/gateway/searchers_state.py
@@ -39,6 +39,10 @@
         sharers = self.coordination.count_sharers(service, self.nodes)
         return max(1, int(declared * LIMIT_SHARE / sharers))
 
+    def is_evacuated(self, searcher: forwarding.Searcher) -> bool:
+        """Return whether a searcher's failure domain is evacuated."""
+        return searcher.failure_domain in self.coordination.evacuated
+
     def refresh_coordinators(self) -> None:
         """Recompute the coordinators after a change of their inputs."""
         self.coordination.refresh(self.table, self.searchers)
--- a/packages/node/src/gypsumbridge_node/gateway/settings/gateway_checks.py
+++ b/packages/node/src/gypsumbridge_node/gateway/settings/gateway_checks.py
@@ -3,6 +3,21 @@
 from gypsumbridge_node.gateway.settings import gateway_settings
 from gypsumbridge_node.settings import checks
 
+
+def check_regions(value: object) -> tuple[str, str] | None:
+    """Check pairs of a failure domain and its region."""
+    remedy = 'list domain:region for each failure domain, once each'
+    domains = set()
+    for pair in list(value):
+        domain, _, region = pair.partition(':')
+        if not domain or not region:
+            return f'{pair!r} is not domain:region', remedy
+        if domain in domains:
+            return f'{domain!r} is repeated', remedy
+        domains.add(domain)
+    return None
+
+
 VALUE_CHECKS: dict[tuple[str, str], checks.Check] = {
     ('node', 'node_id'): checks.check_name,
     ('node', 'failure_domain'): checks.check_name,
@@ -18,6 +33,7 @@
     ('discovery', 'timeout_ms'): checks.in_range(10, 60_000),
     ('discovery', 'drain_ms'): checks.in_range(100, 600_000),
     ('discovery', 'direct_nodes'): checks.in_range(0, 1_000_000),
+    ('discovery', 'regions'): check_regions,
     ('retry', 'ratio'): checks.in_range(0, 10),
     ('retry', 'allowance'): checks.in_range(0, 1_000_000),
     ('retry', 'window_s'): checks.in_range(0.1, 3_600),
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/discovery_task.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/discovery_task.py
@@ -24,6 +24,12 @@
         mailboxes.ingress.put(update)
         runtime.metrics.gauge('discovery.routes_version', update.table.version)
 
+    def publish_evacuation(update: forwarding.EvacuationChanged) -> None:
+        publish(update)
+        runtime.metrics.gauge(
+            'discovery.evacuated_domains', len(update.failure_domains)
+        )
+
     def report_ready(command: discovery.DiscoveryReady) -> None:
         mailboxes.lifecycle.put(
             messages.ServingCondition('discovery', messages.MissingReason.NONE)
@@ -41,6 +47,7 @@
             relaying.AnswerPoll: mailboxes.relay.put,
             forwarding.RoutesChanged: publish_routes,
             forwarding.SearchersChanged: publish,
+            forwarding.EvacuationChanged: publish_evacuation,
             forwarding.HoldChanged: mailboxes.forwarding.put,
             forwarding.FleetSizeChanged: publish,
             forwarding.NodesChanged: publish,
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/forwarding_task.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/forwarding_task.py
@@ -18,6 +18,7 @@
             settings.retry.ratio,
             settings.retry.allowance,
             int(settings.retry.window_s * 1000),
+            region_by_domain(settings.discovery.regions),
         ),
         runtime.clock.now_ms(),
     )
@@ -52,3 +53,12 @@
         execute(forwarding.handle(state, message, runtime.clock.now_ms()))
 
     mailboxes.forwarding.start(handle)
+
+
+def region_by_domain(pairs: tuple[str, ...]) -> dict[str, str]:
+    """Return the region of each failure domain from the settings."""
+    found = {}
+    for pair in pairs:
+        domain, _, region = pair.partition(':')
+        found[domain] = region
+    return found
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/searchers.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/searchers.py
@@ -53,6 +53,7 @@
         forwarding.SendAttempt: send,
         forwarding.CancelAttempt: cancel,
         forwarding.SearchersChanged: update_searchers,
+        forwarding.EvacuationChanged: change_evacuation,
         forwarding.RoutesChanged: change_routes,
         forwarding.FleetSizeChanged: change_fleet_size,
         forwarding.NodesChanged: change_nodes,
@@ -73,6 +74,10 @@
     pool = pool_checkout.pool_for(context, command.searcher)
     job = attempt_job.AttemptJob(command, now_ms)
     context.state.jobs[command.attempt_id] = job
+    if context.state.is_evacuated(command.searcher):
+        # It was chosen before the evacuation was known.
+        attempt_reports.report_not_sent(context, job, forwarding.EVACUATED)
+        return
     found = pool.idle.checkout(now_ms, command.max_idle_ms)
     if found is not None:
         if not attempt_sending.send_attempt(context, pool, job, found):
@@ -149,7 +154,10 @@
     context.state.refresh_coordinators()
     for found in update.searchers:
         if not found.draining:
-            pool_checkout.pool_for(context, found)
+            pool = pool_checkout.pool_for(context, found)
+            pool.searcher = found
+            if context.state.is_evacuated(found):
+                leave(context, pool)
             continue
         draining = context.state.pools.get(searchers_state.pool_key(found))
         if draining is not None:
@@ -157,6 +165,35 @@
     warm_up(context)
 
 
+def change_evacuation(
+    context: searchers_context.SearchersContext,
+    update: forwarding.EvacuationChanged,
+) -> None:
+    """Leave the evacuated failure domains, and warm up the others."""
+    state = context.state
+    state.coordination.evacuated = update.failure_domains
+    state.refresh_coordinators()
+    for pool in list(state.pools.values()):
+        if state.is_evacuated(pool.searcher):
+            leave(context, pool)
+    warm_up(context)
+
+
+def leave(
+    context: searchers_context.SearchersContext,
+    pool: searcher_pool.SearcherPool,
+) -> None:
+    """Send nothing more to the searcher of an evacuated failure domain.
+
+    Attempts in flight end by themselves; those that wait for a connection
+    are sent to other searchers.
+    """
+    attempt_reports.reject_waiting(context, pool, forwarding.EVACUATED)
+    pool.idle.close_all()
+    # A connection may be opened in advance again after the evacuation.
+    pool.warmed = False
+
+
 def warm_up(context: searchers_context.SearchersContext) -> None:
     """Open a connection to each searcher kept warm that has none.
 
@@ -208,4 +245,7 @@
         return
     if pool.is_closed(context.runtime.clock.now_ms()):
         return
+    if context.state.is_evacuated(pool.searcher):
+        pool.warmed = False
+        return
     pool_checkout.open_connection(context, pool)
--- a/tests/ctl/test_explain.py
+++ b/tests/ctl/test_explain.py
@@ -38,6 +38,22 @@
         self.assertEqual(0, status)
         self.assertEqual(['early', 'late'], [x.split()[2] for x in lines])
 
+    def test_a_refusal_because_of_an_evacuation_is_explained(self):
+        """Guards against a refused caller whose operator finds no cause."""
+        refusal = {
+            'time': '4',
+            'logger': 'n1',
+            'message': 'request_refused',
+            'reason': 'evacuated',
+            'request_id': 'e',
+            'services': 's1',
+            'failure_domains': 'z0',
+        }
+        self.first.write_text(json.dumps(refusal))
+        _, lines = self.run_explain('e', [self.first])
+        expected = 'request_refused (evacuated) services=s1 failure_domains=z0'
+        self.assertIn(expected, lines[0])
+
     def test_an_unknown_request_is_reported(self):
         """Guards against empty output that looks like success."""
         status, lines = self.run_explain('c', [self.first])
--- a/tests/platform_adapter/test_names.py
+++ b/tests/platform_adapter/test_names.py
@@ -6,8 +6,8 @@
 # A selection of the platform's names, which only the adapter may contain.
 NAMES = re.compile(
     r'gypsumbridge-(request|deadline|server|expect|not|instance|part|missing)'
-    r'|kv-(key|range|watch|txn|lease|keep)|op/config|routeType|trafficSplit'
-    r'|targetLatencyMs|maxAttempts|minCoverage|topK|warmupLeftMs'
+    r'|kv-(key|range|watch|txn|lease|keep)|op/(config|evacuate)|routeType'
+    r'|trafficSplit|targetLatencyMs|maxAttempts|minCoverage|topK|warmupLeftMs'
     r'|storeRevision|hasMore|internalPortRange|GYPSUMBRIDGE_NODE_FILE',
     re.IGNORECASE,
 )
--- a/tools/write_init.py
+++ b/tools/write_init.py
@@ -14,6 +14,7 @@
         'ASSUMED_NODES',
         'BUCKETS',
         'CONFIG_PREFIX',
+        'EVACUATED',
         'MAX_DEDUP_MUTATIONS',
         'MAX_MESSAGE_UPDATES',
         'MAX_RECORDED_PAYLOAD_BYTES',
