Play evacuations with processes and in the fault soak

Cause: evacuations were tested as decisions only. Change: a process test with two gateways under traffic, the kind evacuate in the fault soak, drawn apart from the other faults, and its check that a searcher gets nothing later than 5 s after the key was written. The stand-in's control deletes keys.

--- a/packages/standins/src/gypsumbridge_standins/fault_soak/fault_plan.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/fault_plan.py
@@ -64,6 +64,9 @@
 PLANNED_SEED_REMAINDER = 3
 # With other seeds every gateway watches the store itself, as in a small fleet.
 RELAYED_SEED_REMAINDERS = (0, 2, 3)
+# Evacuations are drawn apart from the other faults, which are therefore those
+# that a seed drew before. They last longer than the bound, so few fit.
+MEAN_EVACUATION_INTERVAL_MS = 6_000
 MEAN_INTERVAL_MS = 500
 MEAN_LENGTH_MS = 1_500
 MAX_LENGTH_MS = 6_000
@@ -99,6 +102,7 @@
                     min(int(length_ms), MAX_LENGTH_MS),
                 )
             )
+    drawn += draw_evacuations(seed, seconds)
     drawn.sort(key=lambda fault: fault.at_ms)
     return soak_plan.SoakPlan(
         seed,
@@ -107,3 +111,23 @@
         tuple(drawn),
         seed % 4 in RELAYED_SEED_REMAINDERS,
     )
+
+
+def draw_evacuations(seed: int, seconds: int) -> list[faults.Fault]:
+    """Return the evacuations of a seed, of which one runs at a time."""
+    rng = random.Random(f'evacuations {seed}')
+    drawn = []
+    at_ms = 0.0
+    while True:
+        at_ms += rng.expovariate(1 / MEAN_EVACUATION_INTERVAL_MS)
+        if at_ms >= seconds * 1_000:
+            return drawn
+        length_ms = rng.expovariate(1 / MEAN_LENGTH_MS)
+        drawn.append(
+            faults.Fault(
+                int(at_ms),
+                'evacuate',
+                rng.random(),
+                min(int(length_ms), MAX_LENGTH_MS),
+            )
+        )
--- a/packages/standins/src/gypsumbridge_standins/fault_soak/run.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/run.py
@@ -10,6 +10,7 @@
 from gypsumbridge_standins.cluster import cluster as clusters
 from gypsumbridge_standins.fault_soak import callers
 from gypsumbridge_standins.fault_soak import disturbance
+from gypsumbridge_standins.fault_soak import evacuation_checks
 from gypsumbridge_standins.fault_soak import fault as faults
 from gypsumbridge_standins.fault_soak import fault_kinds
 from gypsumbridge_standins.fault_soak import processes
@@ -92,6 +93,7 @@
         *run_checks.check_runs(state, runs),
         *statement_checks.check_leaving(state, runs),
         *statement_checks.check_refusals(state, refusals),
+        *evacuation_checks.check_evacuated(state, runs),
     ]
     state.violations += [
         violation
--- a/packages/standins/src/gypsumbridge_standins/fault_soak/soak_state.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/soak_state.py
@@ -18,7 +18,8 @@
     and of planned work by node, or under `store`, `peers` and `searchers`.
     `versions` holds when the store accepted each version of the
     configuration, and `draining` the spans in which a searcher drains;
-    `leaving` those in which its answers say that it leaves.
+    `leaving` those in which its answers say that it leaves, and `evacuated`
+    those in which a failure domain is under evacuation.
     `under_fault` names the targets of faults that exclude each other.
     `forwarded_ms` holds when the link to a gateway forwarded a request; it
     lacks requests that arrived while no process listened there.
@@ -42,6 +43,7 @@
         self.versions: dict[int, int] = {}
         self.draining: dict[str, list[span.Span]] = {}
         self.leaving: dict[str, list[span.Span]] = {}
+        self.evacuated: dict[str, list[span.Span]] = {}
         self.events: list[str] = []
         self.violations: list[str] = []
         self.under_fault: set[str] = set()
--- a/packages/standins/src/gypsumbridge_standins/users_platform/__main__.py
+++ b/packages/standins/src/gypsumbridge_standins/users_platform/__main__.py
@@ -128,6 +128,8 @@
             state.write(SCHEMA.searcher_prefix + searcher_id, None)
         for key, text in command.get('raw', {}).items():
             state.write(key, base64.b64encode(text.encode()).decode())
+        for key in command.get('deleted', ()):
+            state.write(key, None)
         if command.get('compact'):
             state.compact()
         if 'config' in command:
