--- a/packages/standins/src/gypsumbridge_standins/fault_soak/evacuation_faults.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/evacuation_faults.py
@@ -13,7 +13,7 @@
 EVACUATION = 'evacuation'
 # An evacuation lasts this long beyond the bound, so that late requests are
 # found.
-LAST_AFTER_BOUND_MS = 1_000
+LAST_AFTER_BOUND_MS = 2_000
 
 
 async def evacuate(state: soak_state.SoakState, fault: faults.Fault) -> None:
--- a/packages/standins/src/gypsumbridge_standins/fault_soak/fault_plan.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/fault_plan.py
@@ -67,6 +67,7 @@
 # Evacuations are drawn apart from the other faults, which are therefore those
 # that a seed drew before. They last longer than the bound, so few fit.
 MEAN_EVACUATION_INTERVAL_MS = 6_000
+MAX_FIRST_EVACUATION_MS = 4_000
 MEAN_INTERVAL_MS = 500
 MEAN_LENGTH_MS = 1_500
 MAX_LENGTH_MS = 6_000
@@ -117,11 +118,9 @@
     """Return the evacuations of a seed, of which one runs at a time."""
     rng = random.Random(f'evacuations {seed}')
     drawn = []
-    at_ms = 0.0
-    while True:
-        at_ms += rng.expovariate(1 / MEAN_EVACUATION_INTERVAL_MS)
-        if at_ms >= seconds * 1_000:
-            return drawn
+    # The first one begins early, so that each run has one past its bound.
+    at_ms = rng.random() * MAX_FIRST_EVACUATION_MS
+    while at_ms < seconds * 1_000:
         length_ms = rng.expovariate(1 / MEAN_LENGTH_MS)
         drawn.append(
             faults.Fault(
@@ -131,3 +130,5 @@
                 min(int(length_ms), MAX_LENGTH_MS),
             )
         )
+        at_ms += rng.expovariate(1 / MEAN_EVACUATION_INTERVAL_MS)
+    return drawn
