--- a/packages/decisions/src/gypsumbridge_decisions/discovery/command.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/command.py
@@ -18,6 +18,7 @@
     | forwarding.EvacuationChanged
     | forwarding.FleetSizeChanged
     | forwarding.NodesChanged
+    | forwarding.CopyConfirmed
     | discovery_ready.DiscoveryReady
     | relaying.WatchPeer
     | relaying.AnswerPoll
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/placement.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/placement.py
@@ -27,15 +27,15 @@
 ) -> Domains:
     """Return the failure domains in the homes of the route and the customer.
 
-    Both restrict the request. It may run nowhere if its customer is not in
-    `table`, since that customer's homes are unknown.
+    Both restrict the request. It may run nowhere if its customer is not among
+    those of `table`, since that customer's homes are unknown.
     """
     homes = [frozenset(route.homes)] if route.homes else []
-    if request.customer:
-        known = table.customers if table is not None else None
-        if known is None or request.customer not in known.customers:
+    customers = table.customers if table is not None else None
+    if request.customer and customers is not None:
+        found = customers.customers.get(request.customer)
+        if found is None:
             return NOWHERE
-        found = known.customers[request.customer]
         if found.homes:
             homes.append(frozenset(found.homes))
     if not homes:
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/discovery_task.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/discovery_task.py
@@ -30,6 +30,9 @@
             'discovery.evacuated_domains', len(update.failure_domains)
         )
 
+    def publish_confirmation(update: forwarding.CopyConfirmed) -> None:
+        mailboxes.forwarding.put(update)
+
     def report_ready(command: discovery.DiscoveryReady) -> None:
         mailboxes.lifecycle.put(
             messages.ServingCondition('discovery', messages.MissingReason.NONE)
@@ -51,6 +54,7 @@
             forwarding.HoldChanged: mailboxes.forwarding.put,
             forwarding.FleetSizeChanged: publish,
             forwarding.NodesChanged: publish,
+            forwarding.CopyConfirmed: publish_confirmation,
         },
     )
 
