--- a/tests/node/gateway/test_new_connections.py
+++ b/tests/node/gateway/test_new_connections.py
@@ -224,3 +224,70 @@
         self.send(max_idle_ms=0)
         self.assertFalse(self.idle.reusable)
         self.assertEqual(1, self.pool.size())
+
+    def evacuate(self, *domains):
+        update = forwarding.EvacuationChanged(frozenset(domains))
+        searchers.change_evacuation(self.context, update)
+
+    def publish(self):
+        update = forwarding.SearchersChanged(2, (self.searcher,))
+        searchers.update_searchers(self.context, update)
+
+    def assert_evacuated(self, attempt_id):
+        (ended,) = self.ended
+        self.assertEqual(attempt_id, ended.attempt_id)
+        self.assertEqual(forwarding.AttemptOutcome.NOT_SENT, ended.outcome)
+        self.assertEqual(forwarding.EVACUATED, ended.detail)
+        self.ended.clear()
+
+    def test_waiting_attempts_do_not_reach_an_evacuated_searcher(self):
+        """Guards against requests that are sent after an evacuation.
+
+        The attempt in flight ends by itself, and its connection is closed.
+        """
+        self.send(max_idle_ms=None, attempt_id=1)
+        self.send(max_idle_ms=None, attempt_id=2)
+        self.evacuate('d1')
+        self.assert_evacuated(2)
+        reply = http_reply.HttpReply(
+            200, headers_type.make_headers(()), b'', True
+        )
+        pool_checkout.handle_reply(self.context, self.pool, self.idle, reply)
+        (ended,) = self.ended
+        self.assertEqual(1, ended.attempt_id)
+        self.assertEqual([], self.pool.idle.connections)
+
+    def test_a_connection_that_opens_after_an_evacuation_is_closed(self):
+        """Guards against an attempt that is sent when it opens."""
+        self.send(max_idle_ms=0)
+        self.evacuate('d1')
+        self.assert_evacuated(1)
+        self.assertFalse(self.open_next().reusable)
+        self.assertEqual({}, self.context.state.jobs)
+
+    def test_an_attempt_chosen_before_an_evacuation_is_not_sent(self):
+        """Guards against a command that arrives after the evacuation.
+
+        The failure domain is that of the searcher's newest entry.
+        """
+        self.evacuate('d2')
+        self.searcher = gateway_case.make_searcher('s1-d1', 's1', 'd2')
+        self.send(max_idle_ms=None)
+        self.assert_evacuated(1)
+        self.publish()
+        self.assertFalse(self.idle.reusable)
+
+    def test_no_connection_is_opened_in_advance_during_an_evacuation(self):
+        """Guards against connections that were planned before it.
+
+        They are opened after it.
+        """
+        self.context.state.nodes = 1
+        self.idle.reusable = False
+        self.pool.idle.close_all()
+        self.publish()
+        for domains, expected in ((('d1',), 0), ((), 1)):
+            self.evacuate(*domains)
+            self.publish()
+            self.reactor.advance(1)
+            self.assertEqual(expected, len(self.reactor.tcpClients))
