--- a/tests/node/gateway/test_new_connections.py
+++ b/tests/node/gateway/test_new_connections.py
@@ -270,12 +270,15 @@
 
         The failure domain is that of the searcher's newest entry.
         """
+        self.context.state.nodes = 1
         self.evacuate('d2')
         self.searcher = gateway_case.make_searcher('s1-d1', 's1', 'd2')
         self.send(max_idle_ms=None)
         self.assert_evacuated(1)
         self.publish()
         self.assertFalse(self.idle.reusable)
+        self.reactor.advance(1)
+        self.assertEqual([], self.reactor.tcpClients)
 
     def test_no_connection_is_opened_in_advance_during_an_evacuation(self):
         """Guards against connections that were planned before it.
