Play evacuations behind late relays

Cause: a node in contact must know of an evacuation within 5 s also when its relay is frozen or lost, and no fixed plan played that. Change: a plan for the fault soak with six gateways whose relays are paused, or killed and cut off, while failure domains are evacuated.

--- a/tests/processes/test_fault_soak.py
+++ b/tests/processes/test_fault_soak.py
@@ -52,3 +52,7 @@
         for name in REGRESSIONS:
             with self.subTest(plan=name):
                 self.run_soak('--plan', str(PLANS / f'{name}.json'))
+
+    def test_an_evacuation_behind_late_relays(self):
+        """Guards against nodes that wait for a frozen or lost relay."""
+        self.run_soak('--plan', str(PLANS / 'late_evacuation.json'))
