--- a/packages/ctl/src/gypsumbridge_ctl/commands/hints.py
+++ b/packages/ctl/src/gypsumbridge_ctl/commands/hints.py
@@ -17,6 +17,14 @@
         'status 503: the node may be behind this version, so another node may'
         ' know the route'
     ),
+    'evacuated': (
+        'status 503: all searchers of these services that the homes allow are'
+        ' in failure domains under evacuation'
+    ),
+    'outside_homes': (
+        'status 503: no searcher of these services is in a home region of the'
+        ' route and the customer'
+    ),
 }
 
 
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/state.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/state.py
@@ -20,6 +20,7 @@
     `store_failed` is set when a call of this node to the store has failed
     since. The copy was the store's newest at `proven_ms` or later, on the
     clock that counts suspended time; None if that was never proven.
+    `evacuated` holds the failure domains under evacuation.
     """
 
     def __init__(
@@ -47,6 +48,7 @@
         self.searchers: dict[str, forwarding.Searcher] = {}
         self.removals: dict[str, int] = {}
         self.nodes: set[str] = set()
+        self.evacuated: set[str] = set()
         self.writing_node = False
         self.node_written = False
 
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/exchange.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/exchange.py
@@ -3,6 +3,7 @@
 from gypsumbridge_decisions.forwarding import attempt_ended
 from gypsumbridge_decisions.forwarding import caller_request
 from gypsumbridge_decisions.forwarding import part_state
+from gypsumbridge_decisions.forwarding import placement
 from gypsumbridge_decisions.forwarding import ranking
 from gypsumbridge_decisions.forwarding import route as routes
 from gypsumbridge_decisions.forwarding import searcher_statement
@@ -21,7 +22,8 @@
     services and adds the other parts. `groups` holds the ids of the
     delegations of this request's own groups, and `statements` what
     searchers have stated in their answers to it. `rank` is the customer's,
-    or else the route's.
+    or else the route's. It is sent to the failure `domains` of its homes
+    only, or to any without homes.
     """
 
     def __init__(
@@ -32,6 +34,7 @@
         services: tuple[str, ...],
         expires_ms: int,
         partial: bool = False,
+        domains: placement.Domains = None,
     ) -> None:
         self.request = request
         self.route = route
@@ -50,6 +53,7 @@
         self.hedge_postponed = False
         self.objective_passed = False
         self.partial = partial
+        self.domains = domains
         self.groups: set[int] = set()
         self.statements: list[searcher_statement.SearcherStatement] = []
 
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/discovery_task.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/discovery_task.py
@@ -24,6 +24,12 @@
         mailboxes.ingress.put(update)
         runtime.metrics.gauge('discovery.routes_version', update.table.version)
 
+    def publish_evacuation(update: forwarding.EvacuationChanged) -> None:
+        publish(update)
+        runtime.metrics.gauge(
+            'discovery.evacuated_domains', len(update.failure_domains)
+        )
+
     def publish_confirmation(update: forwarding.CopyConfirmed) -> None:
         mailboxes.forwarding.put(update)
 
@@ -44,6 +50,7 @@
             relaying.AnswerPoll: mailboxes.relay.put,
             forwarding.RoutesChanged: publish_routes,
             forwarding.SearchersChanged: publish,
+            forwarding.EvacuationChanged: publish_evacuation,
             forwarding.HoldChanged: mailboxes.forwarding.put,
             forwarding.FleetSizeChanged: publish,
             forwarding.NodesChanged: publish,
--- a/tests/node/gateway/test_edges.py
+++ b/tests/node/gateway/test_edges.py
@@ -17,6 +17,8 @@
 from gypsumbridge_node.gateway import api_client_state
 from gypsumbridge_node.gateway import daemon
 from gypsumbridge_node.gateway import server_connection
+from gypsumbridge_node.gateway.settings import gateway_checks
+from gypsumbridge_node.gateway.tasks import forwarding_task
 from gypsumbridge_node.gateway.tasks import store
 from gypsumbridge_platform import platform_adapter
 from gypsumbridge_platform import routes
@@ -223,3 +225,19 @@
                     path.write_text(text[:length])
                     with self.assertRaises(errors.SettingsError):
                         daemon.load_settings(path)
+
+    def test_regions_of_failure_domains(self):
+        """Guards against homes that no failure domain is in.
+
+        Where the platform names no regions, the list is empty.
+        """
+        check = gateway_checks.VALUE_CHECKS['discovery', 'regions']
+        for pairs, expected in (
+            ((), {}),
+            (('z0:east', 'z1:west'), {'z0': 'east', 'z1': 'west'}),
+        ):
+            self.assertIsNone(check(pairs))
+            found = forwarding_task.region_by_domain(pairs)
+            self.assertEqual(expected, found)
+        for pairs in (('z0',), ('z0:',), (':east',), ('z0:east', 'z0:west')):
+            self.assertIsNotNone(check(pairs))
--- a/tests/platform_adapter/test_names.py
+++ b/tests/platform_adapter/test_names.py
@@ -7,8 +7,8 @@
 NAMES = re.compile(
     r'gypsumbridge-(request|deadline|server|expect|not|instance|part|missing'
     r'|credential|tenant)|tenants|apiKeys|ratePerS|allowedRegions'
-    r'|kv-(key|range|watch|txn|lease|keep)|op/config|routeType|trafficSplit'
-    r'|targetLatencyMs|maxAttempts|minCoverage|topK|warmupLeftMs'
+    r'|kv-(key|range|watch|txn|lease|keep)|op/(config|evacuate)|routeType'
+    r'|trafficSplit|targetLatencyMs|maxAttempts|minCoverage|topK|warmupLeftMs'
     r'|storeRevision|hasMore|internalPortRange|GYPSUMBRIDGE_NODE_FILE',
     re.IGNORECASE,
 )
