Give regions as a JSON object, and skip placeholders that are not filled in

Change: regions are read from {{zones|json}}. A value that is still a placeholder, and an empty number, have their defaults.

--- a/packages/node/src/gypsumbridge_node/gateway/settings/discovery_settings.py
+++ b/packages/node/src/gypsumbridge_node/gateway/settings/discovery_settings.py
@@ -10,11 +10,11 @@
     A searcher whose entry was deleted may be sent requests for `drain_ms`.
     In a fleet of up to `direct_nodes` nodes, every node watches the store;
     in a larger one a few do and relay the updates to the others. `regions`
-    names the region of each failure domain, as `domain:region`.
+    is a JSON object with the region of each failure domain.
     """
 
     store_address: str
     timeout_ms: int = 1_500
     drain_ms: int = 3_000
     direct_nodes: int = 10
-    regions: tuple[str, ...] = ()
+    regions: str = ''
--- a/packages/node/src/gypsumbridge_node/gateway/settings/gateway_checks.py
+++ b/packages/node/src/gypsumbridge_node/gateway/settings/gateway_checks.py
@@ -1,20 +1,19 @@
 """Validation of the gateway's settings."""
 
+import msgspec
+
 from gypsumbridge_node.gateway.settings import gateway_settings
+from gypsumbridge_node.gateway.settings import regions
 from gypsumbridge_node.settings import checks
 
 
 def check_regions(value: object) -> tuple[str, str] | None:
-    """Check pairs of a failure domain and its region."""
-    remedy = 'list domain:region for each failure domain, once each'
-    domains = set()
-    for pair in list(value):
-        domain, _, region = pair.partition(':')
-        if not domain or not region:
-            return f'{pair!r} is not domain:region', remedy
-        if domain in domains:
-            return f'{domain!r} is repeated', remedy
-        domains.add(domain)
+    """Check the JSON object of the failure domains' regions."""
+    remedy = 'give a JSON object with the region of each failure domain'
+    try:
+        regions.decode_regions(str(value))
+    except msgspec.MsgspecError as error:
+        return str(error), remedy
     return None
 
 
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/forwarding_task.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/forwarding_task.py
@@ -6,6 +6,7 @@
 from gypsumbridge_decisions import messages
 from gypsumbridge_node import execute as executors
 from gypsumbridge_node.gateway import runtime as runtimes
+from gypsumbridge_node.gateway.settings import regions
 
 
 def start_forwarding_task(runtime: runtimes.GatewayRuntime) -> None:
@@ -18,7 +19,7 @@
             settings.retry.ratio,
             settings.retry.allowance,
             int(settings.retry.window_s * 1000),
-            region_by_domain(settings.discovery.regions),
+            regions.decode_regions(settings.discovery.regions),
         ),
         runtime.clock.now_ms(),
     )
@@ -56,12 +57,3 @@
         )
 
     mailboxes.forwarding.start(handle)
-
-
-def region_by_domain(pairs: tuple[str, ...]) -> dict[str, str]:
-    """Return the region of each failure domain from the settings."""
-    found = {}
-    for pair in pairs:
-        domain, _, region = pair.partition(':')
-        found[domain] = region
-    return found
--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -394,9 +394,7 @@
         role = tomllib.loads(text)['roles']['gateway']
         template = (ROOT / role['template']).read_text()
         path = self.folder / f'{self.name}.ini'
-        # The deployments of the review name no regions.
-        plain = re.sub(r'{{#zones}}.*{{/zones}}', '', template)
-        path.write_text(re.sub(r'{{([\w.]+)}}', self.field, plain))
+        path.write_text(re.sub(r'{{([\w.]+)}}', self.field, template))
         self.starts += 1
         kept = ('PATH', 'HOME', 'LANG')
         variables = {k: v for k, v in os.environ.items() if k in kept}
--- a/tests/node/gateway/test_edges.py
+++ b/tests/node/gateway/test_edges.py
@@ -18,7 +18,7 @@
 from gypsumbridge_node.gateway import daemon
 from gypsumbridge_node.gateway import server_connection
 from gypsumbridge_node.gateway.settings import gateway_checks
-from gypsumbridge_node.gateway.tasks import forwarding_task
+from gypsumbridge_node.gateway.settings import regions
 from gypsumbridge_node.gateway.tasks import store
 from gypsumbridge_platform import platform_adapter
 from gypsumbridge_platform import routes
@@ -229,15 +229,16 @@
     def test_regions_of_failure_domains(self):
         """Guards against homes that no failure domain is in.
 
-        Where the platform names no regions, the list is empty.
+        Where the platform names no regions, the value is empty.
         """
         check = gateway_checks.VALUE_CHECKS['discovery', 'regions']
-        for pairs, expected in (
-            ((), {}),
-            (('z0:east', 'z1:west'), {'z0': 'east', 'z1': 'west'}),
+        for value, expected in (
+            ('', {}),
+            ('{}', {}),
+            ('{"z0":"east","z1":"west"}', {'z0': 'east', 'z1': 'west'}),
         ):
-            self.assertIsNone(check(pairs))
-            found = forwarding_task.region_by_domain(pairs)
-            self.assertEqual(expected, found)
-        for pairs in (('z0',), ('z0:',), (':east',), ('z0:east', 'z0:west')):
-            self.assertIsNotNone(check(pairs))
+            self.assertIsNone(check(value))
+            self.assertEqual(expected, regions.decode_regions(value))
+        for value in ('d1:r1', '{"d1":1}', '["d1"]', '{"d1":"r1"'):
+            problem, remedy = check(value)
+            self.assertIn('region of each failure domain', remedy)
--- a/tests/node/settings/test_load.py
+++ b/tests/node/settings/test_load.py
@@ -69,6 +69,14 @@
                 self.assertIn(f'{path}: [{section}] {key} = {value}', lines[0])
                 self.assertIn('; ', lines[0])
 
+    def test_a_value_that_the_template_left_open_has_its_default(self):
+        """Guards against a node that does not start on an older platform."""
+        defaults = load.load_settings(write(self.folder))
+        for value in ('', '{{bounds.timeoutMs|json}}'):
+            with self.subTest(value=value):
+                path = write(self.folder, [('store', 'timeout_ms', value)])
+                self.assertEqual(defaults, load.load_settings(path))
+
     def test_all_problems_are_reported_at_once(self):
         """Guards against having to start the node once for each mistake."""
         changes = [BAD[0], BAD[3], BAD[9], BAD[13]]
