Add the settings of quotas

Cause: nodes need the bounds of customers' quotas, and other deployments of the platform do not state them. An empty value of a key that has a default now leaves the default, since a placeholder without a value renders as nothing; texts may still be empty, and a required key still refuses the start.

--- a/packages/node/src/gypsumbridge_node/gateway/settings/gateway_checks.py
+++ b/packages/node/src/gypsumbridge_node/gateway/settings/gateway_checks.py
@@ -3,6 +3,10 @@
 from gypsumbridge_node.gateway.settings import gateway_settings
 from gypsumbridge_node.settings import checks
 
+# A candidate probes each holder once a second, and most nodes are candidates
+# of few partitions only as long as there are few.
+MAX_PARTITIONS = 64
+
 VALUE_CHECKS: dict[tuple[str, str], checks.Check] = {
     ('node', 'node_id'): checks.check_name,
     ('node', 'failure_domain'): checks.check_name,
@@ -21,6 +25,12 @@
     ('retry', 'ratio'): checks.in_range(0, 10),
     ('retry', 'allowance'): checks.in_range(0, 1_000_000),
     ('retry', 'window_s'): checks.in_range(0.1, 3_600),
+    ('quota', 'window_s'): checks.in_range(0.1, 3_600),
+    ('quota', 'overshoot'): checks.in_range(0, 10),
+    ('quota', 'slack'): checks.in_range(0, 1_000_000),
+    ('quota', 'partitions'): checks.in_range(1, MAX_PARTITIONS),
+    ('quota', 'holder_ttl_s'): checks.in_range(1, 3_600),
+    ('quota', 'first_start'): checks.accept_any,
     ('stop', 'grace_s'): checks.in_range(1, 3_600),
     ('stop', 'balancer_lag_ms'): checks.in_range(0, 600_000),
     ('log', 'level'): checks.one_of(checks.LOG_LEVELS),
--- a/packages/node/src/gypsumbridge_node/settings/checks.py
+++ b/packages/node/src/gypsumbridge_node/settings/checks.py
@@ -36,6 +36,11 @@
     return check
 
 
+def accept_any(value: object) -> tuple[str, str] | None:
+    """Accept every value that has the type of its field."""
+    return None
+
+
 def check_name(value: object) -> tuple[str, str] | None:
     """Check a node id, a failure domain or a prefix of metrics."""
     text = str(value)
--- a/packages/node/src/gypsumbridge_node/settings/load.py
+++ b/packages/node/src/gypsumbridge_node/settings/load.py
@@ -109,7 +109,7 @@
     converted: dict[str, Any] = {}
     for name, field in fields.items():
         converted[name] = None
-        if name in values:
+        if name in values and not _is_left_out(field, values[name]):
             problem = _read_value(
                 section, field, values[name], converted, value_checks
             )
@@ -125,6 +125,17 @@
     return section_type(**converted)
 
 
+def _is_left_out(field: dataclasses.Field[Any], text: str) -> bool:
+    """Return whether an empty value stands for the default.
+
+    A template's placeholder without a value is rendered as nothing. Texts
+    may be empty, and a key without a default must have a value.
+    """
+    if text or field.type is str:
+        return False
+    return field.default is not dataclasses.MISSING
+
+
 def _read_value(
     section: str,
     field: dataclasses.Field[Any],
