Follow the holders of partitions in the store, and write them conditionally

Cause: the holder of a partition is named by quotas/P, and a candidate may only replace the entry that it has seen (docs/customers.md 2.2). Change: discovery decodes the prefix and publishes HoldersChanged with the revision of each entry; a deleted or unreadable entry names nobody. The adapter encodes a write on the condition of a revision, and the stand-in's store applies it.

--- a/packages/decisions/src/gypsumbridge_decisions/discovery/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/__init__.py
@@ -19,9 +19,6 @@
 from gypsumbridge_decisions.discovery.applying import (
     schedule_removal as schedule_removal,
 )
-from gypsumbridge_decisions.discovery.applying import (
-    skip_record as skip_record,
-)
 from gypsumbridge_decisions.discovery.command import Command as Command
 from gypsumbridge_decisions.discovery.discovery_ready import (
     DiscoveryReady as DiscoveryReady,
@@ -30,6 +27,18 @@
 from gypsumbridge_decisions.discovery.history_lost import (
     HistoryLost as HistoryLost,
 )
+from gypsumbridge_decisions.discovery.holders import (
+    apply_holder as apply_holder,
+)
+from gypsumbridge_decisions.discovery.holders import (
+    partition_of as partition_of,
+)
+from gypsumbridge_decisions.discovery.holders import (
+    publish_holders as publish_holders,
+)
+from gypsumbridge_decisions.discovery.holders import (
+    removed_holders as removed_holders,
+)
 from gypsumbridge_decisions.discovery.list_store import ListStore as ListStore
 from gypsumbridge_decisions.discovery.listing import apply_list as apply_list
 from gypsumbridge_decisions.discovery.listing import (
@@ -58,6 +67,9 @@
     ResumeTimer as ResumeTimer,
 )
 from gypsumbridge_decisions.discovery.schema import StoreSchema as StoreSchema
+from gypsumbridge_decisions.discovery.skipping import (
+    skip_record as skip_record,
+)
 from gypsumbridge_decisions.discovery.state import (
     DiscoveryState as DiscoveryState,
 )
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/applying.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/applying.py
@@ -5,7 +5,9 @@
 from gypsumbridge_decisions import messages
 from gypsumbridge_decisions import relaying
 from gypsumbridge_decisions.discovery import command
+from gypsumbridge_decisions.discovery import holders
 from gypsumbridge_decisions.discovery import removal_timer
+from gypsumbridge_decisions.discovery import skipping
 from gypsumbridge_decisions.discovery import state as states
 
 # A request that was sent just before the removal arrives within this time.
@@ -22,6 +24,7 @@
     searchers_changed = False
     nodes_before = len(state.nodes)
     peers_changed = False
+    holders_changed = False
     for record in records:
         if record.key == state.schema.routes_key:
             commands += apply_routes(state, record)
@@ -31,6 +34,11 @@
             peers_changed = peers_changed or changed
             commands += more
             continue
+        if record.key.startswith(state.schema.holder_prefix):
+            changed, more = holders.apply_holder(state, record)
+            holders_changed = holders_changed or changed
+            commands += more
+            continue
         if record.key.startswith(state.schema.searcher_prefix):
             changed, more = apply_searcher(state, record, now_ms)
             searchers_changed = searchers_changed or changed
@@ -45,6 +53,8 @@
     if peers_changed:
         nodes = tuple(state.relay.peers.values())
         fleet.append(forwarding.NodesChanged(nodes))
+    if holders_changed:
+        fleet.append(holders.publish_holders(state))
     # The hold of a new searcher follows its first publication.
     return fleet + published + commands
 
@@ -67,11 +77,11 @@
     replaced by a value that cannot be decoded.
     """
     if record.value is None:
-        return skip_record(record, 'routes were deleted')
+        return skipping.skip_record(record, 'routes were deleted')
     try:
         table = state.schema.decode_routes(record.value)
     except errors.FrameError as error:
-        return skip_record(record, str(error))
+        return skipping.skip_record(record, str(error))
     if state.routes_version is not None:
         if table.version <= state.routes_version:
             return []
@@ -95,7 +105,7 @@
     try:
         found = state.schema.decode_node(node_id, record.value)
     except errors.FrameError as error:
-        return False, skip_record(record, str(error))
+        return False, skipping.skip_record(record, str(error))
     changed = state.relay.peers.get(node_id) != found
     state.relay.peers[node_id] = found
     return changed, []
@@ -120,7 +130,7 @@
         found = state.schema.decode_searcher(searcher_id, record.value)
     except errors.FrameError as error:
         return False, [
-            *skip_record(record, str(error)),
+            *skipping.skip_record(record, str(error)),
             *schedule_removal(state, searcher_id, now_ms),
         ]
     commands: list[command.Command] = []
@@ -169,17 +179,3 @@
         messages.Decision('searchers_removed', 'entry_missing', fields),
         publish_searchers(state),
     ]
-
-
-def skip_record(
-    record: relaying.StoreRecord, error: str
-) -> list[command.Command]:
-    """Log and count a record that is ignored."""
-    return [
-        messages.Decision(
-            'store_record_skipped',
-            error,
-            {'key': record.key, 'revision': record.revision},
-        ),
-        messages.Count('discovery.records_skipped'),
-    ]
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/command.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/command.py
@@ -2,6 +2,7 @@
 
 from gypsumbridge_decisions import forwarding
 from gypsumbridge_decisions import messages
+from gypsumbridge_decisions import quotas
 from gypsumbridge_decisions import relaying
 from gypsumbridge_decisions.discovery import discovery_ready
 from gypsumbridge_decisions.discovery import list_store
@@ -17,6 +18,7 @@
     | forwarding.HoldChanged
     | forwarding.FleetSizeChanged
     | forwarding.NodesChanged
+    | quotas.HoldersChanged
     | discovery_ready.DiscoveryReady
     | relaying.WatchPeer
     | relaying.AnswerPoll
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/listing.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/listing.py
@@ -3,6 +3,7 @@
 from gypsumbridge_decisions import messages
 from gypsumbridge_decisions import relaying
 from gypsumbridge_decisions.discovery import command
+from gypsumbridge_decisions.discovery import holders
 from gypsumbridge_decisions.discovery import resume_timer
 from gypsumbridge_decisions.discovery import state as states
 from gypsumbridge_decisions.discovery import store_listed
@@ -61,6 +62,7 @@
         for name in state.searchers
         if prefix + name not in keys
     )
+    removed += holders.removed_holders(state, keys, listed.revision)
     return syncing.apply(state, present + removed, now_ms)
 
 
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/schema.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/schema.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from gypsumbridge_decisions import forwarding
+from gypsumbridge_decisions import quotas
 from gypsumbridge_decisions import relaying
 
 
@@ -13,7 +14,8 @@
 
     The decoders raise FrameError for an invalid value.
     `decode_searcher` and `decode_node` get the id, which is the key without
-    its prefix.
+    its prefix. `decode_holder` gets the partition, whose number follows the
+    prefix, and returns a record without a revision.
     """
 
     routes_key: str
@@ -22,3 +24,5 @@
     decode_routes: Callable[[bytes], forwarding.RouteTable]
     decode_searcher: Callable[[str, bytes], forwarding.Searcher]
     decode_node: Callable[[str, bytes], relaying.PeerNode]
+    holder_prefix: str
+    decode_holder: Callable[[int, bytes], quotas.HolderRecord]
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/state.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/state.py
@@ -1,6 +1,7 @@
 """State of the discovery task."""
 
 from gypsumbridge_decisions import forwarding
+from gypsumbridge_decisions import quotas
 from gypsumbridge_decisions import relaying
 from gypsumbridge_decisions.discovery import removal_hold
 from gypsumbridge_decisions.discovery import schema as schemas
@@ -18,7 +19,8 @@
     latest. While updates may be missing, because of a peer or after a stale
     list, `missed_since_ms` is the time of the last answer before that;
     `store_failed` is set when a call of this node to the store has failed
-    since.
+    since. `holders` has the last known entry of each partition, also of those
+    whose entry was deleted.
     """
 
     def __init__(
@@ -45,6 +47,7 @@
         self.searchers: dict[str, forwarding.Searcher] = {}
         self.removals: dict[str, int] = {}
         self.nodes: set[str] = set()
+        self.holders: dict[int, quotas.HolderRecord] = {}
         self.writing_node = False
         self.node_written = False
 
--- a/packages/node/src/gypsumbridge_node/gateway/adapter.py
+++ b/packages/node/src/gypsumbridge_node/gateway/adapter.py
@@ -15,9 +15,11 @@
 
     The functions make no decisions. The encoders return requests to the
     store. `encode_list` gets the key after which the page begins, and
-    whether the list may be some seconds old. The decoders get the body of a
-    successful response; they raise FrameError for a body that they cannot
-    decode. `ready_path` is the path that the load balancer polls.
+    whether the list may be some seconds old, `encode_conditional_put` the
+    revision that the key must still have, 0 if it must not exist. The
+    decoders get the body of a successful response; they raise FrameError for
+    a body that they cannot decode. `decode_written` returns the revision of
+    the write. `ready_path` is the path that the load balancer polls.
     """
 
     headers: header_names.HeaderNames
@@ -28,3 +30,7 @@
     encode_watch: Callable[[int, int], http_request.HttpRequest]
     decode_watch: Callable[[bytes], discovery.StoreChanged]
     encode_put: Callable[[str, bytes], http_request.HttpRequest]
+    encode_conditional_put: Callable[
+        [str, bytes, int], http_request.HttpRequest
+    ]
+    decode_written: Callable[[bytes], int]
--- a/packages/standins/src/gypsumbridge_standins/users_platform/store_site.py
+++ b/packages/standins/src/gypsumbridge_standins/users_platform/store_site.py
@@ -11,6 +11,7 @@
 from gypsumbridge_platform import range_body
 from gypsumbridge_platform import store_calls
 from gypsumbridge_platform import watch_body
+from gypsumbridge_platform import written_body
 from gypsumbridge_standins.users_platform import platform_state
 
 # Small, so that listing a few searchers takes several pages.
@@ -38,15 +39,35 @@
         elif path == store_calls.WATCH_PATH:
             watch(reactor, state, connection, query)
         elif path == store_calls.WRITE_PATH:
-            for put in msgspec.json.decode(request.body)['puts']:
-                state.write(put['key'], put['value'])
-            connection.respond(200, (), b'{}')
+            write(state, connection, msgspec.json.decode(request.body))
         else:
             connection.respond(404, (), b'')
 
     return handle
 
 
+def write(
+    state: platform_state.PlatformState,
+    connection: server_connection.ServerConnection,
+    body: dict[str, Any],
+) -> None:
+    """Write the keys of a transaction if its preconditions hold.
+
+    The revision of a key that does not exist is 0.
+    """
+    for condition in body['precondition']:
+        current = state.items.get(condition['key'])
+        if condition['revision'] != (current.revision if current else 0):
+            connection.respond(412, (), b'{}')
+            return
+    for put in body['puts']:
+        state.write(put['key'], put['value'])
+    for key in body['remove']:
+        state.write(key, None)
+    written = written_body.WrittenBody(state.revision)
+    connection.respond(200, (), msgspec.json.encode(written))
+
+
 def list_range(
     state: platform_state.PlatformState, query: dict[str, str]
 ) -> range_body.RangeBody:
--- a/tests/decisions/discovery/test_discovery.py
+++ b/tests/decisions/discovery/test_discovery.py
@@ -5,6 +5,7 @@
 from gypsumbridge_decisions import errors
 from gypsumbridge_decisions import forwarding
 from gypsumbridge_decisions import messages
+from gypsumbridge_decisions import quotas
 from gypsumbridge_decisions import relaying
 
 
@@ -31,6 +32,12 @@
     return relaying.PeerNode(node_id, address, domain, 1.0)
 
 
+def decode_holder(partition, value):
+    if value == b'bad':
+        raise errors.FrameError('bad', 'write it again')
+    return quotas.HolderRecord(partition, value.decode(), 1, 0)
+
+
 SCHEMA = discovery.StoreSchema(
     'routes',
     'searchers/',
@@ -38,6 +45,8 @@
     decode_routes,
     decode_searcher,
     decode_node,
+    'quotas/',
+    decode_holder,
 )
 DRAIN_MS = 3_000
 HOLD_MS = 2_000
@@ -365,3 +374,52 @@
         self.handle(discovery.NodeWritten(True))
         commands = self.change(nodes_n1=b'bad')
         self.assertNotIn(discovery.WriteNode(self.own), commands)
+
+    def holders(self, commands):
+        found = [c for c in commands if isinstance(c, quotas.HoldersChanged)]
+        self.assertLessEqual(len(found), 1)
+        return found[0].records if found else None
+
+    def test_holders_are_published_with_their_revisions(self):
+        """Guards against a holder's write on a revision that is gone."""
+        commands = self.list(routes=b'1', quotas_0=b'n1', quotas_1=b'n2')
+        self.assertEqual(
+            (
+                quotas.HolderRecord(0, 'n1', 1, 2),
+                quotas.HolderRecord(1, 'n2', 1, 3),
+            ),
+            self.holders(commands),
+        )
+        self.assertIsNone(self.holders(self.change(routes=b'2')))
+        commands = self.change(quotas_1=b'n2')
+        self.assertEqual(
+            quotas.HolderRecord(1, 'n2', 1, self.revision),
+            self.holders(commands)[1],
+        )
+
+    def test_a_deleted_or_unusable_entry_names_nobody(self):
+        """Guards against grants of a node that the store does not name."""
+        self.list(routes=b'1', quotas_0=b'n1', quotas_1=b'n2')
+        commands = self.change(quotas_0=None, quotas_1=b'bad')
+        self.assertEqual(
+            (
+                quotas.HolderRecord(0, '', 1, 0),
+                quotas.HolderRecord(1, '', 1, self.revision),
+            ),
+            self.holders(commands),
+        )
+        self.assertIn(messages.Count('discovery.records_skipped'), commands)
+        for key in ('quotas_01', 'quotas_x', 'quotas_', 'quotas_99999'):
+            commands = self.change(**{key: b'n1'})
+            self.assertIsNone(self.holders(commands))
+            skipped = messages.Count('discovery.records_skipped')
+            self.assertIn(skipped, commands)
+
+    def test_an_entry_that_a_list_lacks_names_nobody(self):
+        """Guards against a holder whose entry was deleted unnoticed."""
+        self.list(routes=b'1', quotas_0=b'n1')
+        self.handle(discovery.HistoryLost('compacted'))
+        commands = self.list(routes=b'1')
+        self.assertEqual(
+            (quotas.HolderRecord(0, '', 1, 0),), self.holders(commands)
+        )
--- a/tests/platform_adapter/test_hostile_values.py
+++ b/tests/platform_adapter/test_hostile_values.py
@@ -17,6 +17,7 @@
 from gypsumbridge_platform import searchers
 from gypsumbridge_platform import store_calls
 from gypsumbridge_wire import addresses
+from gypsumbridge_wire import holders
 from gypsumbridge_wire import relay
 from tests.platform_adapter import test_decoding
 from tests.wire import hostile
@@ -255,6 +256,8 @@
                     routes.decode_routes,
                     searchers.decode_searcher,
                     relay.decode_node,
+                    'quotas/',
+                    holders.decode_holder,
                 ),
                 3_000,
             )
