Serve and ask for grants over kept connections

Cause: nodes ask holders for tokens at the address at which they answer polls. Change: the task peer_http owns that port and passes each call to the site of its path; the tasks relay and grants own their calls in progress. The store task writes holders, once for each command.

--- a/packages/node/src/gypsumbridge_node/gateway/api_client.py
+++ b/packages/node/src/gypsumbridge_node/gateway/api_client.py
@@ -38,7 +38,9 @@
     call.timer = client.runtime.reactor.callLater(
         timeout_ms / 1000, expire, client, call
     )
-    found = client.idle.checkout(client.runtime.clock.now_ms())
+    found = client.idle.checkout(
+        client.runtime.clock.now_ms(), client.max_idle_ms
+    )
     if found is None:
         connect(client, call)
     else:
@@ -82,7 +84,7 @@
     client.running[connection] = call
     data = http_head.encode_request(call.request, client.address)
     connection.on_interim = call.on_interim
-    connection.send(data, lambda reply: True)
+    connection.send(data, lambda reply: True, client.max_body_bytes)
 
 
 def handle_reply(
--- a/packages/node/src/gypsumbridge_node/gateway/daemon.py
+++ b/packages/node/src/gypsumbridge_node/gateway/daemon.py
@@ -18,14 +18,19 @@
 from gypsumbridge_node.gateway.tasks import delegated
 from gypsumbridge_node.gateway.tasks import discovery_task
 from gypsumbridge_node.gateway.tasks import forwarding_task
+from gypsumbridge_node.gateway.tasks import grants as grants_task
+from gypsumbridge_node.gateway.tasks import holders
 from gypsumbridge_node.gateway.tasks import ingress
 from gypsumbridge_node.gateway.tasks import lifecycle_task
+from gypsumbridge_node.gateway.tasks import peer_http
 from gypsumbridge_node.gateway.tasks import peers
 from gypsumbridge_node.gateway.tasks import relay
 from gypsumbridge_node.gateway.tasks import searchers
 from gypsumbridge_node.gateway.tasks import status_http
 from gypsumbridge_node.gateway.tasks import store
 from gypsumbridge_node.settings import load
+from gypsumbridge_wire import grants
+from gypsumbridge_wire import relay as relay_codec
 
 EXIT_SETTINGS = 2
 # A gather of 90 parts creates about a thousand objects, which are freed by
@@ -81,7 +86,14 @@
     status_http.start_status_http_task(runtime, is_ready)
     store.start_store_task(runtime)
     peers.start_peers_task(runtime)
-    relay.start_relay_task(runtime)
+    peer_http.start_peer_http_task(
+        runtime,
+        {
+            relay_codec.PATH: relay.start_relay_task(runtime),
+            grants.PATH: grants_task.start_grants_task(runtime),
+        },
+    )
+    holders.start_holders_task(runtime)
     coordinators.start_coordinators_task(runtime)
     delegated.start_delegated_task(runtime)
     discovery_task.start_discovery_task(runtime)
--- a/packages/node/src/gypsumbridge_node/gateway/gateway_mailboxes.py
+++ b/packages/node/src/gypsumbridge_node/gateway/gateway_mailboxes.py
@@ -18,4 +18,7 @@
     relay: mailbox.Mailbox
     coordinators: mailbox.Mailbox
     delegated: mailbox.Mailbox
+    quotas: mailbox.Mailbox
+    holders: mailbox.Mailbox
+    grants: mailbox.Mailbox
     lifecycle: mailbox.Mailbox
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/discovery_task.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/discovery_task.py
@@ -5,6 +5,7 @@
 from gypsumbridge_decisions import discovery
 from gypsumbridge_decisions import forwarding
 from gypsumbridge_decisions import messages
+from gypsumbridge_decisions import quotas
 from gypsumbridge_decisions import relaying
 from gypsumbridge_node import execute as executors
 from gypsumbridge_node.gateway import runtime as runtimes
@@ -22,8 +23,13 @@
     def publish_routes(update: forwarding.RoutesChanged) -> None:
         publish(update)
         mailboxes.ingress.put(update)
+        mailboxes.quotas.put(update)
         runtime.metrics.gauge('discovery.routes_version', update.table.version)
 
+    def publish_nodes(update: forwarding.NodesChanged) -> None:
+        publish(update)
+        mailboxes.quotas.put(update)
+
     def report_ready(command: discovery.DiscoveryReady) -> None:
         mailboxes.lifecycle.put(
             messages.ServingCondition('discovery', messages.MissingReason.NONE)
@@ -43,7 +49,8 @@
             forwarding.SearchersChanged: publish,
             forwarding.HoldChanged: mailboxes.forwarding.put,
             forwarding.FleetSizeChanged: publish,
-            forwarding.NodesChanged: publish,
+            forwarding.NodesChanged: publish_nodes,
+            quotas.HoldersChanged: mailboxes.quotas.put,
         },
     )
 
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/relay.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/relay.py
@@ -1,9 +1,8 @@
 """The task that answers the polls of other nodes with store updates."""
 
-from gypsumbridge_decisions import forwarding
 from gypsumbridge_decisions import relaying
-from gypsumbridge_node import address
 from gypsumbridge_node.gateway import parsed_request
+from gypsumbridge_node.gateway import peer_site
 from gypsumbridge_node.gateway import runtime as runtimes
 from gypsumbridge_node.gateway import server_connection
 from gypsumbridge_wire import relay
@@ -12,7 +11,9 @@
 STATUS_NOT_FOUND = 404
 
 
-def start_relay_task(runtime: runtimes.GatewayRuntime) -> None:
+def start_relay_task(
+    runtime: runtimes.GatewayRuntime,
+) -> peer_site.PeerSite:
     """Pass polls to the discovery task and send its answers."""
     mailbox = runtime.mailboxes.discovery
     waiting: dict[int, server_connection.ServerConnection] = {}
@@ -56,11 +57,4 @@
         connection.respond(STATUS_OK, (), last_encoded[1])
 
     runtime.mailboxes.relay.start(answer)
-    if not runtime.settings.listen.peers:
-        return
-    limits = forwarding.IngressLimits()
-    factory = server_connection.make_factory(
-        handle_poll, remove_polls, lambda: limits, lambda: False
-    )
-    host, port = address.split_address(runtime.settings.listen.peers)
-    runtime.reactor.listenTCP(port, factory, interface=host)
+    return peer_site.PeerSite(handle_poll, remove_polls)
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/store.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/store.py
@@ -1,16 +1,18 @@
-"""The task that calls the platform's store for discovery."""
+"""The task that calls the platform's store."""
 
 from collections.abc import Callable
 from collections.abc import Mapping
 from typing import Any
 
 from gypsumbridge_decisions import discovery
+from gypsumbridge_decisions import quotas
 from gypsumbridge_node.gateway import api_client
 from gypsumbridge_node.gateway import api_client_state
 from gypsumbridge_node.gateway import client_connection
 from gypsumbridge_node.gateway import http_reply
 from gypsumbridge_node.gateway import runtime as runtimes
 from gypsumbridge_node.gateway import store_page
+from gypsumbridge_wire import holders
 from gypsumbridge_wire import relay
 
 # The changes since a revision may be dropped by the store, or may exceed the
@@ -20,6 +22,8 @@
     **LIST_FAILURES,
     f'connection_{client_connection.BODY_TOO_LARGE}': 'too_large',
 }
+# The precondition of a write did not hold, so nothing was written.
+CONFLICT = 'status_412'
 # The store answers a watch without changes within this time after the wait of
 # the watch ends. The wait and this margin together are shorter than the time
 # after which a node whose connections became unresponsive counts as connected
@@ -28,7 +32,7 @@
 
 
 def start_store_task(runtime: runtimes.GatewayRuntime) -> None:
-    """List, watch and write; results are sent to the discovery task."""
+    """List, watch and write; results are sent to the tasks that asked."""
     client = api_client_state.ApiClientState(
         runtime, 'store', runtime.settings.discovery.store_address
     )
@@ -36,6 +40,7 @@
         discovery.ListStore: make_lister(runtime, client),
         discovery.WatchStore: make_watcher(runtime, client),
         discovery.WriteNode: make_node_writer(runtime, client),
+        quotas.WriteHolder: make_holder_writer(runtime, client),
     }
 
     def handle(message: Any) -> None:
@@ -151,3 +156,39 @@
         )
 
     return write
+
+
+def make_holder_writer(
+    runtime: runtimes.GatewayRuntime,
+    client: api_client_state.ApiClientState,
+) -> Callable[[quotas.WriteHolder], None]:
+    """Return a function that writes a partition's holder, once.
+
+    After any failure but a conflict the entry may have been written, or may
+    be written later.
+    """
+    adapter = runtime.adapter
+    mailbox = runtime.mailboxes.quotas
+
+    def write(command: quotas.WriteHolder) -> None:
+        record = command.record
+
+        def report(revision: int, conflict: bool) -> None:
+            written = quotas.HolderWritten(
+                record.partition, revision, conflict
+            )
+            mailbox.put(written)
+
+        api_client.send_call(
+            client,
+            adapter.encode_conditional_put(
+                f'{adapter.schema.holder_prefix}{record.partition}',
+                holders.encode_holder(record),
+                record.revision,
+            ),
+            runtime.settings.discovery.timeout_ms,
+            lambda reply: report(adapter.decode_written(reply.body), False),
+            lambda reason: report(0, reason == CONFLICT),
+        )
+
+    return write
