--- a/packages/decisions/src/gypsumbridge_decisions/discovery/command.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/command.py
@@ -19,6 +19,7 @@
     | forwarding.FleetSizeChanged
     | forwarding.NodesChanged
     | quotas.HoldersChanged
+    | forwarding.CopyConfirmed
     | discovery_ready.DiscoveryReady
     | relaying.WatchPeer
     | relaying.AnswerPoll
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/state.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/state.py
@@ -20,7 +20,9 @@
     list, `missed_since_ms` is the time of the last answer before that;
     `store_failed` is set when a call of this node to the store has failed
     since. `holders` has the last known entry of each partition, also of those
-    whose entry was deleted.
+    whose entry was deleted. The copy was the store's newest at `proven_ms`
+    or later, on the clock that counts suspended time; None if that was never
+    proven.
     """
 
     def __init__(
@@ -41,6 +43,7 @@
         self.settle_timer_set = False
         self.failures = 0
         self.confirmed_ms = 0
+        self.proven_ms: int | None = None
         self.missed_since_ms: int | None = None
         self.store_failed = False
         self.routes_version: int | None = None
@@ -61,6 +64,7 @@
             in_touch=current and not self.list_unconfirmed,
             age_ms=age_ms,
             confirming=current and self.list_unconfirmed,
+            proven_ms=self.proven_ms,
         )
 
 
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/discovery_task.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/discovery_task.py
@@ -30,6 +30,10 @@
         publish(update)
         mailboxes.quotas.put(update)
 
+    def publish_confirmation(update: forwarding.CopyConfirmed) -> None:
+        mailboxes.forwarding.put(update)
+        mailboxes.quotas.put(update)
+
     def report_ready(command: discovery.DiscoveryReady) -> None:
         mailboxes.lifecycle.put(
             messages.ServingCondition('discovery', messages.MissingReason.NONE)
@@ -51,6 +55,7 @@
             forwarding.FleetSizeChanged: publish,
             forwarding.NodesChanged: publish_nodes,
             quotas.HoldersChanged: mailboxes.quotas.put,
+            forwarding.CopyConfirmed: publish_confirmation,
         },
     )
 
