Let requests of customers with a quota wait for their admission

Cause: a request over its customer's quota has to be refused with 429, and neither that nor a 503 may be said after a searcher was sent anything. Change: such a request waits in the forwarding state, with the route, version and customer found on its arrival, until the quotas task has admitted it. A passed deadline, a caller that leaves and the end of the node cancel it. Requests that other nodes delegate are not charged again.

--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
@@ -6,6 +6,25 @@
 from gypsumbridge_decisions.forwarding.acceptance_timer import (
     AcceptanceTimer as AcceptanceTimer,
 )
+from gypsumbridge_decisions.forwarding.admission import (
+    drop_waiting as drop_waiting,
+)
+from gypsumbridge_decisions.forwarding.admission import (
+    end_waiting as end_waiting,
+)
+from gypsumbridge_decisions.forwarding.admission import (
+    refuse_waiting as refuse_waiting,
+)
+from gypsumbridge_decisions.forwarding.admission import (
+    wait_for_admission as wait_for_admission,
+)
+from gypsumbridge_decisions.forwarding.admitting import (
+    handle_admission as handle_admission,
+)
+from gypsumbridge_decisions.forwarding.admitting import Outcome as Outcome
+from gypsumbridge_decisions.forwarding.admitting import (
+    refuse_unadmitted as refuse_unadmitted,
+)
 from gypsumbridge_decisions.forwarding.answer_delay import (
     AnswerDelay as AnswerDelay,
 )
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/command.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/command.py
@@ -8,6 +8,8 @@
 from gypsumbridge_decisions.forwarding import delegate_request
 from gypsumbridge_decisions.forwarding import refuse_delegated
 from gypsumbridge_decisions.forwarding import send_attempt
+from gypsumbridge_decisions.quotas import admission_cancelled
+from gypsumbridge_decisions.quotas import admission_request
 
 Command = (
     caller_response.CallerResponse
@@ -17,6 +19,8 @@
     | cancel_delegation.CancelDelegation
     | accept_delegated.AcceptDelegated
     | refuse_delegated.RefuseDelegated
+    | admission_request.AdmissionRequest
+    | admission_cancelled.AdmissionCancelled
     | messages.Timer
     | messages.Decision
     | messages.Count
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/delegating.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/delegating.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from gypsumbridge_decisions import messages
+from gypsumbridge_decisions.forwarding import admission
 from gypsumbridge_decisions.forwarding import arrival
 from gypsumbridge_decisions.forwarding import caller_request
 from gypsumbridge_decisions.forwarding import caller_response
@@ -63,7 +64,10 @@
     checked: checked_request.CheckedRequest,
     now_ms: int,
 ) -> list[command.Command]:
-    """Start a request whose customer is known."""
+    """Start a request whose customer is known, or let its quota decide."""
+    customer = checked.customer
+    if customer is not None and customer.is_limited():
+        return admission.wait_for_admission(state, checked, now_ms)
     return start_request(
         state, checked.request, checked.route, checked.version, now_ms
     )
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/handler.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/handler.py
@@ -4,6 +4,8 @@
 
 from gypsumbridge_decisions import messages
 from gypsumbridge_decisions.forwarding import acceptance_timer
+from gypsumbridge_decisions.forwarding import admission
+from gypsumbridge_decisions.forwarding import admitting
 from gypsumbridge_decisions.forwarding import attempt_ended
 from gypsumbridge_decisions.forwarding import caller_disconnected
 from gypsumbridge_decisions.forwarding import caller_request
@@ -31,6 +33,7 @@
 from gypsumbridge_decisions.forwarding import state as states
 from gypsumbridge_decisions.forwarding import stop_accepting
 from gypsumbridge_decisions.forwarding import stopping
+from gypsumbridge_decisions.quotas import admission_result
 
 
 def handle(
@@ -49,6 +52,8 @@
     match message:
         case caller_request.CallerRequest():
             return delegating.receive(state, message, now_ms, boot_ms)
+        case admission_result.AdmissionResult():
+            return admitting.handle_admission(state, message, now_ms)
         case attempt_ended.AttemptEnded():
             return ending.handle_attempt_end(state, message, now_ms)
         case hedge_timer.HedgeTimer():
@@ -57,11 +62,15 @@
             return finishing.handle_objective_timer(state, message, now_ms)
         case expiry_timer.ExpiryTimer():
             return [
+                *admission.refuse_waiting(
+                    state, message.call_id, 'deadline_passed'
+                ),
                 *finishing.expire(state, message.call_id, now_ms),
                 *delegating.expire_delegated(state, message.call_id, now_ms),
             ]
         case caller_disconnected.CallerDisconnected():
             return [
+                *admission.drop_waiting(state, message.call_id),
                 *finishing.handle_disconnect(state, message.call_id, now_ms),
                 *delegating.cancel_delegated(state, message.call_id),
             ]
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/refusing.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/refusing.py
@@ -17,13 +17,13 @@
     request: caller_request.CallerRequest,
     reason: str,
     fields: Mapping[str, str | int] = NO_FIELDS,
+    status: int = STATUS_UNAVAILABLE,
+    retry_after_ms: int = retry_delay.OTHER_NODE_MS,
 ) -> list[command.Command]:
     """Refuse a request that was not sent to any searcher."""
     return [
         caller_response.CallerResponse(
-            request.call_id,
-            STATUS_UNAVAILABLE,
-            retry_after_ms=retry_delay.OTHER_NODE_MS,
+            request.call_id, status, retry_after_ms=retry_after_ms
         ),
         messages.Decision(
             'request_refused',
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/state.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/state.py
@@ -2,6 +2,7 @@
 
 from gypsumbridge_decisions.forwarding import answer_delay
 from gypsumbridge_decisions.forwarding import attempt
+from gypsumbridge_decisions.forwarding import checked_request
 from gypsumbridge_decisions.forwarding import coordination
 from gypsumbridge_decisions.forwarding import coordinator_health
 from gypsumbridge_decisions.forwarding import copy_freshness
@@ -31,6 +32,7 @@
     `previous_table` is kept for nodes that delegate with the older version.
     `coordinators` is keyed by node id, `delegations` by an id of their own;
     `delegated_calls` holds that id for each request delegated as a whole.
+    `waiting` holds the requests that are not admitted yet, by call id.
     """
 
     def __init__(
@@ -51,6 +53,7 @@
         self.searchers: dict[str, list[searcher.Searcher]] = {}
         self.health: dict[str, searcher_health.SearcherHealth] = {}
         self.departed: dict[str, departed_searcher.DepartedSearcher] = {}
+        self.waiting: dict[int, checked_request.CheckedRequest] = {}
         self.exchanges: dict[int, exchange.Exchange] = {}
         self.attempts: dict[int, attempt.Attempt] = {}
         self.last_attempt_id = 0
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/stopping.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/stopping.py
@@ -1,5 +1,6 @@
 """Final responses to the requests in flight when the node exits."""
 
+from gypsumbridge_decisions.forwarding import admission
 from gypsumbridge_decisions.forwarding import command
 from gypsumbridge_decisions.forwarding import delegating
 from gypsumbridge_decisions.forwarding import finishing
@@ -15,7 +16,7 @@
     for its own timeout or guess, and could not know whether a request that
     must not be repeated was run.
     """
-    commands: list[command.Command] = []
+    commands = admission.end_waiting(state)
     for call_id in tuple(state.exchanges):
         commands += finishing.expire(state, call_id, now_ms)
     for call_id in tuple(state.delegated_calls):
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/forwarding_task.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/forwarding_task.py
@@ -4,6 +4,7 @@
 
 from gypsumbridge_decisions import forwarding
 from gypsumbridge_decisions import messages
+from gypsumbridge_decisions import quotas
 from gypsumbridge_node import execute as executors
 from gypsumbridge_node.gateway import runtime as runtimes
 
@@ -41,6 +42,8 @@
             forwarding.CancelDelegation: mailboxes.coordinators.put,
             forwarding.AcceptDelegated: mailboxes.delegated.put,
             forwarding.RefuseDelegated: mailboxes.delegated.put,
+            quotas.AdmissionRequest: mailboxes.quotas.put,
+            quotas.AdmissionCancelled: mailboxes.quotas.put,
         },
     )
 
--- a/packages/wire/src/gypsumbridge_wire/grants.py
+++ b/packages/wire/src/gypsumbridge_wire/grants.py
@@ -12,8 +12,8 @@
 
 PATH = '/v1/grants'
 MAX_PARTITIONS = 1_000
-# With the field names and the numbers, a request has under 300 bytes.
-MAX_CUSTOMER_BYTES = 200
+# The longest name of a customer; a request with it has under 300 bytes.
+MAX_CUSTOMER_BYTES = 256
 MAX_TOKENS = 1_000_000
 # Limits the tokens that are used in a window after they were granted in an
 # earlier one, so a longer lifetime cannot be accepted.
@@ -94,7 +94,7 @@
 
 
 def _check_text(field: str, value: str, max_bytes: int) -> None:
-    # The encoder rejects lone surrogates, which no valid frame contains.
+    # Lone surrogates, which no valid frame contains, are not printable.
     length = len(value.encode('utf-8', 'surrogatepass'))
     if length > max_bytes or not value.isprintable():
         raise errors.FrameError(
