--- /dev/null
+++ b/tests/decisions/quotas/quota_fleet.py
@@ -0,0 +1,299 @@
+"""Nodes that run the quota decisions, with in-memory links and a store.
+
+All nodes share one time; each has a clock of its own that differs by a fixed
+offset. A frozen node handles its messages after it wakes.
+"""
+
+import dataclasses
+import heapq
+import random
+
+from gypsumbridge_decisions import forwarding
+from gypsumbridge_decisions import messages
+from gypsumbridge_decisions import quotas
+from gypsumbridge_decisions import relaying
+
+SYNC_INTERVAL_MS = 1_000
+LINK_MS = (1, 3)
+STORE_MS = (1, 4)
+DOMAINS = ('a', 'b', 'c')
+
+
+class Store:
+    """The entries of the holders, with conditional writes and eras."""
+
+    def __init__(self):
+        self.entries = {}
+        self.revision = 0
+        self.era = 0
+        self.away = False
+        self.older = {}
+        self.version = 1
+        self.quotas = {}
+
+    def write(self, record):
+        """Return the new revision, 0 if the entry has changed."""
+        current = self.entries.get(record.partition)
+        if (current.revision if current else 0) != record.revision:
+            return 0
+        self.revision += 1
+        self.entries[record.partition] = dataclasses.replace(
+            record, revision=self.revision, era=self.era
+        )
+        return self.revision
+
+    def keep_copy(self):
+        self.older = dict(self.entries)
+
+    def restore(self):
+        """Come back from the copy, with revisions that are reissued."""
+        self.era += 1
+        self.entries = {
+            number: dataclasses.replace(record, era=self.era)
+            for number, record in self.older.items()
+        }
+        self.revision = max(
+            (r.revision for r in self.entries.values()), default=0
+        )
+
+
+class Node:
+    """One process, its faults, and the messages that wait while it is
+    frozen.
+    """
+
+    def __init__(self, node_id, domain, offset_ms):
+        self.peer = relaying.PeerNode(node_id, f'{node_id}:1', domain, 1.0)
+        self.offset_ms = offset_ms
+        self.process = 0
+        self.state = None
+        self.cut_from = set()
+        self.store_cut = False
+        self.frozen_until_ms = 0
+
+
+class QuotaFleet:
+    """Runs the decisions of all nodes in one order of time.
+
+    `admitted` holds the time of each admitted request by customer, `results`
+    the result of each request by call id.
+    """
+
+    def __init__(self, count, policy, limits, seed=0):
+        self.random = random.Random(seed)
+        self.policy = policy
+        self.now_ms = 0
+        self.events = []
+        self.sequence = 0
+        self.store = Store()
+        self.store.quotas = dict(limits)
+        self.nodes = {}
+        self.admitted = {name: [] for name in limits}
+        self.results = {}
+        self.requests = {}
+        self.messages = 0
+        self.decisions = []
+        for number in range(count):
+            self.add_node(f'n{number}', DOMAINS[number % len(DOMAINS)])
+
+    def add_node(self, node_id, domain):
+        node = Node(node_id, domain, self.random.randrange(1_000_000))
+        self.nodes[node_id] = node
+        self.start(node_id, self.random.randrange(50))
+
+    def start(self, node_id, delay_ms):
+        node = self.nodes[node_id]
+        node.process += 1
+        node.frozen_until_ms = 0
+        policy = dataclasses.replace(
+            self.policy,
+            node_id=node_id,
+            failure_domain=node.peer.failure_domain,
+        )
+        node.state = quotas.make_quota_state(policy)
+        self.after(delay_ms, self.sync, node_id, node.process)
+
+    def kill(self, node_id, restart_ms):
+        """End a process; it starts again after a time, or never if None."""
+        node = self.nodes[node_id]
+        node.process += 1
+        node.state = None
+        if restart_ms is not None:
+            self.after(restart_ms, self.start, node_id, 0)
+
+    def freeze(self, node_id, for_ms):
+        self.nodes[node_id].frozen_until_ms = self.now_ms + for_ms
+
+    def after(self, delay_ms, call, *values):
+        self.sequence += 1
+        item = (self.now_ms + delay_ms, self.sequence, call, values)
+        heapq.heappush(self.events, item)
+
+    def run_until(self, end_ms):
+        while self.events and self.events[0][0] <= end_ms:
+            self.now_ms, _, call, values = heapq.heappop(self.events)
+            call(*values)
+        self.now_ms = end_ms
+
+    def linked(self, one, other):
+        return (
+            other not in self.nodes[one].cut_from
+            and one not in self.nodes[other].cut_from
+        )
+
+    def deliver(self, node_id, process, message):
+        """Handle a message, unless its process is gone or is frozen."""
+        node = self.nodes[node_id]
+        if node.process != process or node.state is None:
+            return
+        if node.frozen_until_ms > self.now_ms:
+            wait_ms = node.frozen_until_ms - self.now_ms
+            self.after(wait_ms, self.deliver, node_id, process, message)
+            return
+        clock_ms = self.now_ms + node.offset_ms
+        for command in quotas.handle(node.state, message, clock_ms):
+            self.execute(node_id, process, command)
+
+    def execute(self, node_id, process, command):
+        match command:
+            case quotas.AdmissionResult():
+                self.results[command.call_id] = (self.now_ms, command)
+                if command.outcome == quotas.AdmissionOutcome.ADMITTED:
+                    customer = self.requests[command.call_id][1]
+                    self.admitted[customer].append(self.now_ms)
+            case quotas.AskHolder():
+                self.messages += 1
+                self.ask(node_id, process, command)
+            case quotas.WriteHolder():
+                self.write(node_id, process, command.record)
+            case messages.Timer():
+                self.after(
+                    command.delay_ms,
+                    self.deliver,
+                    node_id,
+                    process,
+                    command.event,
+                )
+            case messages.Decision():
+                self.decisions.append((self.now_ms, node_id, command))
+
+    def ask(self, node_id, process, command):
+        """Carry a request for tokens and its reply, or time out."""
+        ended = []
+
+        def end(message):
+            if not ended:
+                ended.append(True)
+                self.deliver(node_id, process, message)
+
+        failed = quotas.HolderFailed(command.ask_id, 'timeout')
+        self.after(command.timeout_ms, end, failed)
+        target = command.peer.node_id
+
+        def arrive():
+            if not self.linked(node_id, target):
+                return
+            node = self.nodes[target]
+            if node.state is None:
+                return
+            if node.frozen_until_ms > self.now_ms:
+                self.after(node.frozen_until_ms - self.now_ms, arrive)
+                return
+            clock_ms = self.now_ms + node.offset_ms
+            asked = quotas.GrantAsked(1, command.request)
+            for answer in quotas.handle(node.state, asked, clock_ms):
+                if not isinstance(answer, quotas.AnswerGrant):
+                    self.execute(target, node.process, answer)
+                    continue
+                self.messages += 1
+                if self.linked(node_id, target):
+                    reply = quotas.HolderAnswered(command.ask_id, answer.reply)
+                    self.after(self.random.randint(*LINK_MS), end, reply)
+
+        self.after(self.random.randint(*LINK_MS), arrive)
+
+    def store_reachable(self, node_id):
+        return not self.store.away and not self.nodes[node_id].store_cut
+
+    def write(self, node_id, process, record):
+        """Write an entry; the result may be lost, the write may be late."""
+        written = quotas.HolderWritten
+
+        def apply():
+            result = written(record.partition, 0)
+            if self.store_reachable(node_id):
+                revision = self.store.write(record)
+                result = written(record.partition, revision, not revision)
+                if self.random.random() < 0.1:
+                    result = written(record.partition, 0)
+            self.after(2, self.deliver, node_id, process, result)
+
+        late = self.random.random() < 0.05
+        self.after(3_000 if late else self.random.randint(*STORE_MS), apply)
+
+    def sync(self, node_id, process):
+        """Read the store, and report the copy with the time of its proof."""
+        node = self.nodes[node_id]
+        if node.process != process:
+            return
+        self.after(SYNC_INTERVAL_MS, self.sync, node_id, process)
+        if node.frozen_until_ms > self.now_ms:
+            return
+        if not self.store_reachable(node_id):
+            return
+        sent_ms = self.now_ms + node.offset_ms
+        # A relay states an age; a reply may take long to arrive.
+        age_ms = self.random.choice((0, 0, 900))
+        slow = self.random.random() < 0.02
+        delay_ms = 1_500 if slow else self.random.randint(*STORE_MS)
+        peers = tuple(n.peer for n in self.nodes.values())
+        store = self.store
+        reports = (
+            forwarding.NodesChanged(peers),
+            quotas.QuotasChanged(store.version, dict(store.quotas)),
+            quotas.HoldersChanged(tuple(store.entries.values())),
+            forwarding.CopyConfirmed(sent_ms, sent_ms - age_ms, store.era),
+        )
+        self.after(delay_ms, self.deliver_all, node_id, process, reports)
+
+    def deliver_all(self, node_id, process, reports):
+        node = self.nodes[node_id]
+        if node.frozen_until_ms > self.now_ms:
+            wait_ms = node.frozen_until_ms - self.now_ms
+            self.after(wait_ms, self.deliver_all, node_id, process, reports)
+            return
+        for report in reports:
+            self.deliver(node_id, process, report)
+
+    def request(self, node_id, customer, left_ms=900):
+        """Send one request of a customer to a node; return its call id."""
+        call_id = len(self.requests) + 1
+        self.requests[call_id] = (self.now_ms, customer, node_id)
+        node = self.nodes[node_id]
+        message = quotas.AdmissionRequest(
+            call_id, f'r{call_id}', customer, left_ms
+        )
+        self.deliver(node_id, node.process, message)
+        self.after(
+            left_ms,
+            self.deliver,
+            node_id,
+            node.process,
+            quotas.AdmissionCancelled(call_id),
+        )
+        return call_id
+
+    def outcome(self, call_id):
+        """Return the outcome of a request, or None without one."""
+        result = self.results.get(call_id)
+        return None if result is None else result[1].outcome
+
+    def largest_window(self, customer, since_ms=0):
+        """Return the most requests admitted in one window."""
+        times = [t for t in self.admitted[customer] if t >= since_ms]
+        largest = first = 0
+        for last, at_ms in enumerate(times):
+            while times[first] < at_ms - self.policy.window_ms:
+                first += 1
+            largest = max(largest, last - first + 1)
+        return largest
