Run the quota decisions in a task of their own

Cause: the decisions need the boot's clock, the copy of the store and the other nodes (docs/customers.md 2.2). Change: the quotas task gets the routes, nodes, holders and confirmations from discovery and admissions from forwarding, and passes commands to the tasks holders, grants and store.

--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/admitting.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/admitting.py
@@ -47,7 +47,7 @@
 ) -> list[command.Command]:
     """Refuse a request over its quota, or whose quota nobody could tell."""
     is_over = result.outcome == Outcome.OVER_QUOTA
-    fields = {
+    fields: dict[str, str | int] = {
         'customer': checked.request.customer,
         'retry_after_ms': result.retry_after_ms,
     }
--- a/packages/node/src/gypsumbridge_node/gateway/daemon.py
+++ b/packages/node/src/gypsumbridge_node/gateway/daemon.py
@@ -24,6 +24,7 @@
 from gypsumbridge_node.gateway.tasks import lifecycle_task
 from gypsumbridge_node.gateway.tasks import peer_http
 from gypsumbridge_node.gateway.tasks import peers
+from gypsumbridge_node.gateway.tasks import quotas_task
 from gypsumbridge_node.gateway.tasks import relay
 from gypsumbridge_node.gateway.tasks import searchers
 from gypsumbridge_node.gateway.tasks import status_http
@@ -94,6 +95,7 @@
         },
     )
     holders.start_holders_task(runtime)
+    quotas_task.start_quotas_task(runtime)
     coordinators.start_coordinators_task(runtime)
     delegated.start_delegated_task(runtime)
     discovery_task.start_discovery_task(runtime)
