Model the holder of a partition and the life of a grant

Cause: the bound on quotas rests on one holder at a time and on tokens that are used within a lifetime after they were granted. Change: two models over the decisions' own functions, with takeovers, kills, restarts, late reads and writes, a restored store and a first start, and eight mutants; `make check-model` runs them.

--- a/packages/decisions/src/gypsumbridge_decisions/quotas/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/quotas/__init__.py
@@ -34,6 +34,7 @@
     handle_failure as handle_failure,
 )
 from gypsumbridge_decisions.quotas.asking import handle_reply as handle_reply
+from gypsumbridge_decisions.quotas.asking import make_grant as make_grant
 from gypsumbridge_decisions.quotas.asking import refuse_all as refuse_all
 from gypsumbridge_decisions.quotas.asking import serve as serve
 from gypsumbridge_decisions.quotas.asking import take_reply as take_reply
--- a/packages/decisions/src/gypsumbridge_decisions/quotas/asking.py
+++ b/packages/decisions/src/gypsumbridge_decisions/quotas/asking.py
@@ -178,11 +178,7 @@
     reply: grant_reply.GrantReply,
     now_ms: int,
 ) -> list[command.Command]:
-    """Keep the tokens of a reply, or when the partition has one again.
-
-    The lifetime counts from the request, so that the holder knows by when the
-    tokens are used, however long the reply takes.
-    """
+    """Keep the tokens of a reply, or when the partition has one again."""
     partition = ask.partition
     if reply.refusal in (
         granting.UNKNOWN_CUSTOMER,
@@ -196,10 +192,8 @@
     state.back_off.reset(partition)
     if reply.tokens > 0:
         limits = state.limits.get(ask.customer)
-        longest_ms = 0 if limits is None else limits.lifetime_ms
-        tokens = min(reply.tokens, ask.tokens)
-        lifetime_ms = max(0, min(reply.lifetime_ms, longest_ms))
-        demand.grants.add(grant.Grant(tokens, ask.sent_ms + lifetime_ms))
+        if limits is not None:
+            demand.grants.add(make_grant(ask, reply, limits.lifetime_ms))
         demand.last_giver = partition
         return []
     delay_ms = max(1, min(reply.retry_after_ms, MAX_EMPTY_MS))
@@ -208,6 +202,19 @@
     return []
 
 
+def make_grant(
+    ask: asks.Ask, reply: grant_reply.GrantReply, longest_ms: int
+) -> grant.Grant:
+    """Return the grant of a reply, which is not trusted beyond the request.
+
+    The lifetime counts from the request, so that the tokens are used within
+    it after they were granted, however long the reply takes.
+    """
+    tokens = min(reply.tokens, ask.tokens)
+    lifetime_ms = max(0, min(reply.lifetime_ms, longest_ms))
+    return grant.Grant(tokens, ask.sent_ms + lifetime_ms)
+
+
 def back_off_from(
     state: states.QuotaState, ask: asks.Ask, reason: str, now_ms: int
 ) -> list[command.Command]:
--- a/packages/standins/src/gypsumbridge_standins/check_model.py
+++ b/packages/standins/src/gypsumbridge_standins/check_model.py
@@ -16,6 +16,8 @@
 from gypsumbridge_standins.models import bounds as all_bounds
 from gypsumbridge_standins.models import check
 from gypsumbridge_standins.models import configuration_model
+from gypsumbridge_standins.models import grant_model
+from gypsumbridge_standins.models import holder_model
 from gypsumbridge_standins.models import mutation_claim
 
 # A third of the benchmark machine's cores; the checks are independent.
@@ -26,6 +28,7 @@
     """Run every model and return the exit status."""
     failed = check_configuration()
     failed += not mutation_claim.check()
+    failed += check_quotas()
     print(f'{failed} checks failed')
     return 1 if failed else 0
 
@@ -51,6 +54,15 @@
     return failed
 
 
+def check_quotas(few: bool = False) -> int:
+    """Check the models of the quotas and their mutants, or a few of them.
+
+    Returns the number of checks with an unexpected result.
+    """
+    checks = [*holder_model.make_checks(few), *grant_model.make_checks()]
+    return sum(not run_check(case) for case in checks)
+
+
 def run_numbered_check(
     number: int, bounds: all_bounds.Bounds
 ) -> tuple[bool, str]:
