Refuse a holder's term below the age of a proof

Cause: with holder_ttl_s = 2, holders in a process test lost and regained their partitions all the time, since a proof is up to 6 s old. Change: the least value of holder_ttl_s is 10.

--- a/packages/node/src/gypsumbridge_node/gateway/settings/gateway_checks.py
+++ b/packages/node/src/gypsumbridge_node/gateway/settings/gateway_checks.py
@@ -6,6 +6,9 @@
 # A candidate probes each holder once a second, and most nodes are candidates
 # of few partitions only as long as there are few.
 MAX_PARTITIONS = 64
+# While nothing changes, a watch of 3 s proves the copy that the node had when
+# it sent the watch, so a proof becomes 6 s old, and more through a relay.
+MIN_HOLDER_TTL_S = 10
 
 VALUE_CHECKS: dict[tuple[str, str], checks.Check] = {
     ('node', 'node_id'): checks.check_name,
@@ -29,7 +32,7 @@
     ('quota', 'overshoot'): checks.in_range(0, 10),
     ('quota', 'slack'): checks.in_range(0, 1_000_000),
     ('quota', 'partitions'): checks.in_range(1, MAX_PARTITIONS),
-    ('quota', 'holder_ttl_s'): checks.in_range(1, 3_600),
+    ('quota', 'holder_ttl_s'): checks.in_range(MIN_HOLDER_TTL_S, 3_600),
     ('quota', 'first_start'): checks.accept_any,
     ('stop', 'grace_s'): checks.in_range(1, 3_600),
     ('stop', 'balancer_lag_ms'): checks.in_range(0, 600_000),
