Test quotas over gateways as processes

Cause: the parts of the quotas are tested apart from each other. Change: the stand-in's cluster takes further sections of settings and records the searchers' runs in a file.

--- a/packages/standins/src/gypsumbridge_standins/users_platform/gateway_cluster.py
+++ b/packages/standins/src/gypsumbridge_standins/users_platform/gateway_cluster.py
@@ -15,6 +15,7 @@
 MODULE = 'gypsumbridge_standins.users_platform'
 GATEWAY = 'gypsumbridge_platform'
 DOMAINS = ('d1', 'd2')
+RUN_LOG = 'runs.log'
 # For callers, readiness and metrics.
 GATEWAY_PORTS = 3
 # For polls and for delegated gathers of other gateways.
@@ -50,7 +51,7 @@
 
 [log]
 decision_lines_per_second = 5000
-"""
+{more}"""
 PEERS = """\
 peers = 127.0.0.1:{links.peers}
 advertised_peers = 127.0.0.1:{links.advertised_peers}
@@ -67,6 +68,7 @@
     relayed: bool = False,
     large: int = 0,
     single_services: Mapping[str, str] = NO_SERVICES,
+    more_settings: str = '',
 ) -> None:
     """Start the store, two searchers for each service, and gateways.
 
@@ -75,7 +77,8 @@
     one gateway of each failure domain watches the store for the others. The
     first `large` gateways then gather for the others; with 0, each gathers
     for itself. `single_services` have one searcher, in the failure domain
-    that is given.
+    that is given. `more_settings` are sections of the gateways' settings.
+    The file `runs.log` in the cluster's folder gets the searchers' runs.
     """
     ports_per_gateway = GATEWAY_PORTS + PEER_PORTS * relayed
     free_ports = ports.find_free_ports(
@@ -97,6 +100,7 @@
         'control': control,
         'config': config,
         'searchers': searchers,
+        'run_log': str(cluster.folder / RUN_LOG),
     }
     path = cluster.folder / 'platform.json'
     path.write_text(json.dumps(plan))
@@ -109,6 +113,7 @@
             number,
             [free_ports.pop() for _ in range(ports_per_gateway)],
             LARGE_CAPACITY if number < large else SMALL_CAPACITY,
+            more_settings,
         )
 
 
@@ -117,6 +122,7 @@
     number: int,
     listen: list[int],
     capacity: int = SMALL_CAPACITY,
+    more_settings: str = '',
 ) -> None:
     """Start one gateway and wait until it is ready.
 
@@ -135,6 +141,7 @@
         store_port,
         links=links,
         capacity=capacity,
+        more_settings=more_settings,
     )
     spawn_gateway(cluster, name)
     wait_until_ready(name, listen[1])
@@ -173,6 +180,7 @@
     allowance: float = 50,
     links: peer_links.PeerLinks | None = None,
     capacity: int = SMALL_CAPACITY,
+    more_settings: str = '',
 ) -> str:
     """Write a gateway's settings file and return the gateway's name.
 
@@ -195,6 +203,7 @@
         allowance=allowance,
         capacity=capacity,
         peers='' if links is None else PEERS.format(links=links),
+        more=more_settings,
     )
     path = cluster.folder / f'{name}.ini'
     path.write_text(settings)
