--- a/tests/decisions/forwarding/test_grouping.py
+++ b/tests/decisions/forwarding/test_grouping.py
@@ -73,6 +73,18 @@
         self.assertEqual('d2', group.coordinator.failure_domain)
         self.assertEqual(set(NEAR), self.services_of(sent))
 
+    def test_a_group_has_the_customer(self):
+        """Guards against remote parts that are gathered for nobody."""
+        request = forwarding.CallerRequest(
+            -5, 'r', 'GET', 'a.example', '/all/x', (), b'', 600, self.now_ms
+        )
+        named = dataclasses.replace(request, customer='gold', rank=3)
+        version = self.state.table.version
+        commands = self.handle(forwarding.DelegatedRequest(named, version))
+        (group,) = gateway_case.delegations(commands)
+        sent = group.delegated.request
+        self.assertEqual(('gold', 3), (sent.customer, sent.rank))
+
     def test_both_halves_make_one_answer(self):
         """Guards against records or signatures that are lost or doubled."""
         _, sent = self.start()
