Hold partitions only where there are customers

Cause: a deployment without customers would have written holders to the store and probed them once a second. Change: without customers in the configuration, nothing is probed or written.

--- a/packages/decisions/src/gypsumbridge_decisions/quotas/takeover.py
+++ b/packages/decisions/src/gypsumbridge_decisions/quotas/takeover.py
@@ -37,9 +37,14 @@
 def check_partitions(
     state: states.QuotaState, now_ms: int
 ) -> list[command.Command]:
-    """Probe holders, take over and write entries again where needed."""
+    """Probe holders, take over and write entries again where needed.
+
+    A deployment without customers has no holders.
+    """
     timer = messages.Timer(PROBE_INTERVAL_MS, quota_timer.QuotaTimer())
     commands: list[command.Command] = [timer]
+    if not state.quotas:
+        return commands
     for partition in state.partitions:
         commands += holder_changes.check_lapse(state, partition, now_ms)
         commands += write_again(state, partition, now_ms)
--- a/tests/decisions/quotas/test_quiet_store.py
+++ b/tests/decisions/quotas/test_quiet_store.py
@@ -23,11 +23,25 @@
         Measured with three gateways that watch the store: 60 s after the loss
         no node had taken over, since a proof was at times over 5 s old.
         """
+        written, asked = self.run_decisions(
+            {'c': quotas.Quota(2.0, 5.0)},
+            (quotas.HolderRecord(0, 'n2', 2, 7),),
+        )
+        self.assertIn(quotas.HolderRecord(0, 'n1', 3, 7), written)
+        self.assertGreater(asked, 0)
+
+    def test_nothing_is_written_for_deployments_without_customers(self):
+        """Guards against calls to the store that serve nobody."""
+        self.assertEqual(([], 0), self.run_decisions({}, ()))
+
+    def run_decisions(self, limits, records):
+        """Return what a node writes, and how often it asks the holder."""
         state = quotas.make_quota_state(POLICY)
-        records = (quotas.HolderRecord(0, 'n2', 2, 7),)
         written = []
+        asked = 0
         for message in (
             forwarding.NodesChanged(NODES),
+            quotas.QuotasChanged(1, limits),
             quotas.HoldersChanged(records),
         ):
             quotas.handle(state, message, 0)
@@ -40,10 +54,11 @@
                 commands += quotas.handle(state, quotas.QuotaTimer(), now_ms)
             for command in commands:
                 if isinstance(command, quotas.AskHolder):
+                    asked += 1
                     failed = quotas.HolderFailed(command.ask_id, 'timeout')
                     commands += quotas.handle(state, failed, now_ms)
                 if isinstance(command, quotas.WriteHolder):
                     written.append(command.record)
             timers = [c for c in commands if isinstance(c, messages.Timer)]
             self.assertLessEqual(len(timers), 1)
-        self.assertIn(quotas.HolderRecord(0, 'n1', 3, 7), written)
+        return written, asked
