--- a/tests/decisions/quotas/quota_fleet.py
+++ b/tests/decisions/quotas/quota_fleet.py
@@ -28,10 +28,11 @@
         self.era = 0
         self.away = False
         self.older = {}
+        self.history = [(0, 0, {})]
         self.version = 1
         self.quotas = {}
 
-    def write(self, record):
+    def write(self, record, now_ms):
         """Return the new revision, 0 if the entry has changed."""
         current = self.entries.get(record.partition)
         if (current.revision if current else 0) != record.revision:
@@ -40,12 +41,18 @@
         self.entries[record.partition] = dataclasses.replace(
             record, revision=self.revision, era=self.era
         )
+        self.history.append((now_ms, self.era, dict(self.entries)))
         return self.revision
 
     def keep_copy(self):
         self.older = dict(self.entries)
 
-    def restore(self):
+    def copy_at(self, at_ms):
+        """Return the era and the entries at a time."""
+        known = [h for h in self.history if h[0] <= at_ms]
+        return known[-1][1:] if known else (0, {})
+
+    def restore(self, now_ms):
         """Come back from the copy, with revisions that are reissued."""
         self.era += 1
         self.entries = {
@@ -55,6 +62,7 @@
         self.revision = max(
             (r.revision for r in self.entries.values()), default=0
         )
+        self.history.append((now_ms, self.era, dict(self.entries)))
 
 
 class Node:
@@ -69,6 +77,8 @@
         self.state = None
         self.cut_from = set()
         self.store_cut = False
+        self.version = 0
+        self.copied_ms = 0
         self.frozen_until_ms = 0
 
 
@@ -105,6 +115,8 @@
         node = self.nodes[node_id]
         node.process += 1
         node.frozen_until_ms = 0
+        node.copied_ms = 0
+        node.version = 0
         policy = dataclasses.replace(
             self.policy,
             node_id=node_id,
@@ -222,7 +234,7 @@
         def apply():
             result = written(record.partition, 0)
             if self.store_reachable(node_id):
-                revision = self.store.write(record)
+                revision = self.store.write(record, self.now_ms)
                 result = written(record.partition, revision, not revision)
                 if self.random.random() < 0.1:
                     result = written(record.partition, 0)
@@ -232,37 +244,46 @@
         self.after(3_000 if late else self.random.randint(*STORE_MS), apply)
 
     def sync(self, node_id, process):
-        """Read the store, and report the copy with the time of its proof."""
+        """Read the store, in part through a relay, whose copy is older."""
         node = self.nodes[node_id]
         if node.process != process:
             return
         self.after(SYNC_INTERVAL_MS, self.sync, node_id, process)
-        if node.frozen_until_ms > self.now_ms:
+        frozen = node.frozen_until_ms > self.now_ms
+        if frozen or not self.store_reachable(node_id):
             return
-        if not self.store_reachable(node_id):
-            return
-        sent_ms = self.now_ms + node.offset_ms
-        # A relay states an age; a reply may take long to arrive.
-        age_ms = self.random.choice((0, 0, 900))
+        proven_ms = self.now_ms - self.random.choice((0, 0, 900))
+        copy = self.store.copy_at(proven_ms)
         slow = self.random.random() < 0.02
         delay_ms = 1_500 if slow else self.random.randint(*STORE_MS)
-        peers = tuple(n.peer for n in self.nodes.values())
-        store = self.store
-        reports = (
-            forwarding.NodesChanged(peers),
-            quotas.QuotasChanged(store.version, dict(store.quotas)),
-            quotas.HoldersChanged(tuple(store.entries.values())),
-            forwarding.CopyConfirmed(sent_ms, sent_ms - age_ms, store.era),
-        )
-        self.after(delay_ms, self.deliver_all, node_id, process, reports)
+        self.after(delay_ms, self.end_sync, node_id, process, proven_ms, copy)
 
-    def deliver_all(self, node_id, process, reports):
+    def end_sync(self, node_id, process, proven_ms, copy):
+        """Report a copy, unless the node has a newer one by now."""
         node = self.nodes[node_id]
+        if node.process != process:
+            return
         if node.frozen_until_ms > self.now_ms:
+            values = (node_id, process, proven_ms, copy)
             wait_ms = node.frozen_until_ms - self.now_ms
-            self.after(wait_ms, self.deliver_all, node_id, process, reports)
+            self.after(wait_ms, self.end_sync, *values)
             return
-        for report in reports:
+        if proven_ms < node.copied_ms:
+            return
+        node.copied_ms = proven_ms
+        node.version = self.store.version
+        era, entries = copy
+        clock_ms = self.now_ms + node.offset_ms
+        for report in (
+            forwarding.NodesChanged(
+                tuple(other.peer for other in self.nodes.values())
+            ),
+            quotas.QuotasChanged(node.version, dict(self.store.quotas)),
+            quotas.HoldersChanged(tuple(entries.values())),
+            forwarding.CopyConfirmed(
+                clock_ms, proven_ms + node.offset_ms, era
+            ),
+        ):
             self.deliver(node_id, process, report)
 
     def request(self, node_id, customer, left_ms=900):
