--- a/packages/ctl/src/gypsumbridge_ctl/commands/hints.py
+++ b/packages/ctl/src/gypsumbridge_ctl/commands/hints.py
@@ -17,6 +17,14 @@
         'status 503: the node may be behind this version, so another node may'
         ' know the route'
     ),
+    'over_quota': (
+        "status 429: the holders of all partitions of the customer's quota"
+        ' have stated that it has no room'
+    ),
+    'quota_unknown': (
+        "status 503: not all holders could tell whether the customer's quota"
+        ' has room; `quota_refused` has the cause'
+    ),
 }
 
 
