Order the copy of the store by era and revision

Cause: after the store came back from an older copy, its revisions are given out again. A node that compared revisions alone ignored new changes, watched from a revision that means another state, and took a searcher, a configuration or an evacuation from the copy back into use.

Change: the adapter decodes Store-Era of every response, and records, polls, relayed updates and lists carry it. A newer era is listed exactly; answers of an older one, and lists with pages of two, count as failed calls. Relays pass both on. Nodes of releases without eras get and give defaults.

--- a/packages/decisions/src/gypsumbridge_decisions/discovery/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/__init__.py
@@ -13,6 +13,9 @@
 from gypsumbridge_decisions.discovery.applying import (
     publish_searchers as publish_searchers,
 )
+from gypsumbridge_decisions.discovery.applying import (
+    record_departure as record_departure,
+)
 from gypsumbridge_decisions.discovery.applying import (
     remove_due_searchers as remove_due_searchers,
 )
@@ -26,6 +29,16 @@
 from gypsumbridge_decisions.discovery.discovery_ready import (
     DiscoveryReady as DiscoveryReady,
 )
+from gypsumbridge_decisions.discovery.eras import (
+    begin_newer_era as begin_newer_era,
+)
+from gypsumbridge_decisions.discovery.eras import (
+    drop_older_answer as drop_older_answer,
+)
+from gypsumbridge_decisions.discovery.eras import (
+    report_missing_era as report_missing_era,
+)
+from gypsumbridge_decisions.discovery.eras import stamp as stamp
 from gypsumbridge_decisions.discovery.handler import handle as handle
 from gypsumbridge_decisions.discovery.history_lost import (
     HistoryLost as HistoryLost,
@@ -42,6 +55,12 @@
 from gypsumbridge_decisions.discovery.peer_updates import (
     apply_updates as apply_updates,
 )
+from gypsumbridge_decisions.discovery.peer_updates import (
+    drop_older_updates as drop_older_updates,
+)
+from gypsumbridge_decisions.discovery.peer_updates import (
+    exclude_outdated as exclude_outdated,
+)
 from gypsumbridge_decisions.discovery.peer_updates import (
     handle_peer_answer as handle_peer_answer,
 )
@@ -61,6 +80,24 @@
 from gypsumbridge_decisions.discovery.removal_timer import (
     RemovalTimer as RemovalTimer,
 )
+from gypsumbridge_decisions.discovery.restore_timer import (
+    RestoreTimer as RestoreTimer,
+)
+from gypsumbridge_decisions.discovery.restoring import end_hold as end_hold
+from gypsumbridge_decisions.discovery.restoring import (
+    entry_order as entry_order,
+)
+from gypsumbridge_decisions.discovery.restoring import (
+    hold_missing as hold_missing,
+)
+from gypsumbridge_decisions.discovery.restoring import (
+    is_outdated as is_outdated,
+)
+from gypsumbridge_decisions.discovery.restoring import (
+    keep_routes as keep_routes,
+)
+from gypsumbridge_decisions.discovery.restoring import log_keys as log_keys
+from gypsumbridge_decisions.discovery.restoring import reconcile as reconcile
 from gypsumbridge_decisions.discovery.resume_timer import (
     ResumeTimer as ResumeTimer,
 )
@@ -71,6 +108,15 @@
 from gypsumbridge_decisions.discovery.state import (
     make_discovery_state as make_discovery_state,
 )
+from gypsumbridge_decisions.discovery.store_answers import (
+    handle_answer as handle_answer,
+)
+from gypsumbridge_decisions.discovery.store_answers import (
+    handle_node_written as handle_node_written,
+)
+from gypsumbridge_decisions.discovery.store_answers import (
+    StoreAnswer as StoreAnswer,
+)
 from gypsumbridge_decisions.discovery.store_changed import (
     StoreChanged as StoreChanged,
 )
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/applying.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/applying.py
@@ -10,6 +10,8 @@
 
 # A request that was sent just before the removal arrives within this time.
 REMOVAL_MARGIN_MS = 500
+# As many as the deletions that are retained for other nodes.
+MAX_DEPARTED = 1_000
 
 
 def apply_records(
@@ -76,6 +78,7 @@
         if table.version <= state.routes_version:
             return []
     state.routes_version = table.version
+    state.routes_value = record.value
     return [forwarding.RoutesChanged(table)]
 
 
@@ -126,6 +129,7 @@
     commands: list[command.Command] = []
     if state.removals.pop(searcher_id, None) is not None:
         commands.append(forwarding.HoldChanged(searcher_id, None))
+    state.departed.pop(searcher_id, None)
     previous = state.searchers.get(searcher_id)
     state.searchers[searcher_id] = found
     changed = previous != found or not found.is_same_process(previous)
@@ -138,6 +142,7 @@
     """Schedule the removal of a searcher whose entry is missing."""
     if searcher_id not in state.searchers or searcher_id in state.removals:
         return []
+    record_departure(state, searcher_id)
     due_ms = now_ms + state.hold_ms
     if state.missed_since_ms is not None and not state.store_failed:
         # The entry may have been deleted long before this node was notified.
@@ -151,6 +156,17 @@
     ]
 
 
+def record_departure(state: states.DiscoveryState, searcher_id: str) -> None:
+    """Remember the order of a searcher's last entry.
+
+    After a restore it tells whether an entry was written before or after.
+    """
+    last = state.searchers[searcher_id]
+    state.departed[searcher_id] = (last.incarnation, last.sequence)
+    while len(state.departed) > MAX_DEPARTED:
+        del state.departed[next(iter(state.departed))]
+
+
 def remove_due_searchers(
     state: states.DiscoveryState, now_ms: int
 ) -> list[command.Command]:
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/handler.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/handler.py
@@ -6,12 +6,14 @@
 from gypsumbridge_decisions.discovery import applying
 from gypsumbridge_decisions.discovery import command
 from gypsumbridge_decisions.discovery import history_lost
-from gypsumbridge_decisions.discovery import listing
 from gypsumbridge_decisions.discovery import node_written
 from gypsumbridge_decisions.discovery import peer_updates
 from gypsumbridge_decisions.discovery import removal_timer
+from gypsumbridge_decisions.discovery import restore_timer
+from gypsumbridge_decisions.discovery import restoring
 from gypsumbridge_decisions.discovery import resume_timer
 from gypsumbridge_decisions.discovery import state as states
+from gypsumbridge_decisions.discovery import store_answers
 from gypsumbridge_decisions.discovery import store_changed
 from gypsumbridge_decisions.discovery import store_failed
 from gypsumbridge_decisions.discovery import store_listed
@@ -25,14 +27,13 @@
     match message:
         case resume_timer.ResumeTimer():
             return syncing.resume(state, now_ms)
-        case store_listed.StoreListed():
-            return listing.handle_list(state, message, now_ms)
-        case store_changed.StoreChanged():
-            return syncing.handle_changes(state, message, now_ms)
-        case history_lost.HistoryLost():
-            return listing.handle_history_lost(state, message.reason, now_ms)
-        case store_failed.StoreFailed():
-            return syncing.handle_store_failure(state, message.reason, now_ms)
+        case (
+            store_listed.StoreListed()
+            | store_changed.StoreChanged()
+            | history_lost.HistoryLost()
+            | store_failed.StoreFailed()
+        ):
+            return store_answers.handle_answer(state, message, now_ms)
         case relaying.PeerAnswered():
             return peer_updates.handle_peer_answer(state, message, now_ms)
         case relaying.PeerFailed():
@@ -49,9 +50,11 @@
         case removal_timer.RemovalTimer():
             return applying.remove_due_searchers(state, now_ms)
         case node_written.NodeWritten():
-            state.writing_node = False
-            state.node_written = message.done
-            return []
+            return store_answers.handle_node_written(state, message)
+        case restore_timer.RestoreTimer():
+            missing = restoring.end_hold(state, message)
+            added = state.relay.log.add(missing)
+            return syncing.apply(state, added, now_ms) if added else []
         case _:
             raise TypeError(
                 f'unexpected message for discovery: {type(message).__name__}'
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/listing.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/listing.py
@@ -1,9 +1,13 @@
 """Lists of the store."""
 
+import dataclasses
+
 from gypsumbridge_decisions import messages
 from gypsumbridge_decisions import relaying
 from gypsumbridge_decisions.discovery import command
+from gypsumbridge_decisions.discovery import eras
 from gypsumbridge_decisions.discovery import proving
+from gypsumbridge_decisions.discovery import restoring
 from gypsumbridge_decisions.discovery import resume_timer
 from gypsumbridge_decisions.discovery import state as states
 from gypsumbridge_decisions.discovery import store_listed
@@ -20,18 +24,25 @@
     now_ms: int,
 ) -> list[command.Command]:
     """Apply a list of the store, and make the next call."""
-    stale_ok = not state.exact_list_needed
+    stale_ok = not state.listing_exactly
+    if stale_ok and state.exact_list_needed:
+        # The need arose after the list had been requested.
+        return syncing.resume(state, now_ms)
     commands = syncing.record_confirmation(state, now_ms)
     relaying.readmit_store(state.relay)
     state.list_needed = False
     state.list_unconfirmed = stale_ok
-    if listed.revision >= state.revision:
+    current = listed.revision >= state.revision
+    if current:
+        records = eras.stamp(state, listed.records)
+        listed = dataclasses.replace(listed, records=records)
         commands += apply_list(state, listed, now_ms)
     if stale_ok:
         syncing.mark_updates_missed(state)
     else:
         syncing.clear_missed_updates(state)
-        proving.record_proof(state, listed.sent_ms)
+        if current:
+            proving.record_proof(state, listed.sent_ms)
         commands += proving.report_confirmation(state)
     if (
         state.writing_node
@@ -52,19 +63,28 @@
     now_ms: int,
 ) -> list[command.Command]:
     """Replace the records up to the revision of a list."""
+    records = listed.records
+    commands: list[command.Command] = []
+    if state.relay.log.era != state.era:
+        records, commands = restoring.reconcile(state, records)
     state.revision = listed.revision
     state.list_needed = False
     state.exact_list_needed = False
-    state.relay.log.replace(listed.records, listed.revision)
+    state.era_pending = False
+    state.relay.log.replace(records, listed.revision, state.era)
     present = state.relay.log.present()
     keys = {record.key for record in present}
     prefix = state.schema.searcher_prefix
     removed = tuple(
-        relaying.StoreRecord(prefix + name, listed.revision, None)
+        relaying.StoreRecord(prefix + name, listed.revision, None, state.era)
         for name in state.searchers
         if prefix + name not in keys
     )
-    return syncing.apply(state, present + removed, now_ms)
+    return [
+        *commands,
+        *syncing.apply(state, present + removed, now_ms),
+        *restoring.hold_missing(state),
+    ]
 
 
 def handle_history_lost(
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/node_written.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/node_written.py
@@ -5,6 +5,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class NodeWritten:
-    """`done` is false when the write failed or its result is unknown."""
+    """`done` is false when the write failed or its result is unknown.
+
+    `era` is that of the response, None if it states none.
+    """
 
     done: bool
+    era: int | None = None
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/peer_updates.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/peer_updates.py
@@ -3,6 +3,7 @@
 from gypsumbridge_decisions import messages
 from gypsumbridge_decisions import relaying
 from gypsumbridge_decisions.discovery import command
+from gypsumbridge_decisions.discovery import eras
 from gypsumbridge_decisions.discovery import listing
 from gypsumbridge_decisions.discovery import proving
 from gypsumbridge_decisions.discovery import state as states
@@ -22,21 +23,26 @@
     another source.
     """
     updates = answered.updates
+    era = updates.era or 0
+    if era < state.era:
+        return drop_older_updates(state, answered, now_ms)
     commands: list[command.Command] = []
+    if era > state.era:
+        if not (updates.in_touch and updates.complete):
+            # The peer has not listed the new era either.
+            state.list_needed = True
+            state.exact_list_needed = True
+            return [
+                *exclude_outdated(state, answered, now_ms),
+                *syncing.resume(state, now_ms),
+            ]
+        commands += eras.begin_newer_era(state, era, answered.node_id)
     if updates.in_touch:
         relaying.readmit_peer(state.relay, answered.node_id)
         confirmed_ms = max(state.confirmed_ms, now_ms - updates.age_ms)
         commands += syncing.record_confirmation(state, confirmed_ms)
     else:
-        syncing.mark_updates_missed(state)
-        relaying.exclude_outdated_peer(state.relay, answered.node_id, now_ms)
-        fields: dict[str, str | int | float] = {
-            'peer': answered.node_id,
-            'revision': updates.revision,
-        }
-        commands.append(
-            messages.Decision('peer_excluded', 'out_of_touch', fields)
-        )
+        commands += exclude_outdated(state, answered, now_ms)
     if updates.revision > state.revision:
         commands += apply_updates(state, updates, now_ms)
     elif updates.in_touch:
@@ -54,6 +60,41 @@
     return [*commands, *syncing.resume(state, now_ms)]
 
 
+def exclude_outdated(
+    state: states.DiscoveryState,
+    answered: relaying.PeerAnswered,
+    now_ms: int,
+) -> list[command.Command]:
+    """Exclude a peer that gets no updates itself."""
+    syncing.mark_updates_missed(state)
+    relaying.exclude_outdated_peer(state.relay, answered.node_id, now_ms)
+    fields: dict[str, str | int | float] = {
+        'peer': answered.node_id,
+        'revision': answered.updates.revision,
+    }
+    return [messages.Decision('peer_excluded', 'out_of_touch', fields)]
+
+
+def drop_older_updates(
+    state: states.DiscoveryState,
+    answered: relaying.PeerAnswered,
+    now_ms: int,
+) -> list[command.Command]:
+    """Drop the updates of a peer that knows only an older era.
+
+    A peer of a release that knows no eras is taken to be behind, since its
+    revisions cannot be compared with those of a known era.
+    """
+    syncing.mark_updates_missed(state)
+    relaying.exclude_peer_behind(state.relay, answered.node_id, now_ms)
+    return [
+        *eras.drop_older_answer(
+            state, answered.updates.era or 0, answered.node_id
+        ),
+        *syncing.resume(state, now_ms),
+    ]
+
+
 def apply_updates(
     state: states.DiscoveryState, updates: relaying.RelayedUpdates, now_ms: int
 ) -> list[command.Command]:
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/proving.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/proving.py
@@ -26,4 +26,4 @@
 ) -> list[command.Command]:
     """Report when the copy was last confirmed, and last proven current."""
     proven_ms = NEVER_MS if state.proven_ms is None else state.proven_ms
-    return [forwarding.CopyConfirmed(state.confirmed_ms, proven_ms)]
+    return [forwarding.CopyConfirmed(state.confirmed_ms, proven_ms, state.era)]
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/state.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/state.py
@@ -20,6 +20,15 @@
     `store_failed` is set when a call of this node to the store has failed
     since. The copy was the store's newest at `proven_ms` or later, on the
     clock that counts suspended time; None if that was never proven.
+
+    `revision` is one of `era`, the newest era of the store that is known.
+    `era_pending` is set until the store has been listed in that era, and
+    `listing_exactly` while a list that is not stale is in flight.
+    `era_missing_logged` is set when a response without an era was logged.
+    `restore_timer_era` is the era for which the hold of entries that the
+    copy lacks was started. `departed` holds the order of the last entry of
+    searchers whose entry was deleted, and `routes_value` the configuration
+    in force.
     """
 
     def __init__(
@@ -33,6 +42,13 @@
         self.drain_ms = drain_ms
         self.hold_ms = removal_hold.removal_hold_ms(drain_ms)
         self.revision = 0
+        self.era = 0
+        self.era_pending = False
+        self.listing_exactly = False
+        self.era_missing_logged = False
+        self.restore_timer_era: int | None = None
+        self.departed: dict[str, tuple[int, int]] = {}
+        self.routes_value: bytes | None = None
         self.ready_reported = False
         self.list_needed = True
         self.exact_list_needed = False
@@ -54,13 +70,16 @@
         """Return the status that is sent with updates to other nodes."""
         age_ms = now_ms - self.confirmed_ms
         fresh = age_ms < relaying.STALE_MS
-        current = self.revision > 0 and not self.failures and fresh
+        known = self.revision > 0 or self.era_pending
+        current = known and not self.failures and fresh
+        unconfirmed = self.list_unconfirmed or self.era_pending
         return relaying.UpdateStatus(
             self.revision,
-            in_touch=current and not self.list_unconfirmed,
+            in_touch=current and not unconfirmed,
             age_ms=age_ms,
-            confirming=current and self.list_unconfirmed,
+            confirming=current and unconfirmed,
             proven_ms=self.proven_ms,
+            era=self.era,
         )
 
 
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/store_changed.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/store_changed.py
@@ -11,8 +11,10 @@
 
     `sent_ms` is when the watch was sent, on the clock that counts suspended
     time; None where it is not known.
+    `era` is that of the response, None if it states none.
     """
 
     revision: int
     records: tuple[relaying.StoreRecord, ...]
     sent_ms: int | None = None
+    era: int | None = None
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/syncing.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/syncing.py
@@ -1,12 +1,16 @@
 """The loop that lists and watches the store, or polls another node."""
 
+import dataclasses
+
 from gypsumbridge_decisions import messages
 from gypsumbridge_decisions import relaying
 from gypsumbridge_decisions.discovery import applying
 from gypsumbridge_decisions.discovery import command
 from gypsumbridge_decisions.discovery import discovery_ready
+from gypsumbridge_decisions.discovery import eras
 from gypsumbridge_decisions.discovery import list_store
 from gypsumbridge_decisions.discovery import proving
+from gypsumbridge_decisions.discovery import restoring
 from gypsumbridge_decisions.discovery import resume_timer
 from gypsumbridge_decisions.discovery import state as states
 from gypsumbridge_decisions.discovery import store_changed
@@ -41,11 +45,14 @@
     commands = record_source(state, source.peer)
     if source.peer is not None:
         after = 0 if state.list_needed else state.revision
-        watch = relaying.WatchPeer(source.peer, after, source.poll_ms)
+        watch = relaying.WatchPeer(
+            source.peer, after, source.poll_ms, state.era
+        )
         return [*commands, watch]
     if state.list_needed:
         stale_ok = not state.exact_list_needed
-        return [*commands, list_store.ListStore(stale_ok)]
+        state.listing_exactly = state.exact_list_needed
+        return [*commands, list_store.ListStore(stale_ok, state.era)]
     return [
         *commands,
         watch_store.WatchStore(state.revision, watch_wait_ms(state)),
@@ -93,11 +100,15 @@
     commands = record_confirmation(state, now_ms)
     relaying.readmit_store(state.relay)
     state.list_unconfirmed = False
+    current = changed.revision >= state.revision
+    records = eras.stamp(state, changed.records)
+    changed = dataclasses.replace(changed, records=records)
     commands += apply_changes(state, changed, now_ms)
     clear_missed_updates(state)
     if len(changed.records) < MANY_CHANGES:
         # The store may have more changes than one response holds.
-        proving.record_proof(state, changed.sent_ms)
+        if current:
+            proving.record_proof(state, changed.sent_ms)
         commands += proving.report_confirmation(state)
     if not 0 < len(changed.records) < MANY_CHANGES:
         return [*commands, *resume(state, now_ms)]
@@ -127,8 +138,10 @@
     now_ms: int,
 ) -> list[command.Command]:
     """Apply records, and relay them to the nodes with waiting polls."""
+    commands = applying.apply_records(state, records, now_ms)
+    restoring.keep_routes(state)
     return [
-        *applying.apply_records(state, records, now_ms),
+        *commands,
         *relaying.answer_waiting(state.relay, state.status(now_ms)),
         *announce_node(state),
     ]
@@ -204,8 +217,12 @@
         state.ready_reported = True
         commands.append(discovery_ready.DiscoveryReady())
     own = state.relay.own
-    entry_current = (
-        state.node_written or state.relay.peers.get(own.node_id) == own
+    key = state.schema.node_prefix + own.node_id
+    record = state.relay.log.records.get(key)
+    # A copy from which the store came back may lack the entry.
+    in_copy = record is not None and record.era == state.era
+    entry_current = state.node_written or (
+        in_copy and state.relay.peers.get(own.node_id) == own
     )
     if not entry_current and not state.writing_node:
         state.writing_node = True
--- a/packages/decisions/src/gypsumbridge_decisions/relaying/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/relaying/__init__.py
@@ -9,6 +9,9 @@
 from gypsumbridge_decisions.relaying.exclusion import (
     exclude_outdated_peer as exclude_outdated_peer,
 )
+from gypsumbridge_decisions.relaying.exclusion import (
+    exclude_peer_behind as exclude_peer_behind,
+)
 from gypsumbridge_decisions.relaying.exclusion import (
     exclude_store as exclude_store,
 )
--- a/packages/decisions/src/gypsumbridge_decisions/relaying/exclusion.py
+++ b/packages/decisions/src/gypsumbridge_decisions/relaying/exclusion.py
@@ -35,6 +35,16 @@
     state.outdated_peers.add(node_id)
 
 
+def exclude_peer_behind(
+    state: relay_state.RelayState, node_id: str, now_ms: int
+) -> None:
+    """Exclude a peer that knows only an older era of the store.
+
+    This says nothing of whether the store can be reached.
+    """
+    state.excluded_until_ms[node_id] = now_ms + OUTDATED_EXCLUSION_MS
+
+
 def exclude_store(state: relay_state.RelayState, now_ms: int) -> None:
     """Exclude the store after a failed call of this node."""
     state.store_excluded_until_ms = now_ms + STORE_EXCLUSION_MS
--- a/packages/decisions/src/gypsumbridge_decisions/relaying/relay_state.py
+++ b/packages/decisions/src/gypsumbridge_decisions/relaying/relay_state.py
@@ -1,6 +1,7 @@
 """State of polling other nodes and of answering their polls."""
 
 from gypsumbridge_decisions.relaying import peer_node
+from gypsumbridge_decisions.relaying import poll_arrived
 from gypsumbridge_decisions.relaying import record_log
 
 
@@ -13,7 +14,7 @@
     that reported that they are not up to date. The store is not called
     instead of peers before `store_excluded_until_ms`; `store_answered` is
     set when a call has succeeded since a peer was last up to date. `polls`
-    holds the revision that each waiting poll starts from. `source` is the
+    holds the waiting polls. `source` is the
     id of the node that is polled for updates, or empty for the store.
     """
 
@@ -27,7 +28,7 @@
         self.outdated_peers: set[str] = set()
         self.store_excluded_until_ms = 0
         self.store_answered = False
-        self.polls: dict[int, int] = {}
+        self.polls: dict[int, poll_arrived.PollArrived] = {}
         self.source = ''
 
 
--- a/packages/decisions/src/gypsumbridge_decisions/relaying/store_record.py
+++ b/packages/decisions/src/gypsumbridge_decisions/relaying/store_record.py
@@ -7,9 +7,15 @@
 class StoreRecord:
     """A key with the revision of its last change.
 
-    `value` is None when the key was deleted.
+    `value` is None when the key was deleted. Revisions are ordered within an
+    era of the store; records of a later era follow all earlier ones.
     """
 
     key: str
     revision: int
     value: bytes | None
+    era: int = 0
+
+    def position(self) -> tuple[int, int]:
+        """Return the era and the revision, which order all records."""
+        return self.era, self.revision
--- a/packages/decisions/src/gypsumbridge_decisions/relaying/watch_peer.py
+++ b/packages/decisions/src/gypsumbridge_decisions/relaying/watch_peer.py
@@ -12,3 +12,4 @@
     peer: peer_node.PeerNode
     after_revision: int
     wait_ms: int
+    era: int = 0
--- a/packages/node/src/gypsumbridge_node/gateway/adapter.py
+++ b/packages/node/src/gypsumbridge_node/gateway/adapter.py
@@ -5,6 +5,7 @@
 
 from gypsumbridge_decisions import discovery
 from gypsumbridge_node.gateway import header_names
+from gypsumbridge_node.gateway import headers as http_headers
 from gypsumbridge_node.gateway import http_request
 from gypsumbridge_node.gateway import store_page
 
@@ -17,7 +18,9 @@
     store. `encode_list` gets the key after which the page begins, and
     whether the list may be some seconds old. The decoders get the body of a
     successful response; they raise FrameError for a body that they cannot
-    decode. `ready_path` is the path that the load balancer polls.
+    decode. `decode_era` gets the headers of any response and returns the
+    store's era, None if they state none. `ready_path` is the path that the
+    load balancer polls.
     """
 
     headers: header_names.HeaderNames
@@ -28,3 +31,4 @@
     encode_watch: Callable[[int, int], http_request.HttpRequest]
     decode_watch: Callable[[bytes], discovery.StoreChanged]
     encode_put: Callable[[str, bytes], http_request.HttpRequest]
+    decode_era: Callable[[http_headers.Headers], int | None]
--- a/packages/node/src/gypsumbridge_node/gateway/api_client.py
+++ b/packages/node/src/gypsumbridge_node/gateway/api_client.py
@@ -17,6 +17,10 @@
 STATUS_OK = 200
 
 
+def ignore_reply(reply: http_reply.HttpReply) -> None:
+    """Do nothing with a response; the call's result is enough."""
+
+
 def send_call(
     client: api_client_state.ApiClientState,
     request: http_request.HttpRequest,
@@ -24,16 +28,18 @@
     on_success: Callable[[http_reply.HttpReply], None],
     on_failure: Callable[[str], None],
     on_interim: Callable[[], None] = client_connection.ignore_interim,
+    on_reply: Callable[[http_reply.HttpReply], None] = ignore_reply,
 ) -> pending_call.PendingCall:
     """Send a call and report its result to one of the callbacks.
 
-    `on_interim` is called for each interim response (1xx) before the result.
+    `on_interim` is called for each interim response (1xx) before the result,
+    and `on_reply` for a complete response of any status.
     If `on_success` raises FrameError for a body that it cannot decode,
     `on_failure` is called as well, and the connection is closed.
     """
     client.runtime.metrics.count(f'{client.name}.calls')
     call = pending_call.PendingCall(
-        request, on_success, on_failure, on_interim
+        request, on_success, on_failure, on_interim, on_reply
     )
     call.timer = client.runtime.reactor.callLater(
         timeout_ms / 1000, expire, client, call
@@ -96,6 +102,7 @@
         client.idle.add(connection, client.runtime.clock.now_ms())
     else:
         connection.close()
+    call.on_reply(reply)
     if reply.status != STATUS_OK or not reply.framed:
         fail_call(client, call, f'status_{reply.status}')
         return
--- a/packages/node/src/gypsumbridge_node/gateway/pending_call.py
+++ b/packages/node/src/gypsumbridge_node/gateway/pending_call.py
@@ -20,11 +20,13 @@
         on_success: Callable[[http_reply.HttpReply], None],
         on_failure: Callable[[str], None],
         on_interim: Callable[[], None],
+        on_reply: Callable[[http_reply.HttpReply], None],
     ) -> None:
         self.request = request
         self.on_success = on_success
         self.on_failure = on_failure
         self.on_interim = on_interim
+        self.on_reply = on_reply
         self.connection: client_connection.ClientConnection | None = None
         self.timer: Any = None
         self.sent = False
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/discovery_task.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/discovery_task.py
@@ -26,6 +26,7 @@
 
     def publish_confirmation(update: forwarding.CopyConfirmed) -> None:
         mailboxes.forwarding.put(update)
+        runtime.metrics.gauge('discovery.store_era', update.era)
 
     def report_ready(command: discovery.DiscoveryReady) -> None:
         mailboxes.lifecycle.put(
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/peers.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/peers.py
@@ -35,7 +35,9 @@
             updates = relay.decode_updates(reply.body)
             mailbox.put(relaying.PeerAnswered(node_id, updates, sent_ms))
 
-        target = relay.encode_target(command.after_revision, command.wait_ms)
+        target = relay.encode_target(
+            command.after_revision, command.wait_ms, command.era
+        )
         api_client.send_call(
             client,
             http_request.HttpRequest('GET', target),
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/store.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/store.py
@@ -10,6 +10,7 @@
 from gypsumbridge_node.gateway import api_client_state
 from gypsumbridge_node.gateway import client_connection
 from gypsumbridge_node.gateway import http_reply
+from gypsumbridge_node.gateway import http_request
 from gypsumbridge_node.gateway import runtime as runtimes
 from gypsumbridge_node.gateway import store_page
 from gypsumbridge_wire import relay
@@ -45,9 +46,34 @@
     runtime.mailboxes.store.start(handle)
 
 
+def send_call(
+    runtime: runtimes.GatewayRuntime,
+    client: api_client_state.ApiClientState,
+    request: http_request.HttpRequest,
+    timeout_ms: int,
+    on_success: Callable[[http_reply.HttpReply, int | None], None],
+    on_failure: Callable[[str, int | None], None],
+) -> None:
+    """Send a call; its result is reported with the era of the response."""
+    era: int | None = None
+
+    def read_era(reply: http_reply.HttpReply) -> None:
+        nonlocal era
+        era = runtime.adapter.decode_era(reply.headers)
+
+    api_client.send_call(
+        client,
+        request,
+        timeout_ms,
+        lambda reply: on_success(reply, era),
+        lambda reason: on_failure(reason, era),
+        on_reply=read_era,
+    )
+
+
 def make_failure_report(
     runtime: runtimes.GatewayRuntime, history_lost: Mapping[str, str]
-) -> Callable[[str], None]:
+) -> Callable[[str, int | None], None]:
     """Return a function that reports a failed list or watch.
 
     After the failures in `history_lost`, which maps each to its reason, the
@@ -55,11 +81,11 @@
     """
     mailbox = runtime.mailboxes.discovery
 
-    def report(reason: str) -> None:
+    def report(reason: str, era: int | None) -> None:
         if reason in history_lost:
-            mailbox.put(discovery.HistoryLost(history_lost[reason]))
+            mailbox.put(discovery.HistoryLost(history_lost[reason], era))
             return
-        mailbox.put(discovery.StoreFailed(reason))
+        mailbox.put(discovery.StoreFailed(reason, era))
 
     return report
 
@@ -74,24 +100,38 @@
     report_failure = make_failure_report(runtime, LIST_FAILURES)
     pages: list[store_page.StorePage] = []
     stale_ok = False
+    eras: set[int] = set()
+    any_era = False
+    known_era = 0
     sent_ms = 0
 
     def list_page(after: str) -> None:
         request = adapter.encode_list(after, stale_ok)
-        api_client.send_call(
-            client, request, timeout_ms, handle_page, report_failure
+        send_call(
+            runtime, client, request, timeout_ms, handle_page, report_failure
         )
 
     def start_list(command: discovery.ListStore) -> None:
-        nonlocal stale_ok, sent_ms
+        nonlocal stale_ok, sent_ms, known_era, any_era
         stale_ok = command.stale_ok
+        known_era = command.era
+        any_era = False
+        eras.clear()
         sent_ms = runtime.clock.boot_ms()
         pages.clear()
         list_page('')
 
-    def handle_page(reply: http_reply.HttpReply) -> None:
+    def handle_page(reply: http_reply.HttpReply, era: int | None) -> None:
+        nonlocal any_era
         page = adapter.decode_list(reply.body)
         pages.append(page)
+        any_era = any_era or era is not None
+        eras.add(known_era if era is None else era)
+        if len(eras) > 1:
+            # Revisions of two eras cannot be compared.
+            pages.clear()
+            report_failure('mixed_eras', max(eras))
+            return
         if page.next_after:
             list_page(page.next_after)
             return
@@ -102,7 +142,9 @@
         revision = min(found.revision for found in pages)
         pages.clear()
         runtime.mailboxes.discovery.put(
-            discovery.StoreListed(revision, records, sent_ms)
+            discovery.StoreListed(
+                revision, records, sent_ms, min(eras) if any_era else None
+            )
         )
 
     return start_list
@@ -121,14 +163,17 @@
     def watch(command: discovery.WatchStore) -> None:
         sent_ms = runtime.clock.boot_ms()
 
-        def handle_changes(reply: http_reply.HttpReply) -> None:
+        def handle_changes(
+            reply: http_reply.HttpReply, era: int | None
+        ) -> None:
             changed = adapter.decode_watch(reply.body)
             runtime.mailboxes.discovery.put(
-                dataclasses.replace(changed, sent_ms=sent_ms)
+                dataclasses.replace(changed, sent_ms=sent_ms, era=era)
             )
 
         request = adapter.encode_watch(command.after_revision, command.wait_ms)
-        api_client.send_call(
+        send_call(
+            runtime,
             client,
             request,
             command.wait_ms + margin_ms,
@@ -150,12 +195,13 @@
 
     def write(command: discovery.WriteNode) -> None:
         key = adapter.schema.node_prefix + command.node.node_id
-        api_client.send_call(
+        send_call(
+            runtime,
             client,
             adapter.encode_put(key, relay.encode_node(command.node)),
             settings.discovery.timeout_ms,
-            lambda reply: mailbox.put(discovery.NodeWritten(True)),
-            lambda reason: mailbox.put(discovery.NodeWritten(False)),
+            lambda reply, era: mailbox.put(discovery.NodeWritten(True, era)),
+            lambda reason, era: mailbox.put(discovery.NodeWritten(False, era)),
         )
 
     return write
--- a/packages/standins/src/gypsumbridge_standins/capacity/relay_costs.py
+++ b/packages/standins/src/gypsumbridge_standins/capacity/relay_costs.py
@@ -69,7 +69,7 @@
 
 def send_poll(connection: socket.socket) -> None:
     """Send a poll for updates."""
-    target = relay.encode_target(LAST_REVISION, WAIT_MS)
+    target = relay.encode_target(LAST_REVISION, WAIT_MS, 0)
     connection.sendall(f'GET {target} HTTP/1.1\r\nHost: a\r\n\r\n'.encode())
 
 
--- a/packages/wire/src/gypsumbridge_wire/relay.py
+++ b/packages/wire/src/gypsumbridge_wire/relay.py
@@ -1,7 +1,8 @@
 """Codec of the calls with which nodes relay the store's changes.
 
 A node polls another with a GET request. Its query string has the revision
-that the node has reached and how long it waits, in milliseconds. The
+that the node has reached, the era of the store and how long it waits, in
+milliseconds. Nodes of releases that know no eras send and read none. The
 response is RelayedUpdates as MessagePack, compressed because a configuration
 is large and repetitive.
 """
@@ -19,6 +20,7 @@
 PATH = '/v1/news'
 AFTER = 'after'
 WAIT_MS = 'wait_ms'
+ERA = 'era'
 MAX_WAIT_MS = 60_000
 # The fastest level already removes most of the size of a configuration.
 COMPRESSION_LEVEL = 1
@@ -33,14 +35,19 @@
 _node_decoder = msgspec.json.Decoder(relaying.PeerNode)
 
 
-def encode_target(after_revision: int, wait_ms: int) -> str:
+def encode_target(after_revision: int, wait_ms: int, era: int) -> str:
     """Return the request target of a call."""
-    query = urllib.parse.urlencode({AFTER: after_revision, WAIT_MS: wait_ms})
+    query = urllib.parse.urlencode(
+        {AFTER: after_revision, WAIT_MS: wait_ms, ERA: era}
+    )
     return f'{PATH}?{query}'
 
 
-def decode_target(target: str) -> tuple[int, int] | None:
-    """Return the revision and the wait of a call; None for other targets."""
+def decode_target(target: str) -> tuple[int, int, int | None] | None:
+    """Return the revision, wait and era of a call; None for other targets.
+
+    The era is None if the call names none.
+    """
     path, _, text = target.partition('?')
     if path != PATH:
         return None
@@ -48,9 +55,12 @@
     try:
         after = int(query[AFTER])
         wait_ms = int(query[WAIT_MS])
+        era = int(query[ERA]) if ERA in query else None
     except (KeyError, ValueError):
         return None
-    return max(0, after), min(max(0, wait_ms), MAX_WAIT_MS)
+    if era is not None and not 0 <= era <= MAX_COUNT:
+        return None
+    return max(0, after), min(max(0, wait_ms), MAX_WAIT_MS), era
 
 
 def encode_updates(updates: relaying.RelayedUpdates) -> bytes:
@@ -72,8 +82,11 @@
         # The checksum at the end is missing.
         raise errors.FrameError('a peer sent updates that broke off', _REMEDY)
     numbers = (updates.revision, updates.age_ms, updates.proof_age_ms or 0)
+    eras = (updates.era or 0, *(record.era for record in updates.records))
     revisions = (record.revision for record in updates.records)
-    if not all(0 <= number <= MAX_COUNT for number in (*numbers, *revisions)):
+    if not all(
+        0 <= number <= MAX_COUNT for number in (*numbers, *eras, *revisions)
+    ):
         raise errors.FrameError(
             'a peer sent updates with a number out of range', _REMEDY
         )
--- a/tests/node/gateway/test_store_listing.py
+++ b/tests/node/gateway/test_store_listing.py
@@ -61,7 +61,7 @@
             self.received,
         )
 
-    def answer(self, revision, items, more):
+    def answer(self, revision, items, more, era=''):
         body = msgspec.json.encode(
             {
                 'items': [
@@ -72,7 +72,8 @@
                 'storeRevision': revision,
             }
         )
-        head = f'HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n'
+        head = f'HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n'
+        head += f'Store-Era: {era}\r\n\r\n' if era else '\r\n'
         self.connection.dataReceived(head.encode() + body)
 
     def test_a_list_is_as_old_as_its_oldest_page(self):
@@ -95,3 +96,47 @@
                 self.assertEqual(12, listed.revision)
                 keys = [record.key for record in listed.records]
                 self.assertEqual(['a', 'b', 'c'], keys)
+
+    def test_pages_of_two_eras_are_not_one_list(self):
+        """Guards against a list that is half from before a restore."""
+        for first, second in (('4', '5'), ('5', '4'), ('', '5')):
+            with self.subTest(first=first, second=second):
+                self.setUp()
+                self.list(discovery.ListStore(stale_ok=False, era=4))
+                self.open_connection()
+                self.answer(20, {'a': 3}, True, first)
+                self.answer(20, {'b': 4}, False, second)
+                self.assertEqual(
+                    [discovery.StoreFailed('mixed_eras', 5)], self.received
+                )
+
+    def test_a_page_without_an_era_is_of_the_known_one(self):
+        """Guards against a list that never ends for one lost header."""
+        self.list(discovery.ListStore(stale_ok=False, era=4))
+        self.open_connection()
+        self.answer(20, {'a': 3}, True)
+        self.answer(20, {'b': 4}, False, '4')
+        (listed,) = self.received
+        self.assertEqual(4, listed.era)
+
+    def test_an_era_that_is_no_number_is_none(self):
+        """Guards against an era that is guessed from a broken header."""
+        for era in ('x', '-1', '1.5', '1e3', '9' * 5_000):
+            with self.subTest(era=era):
+                self.setUp()
+                self.list(discovery.ListStore(stale_ok=False, era=4))
+                self.open_connection()
+                self.answer(20, {'a': 3}, False, era)
+                (listed,) = self.received
+                self.assertIsNone(listed.era)
+
+    def test_a_refusal_states_the_era(self):
+        """Guards against a 410 that is taken to be of the older era."""
+        self.watch(discovery.WatchStore(5, 3_000))
+        self.open_connection()
+        self.connection.dataReceived(
+            b'HTTP/1.1 410 Gone\r\nContent-Length: 0\r\nStore-Era: 5\r\n\r\n'
+        )
+        self.assertEqual(
+            [discovery.HistoryLost('compacted', 5)], self.received
+        )
--- a/tests/platform_adapter/test_names.py
+++ b/tests/platform_adapter/test_names.py
@@ -8,7 +8,8 @@
     r'gypsumbridge-(request|deadline|server|expect|not|instance|part|missing)'
     r'|kv-(key|range|watch|txn|lease|keep)|op/config|routeType|trafficSplit'
     r'|targetLatencyMs|maxAttempts|minCoverage|topK|warmupLeftMs'
-    r'|storeRevision|hasMore|internalPortRange|GYPSUMBRIDGE_NODE_FILE',
+    r'|storeRevision|hasMore|internalPortRange|GYPSUMBRIDGE_NODE_FILE'
+    r'|store-era',
     re.IGNORECASE,
 )
 MIN_PRODUCT_RATIO = 20
--- a/tests/wire/test_relay.py
+++ b/tests/wire/test_relay.py
@@ -2,6 +2,8 @@
 import unittest
 import zlib
 
+import msgspec
+
 from gypsumbridge_decisions import errors
 from gypsumbridge_decisions import relaying
 from gypsumbridge_wire import relay
@@ -28,8 +30,22 @@
 
     def test_calls_are_unchanged_by_the_codec(self):
         """Guards against a poll from the wrong revision."""
-        target = relay.encode_target(12, 2_000)
-        self.assertEqual((12, 2_000), relay.decode_target(target))
+        target = relay.encode_target(12, 2_000, 3)
+        self.assertEqual((12, 2_000, 3), relay.decode_target(target))
+
+    def test_nodes_that_know_no_era_are_understood(self):
+        """Guards against nodes that cannot poll each other in an upgrade."""
+        target = f'{relay.PATH}?after=12&wait_ms=2000'
+        self.assertEqual((12, 2_000, None), relay.decode_target(target))
+        body = dataclasses.asdict(UPDATES)
+        del body['era'], body['proof_age_ms']
+        for record in body['records']:
+            del record['era']
+        found = relay.decode_updates(
+            zlib.compress(msgspec.msgpack.encode(body))
+        )
+        self.assertEqual(UPDATES, found)
+        self.assertIsNone(found.era)
 
     def test_other_targets_are_refused(self):
         """Guards against an exception for a request to another target."""
@@ -38,14 +54,18 @@
             relay.PATH,
             f'{relay.PATH}?after=x&wait_ms=1',
             f'{relay.PATH}?after=1',
+            f'{relay.PATH}?after=1&wait_ms=1&era=x',
+            f'{relay.PATH}?after=1&wait_ms=1&era=-1',
         ):
             with self.subTest(target=target):
                 self.assertIsNone(relay.decode_target(target))
 
     def test_waits_are_bounded(self):
         """Guards against polls that are kept open without a limit."""
-        target = relay.encode_target(1, 10**12)
-        self.assertEqual((1, relay.MAX_WAIT_MS), relay.decode_target(target))
+        target = relay.encode_target(1, 10**12, 0)
+        self.assertEqual(
+            (1, relay.MAX_WAIT_MS, 0), relay.decode_target(target)
+        )
 
     def test_invalid_updates_are_refused(self):
         """Guards against an unexpected exception that ends the relaying."""
