Add a restore drill to the stand-in, and ask relays after a start

Cause: a process test with a drill found that a gateway that restarts before the operator has written again serves the configuration of the copy, with a route that was withdrawn: it listed the copy itself, and then polled its relay only for later changes.

Change: the store of the stand-in states an era where the plan has one. On command it takes a copy, is away, comes back from the copy in the next era and gives its revisions out again; the operator and the searchers write again later. A process that has started in an era above 0 asks its relay for all records once, and is ready after that or after a watch of the store. Of two records at one position the corrected one is used.

--- a/packages/decisions/src/gypsumbridge_decisions/discovery/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/__init__.py
@@ -67,6 +67,9 @@
 from gypsumbridge_decisions.discovery.peer_updates import (
     handle_peer_failure as handle_peer_failure,
 )
+from gypsumbridge_decisions.discovery.peer_updates import (
+    lacks_retained as lacks_retained,
+)
 from gypsumbridge_decisions.discovery.proving import NEVER_MS as NEVER_MS
 from gypsumbridge_decisions.discovery.proving import (
     record_proof as record_proof,
@@ -97,6 +100,9 @@
     keep_routes as keep_routes,
 )
 from gypsumbridge_decisions.discovery.restoring import log_keys as log_keys
+from gypsumbridge_decisions.discovery.restoring import (
+    precedes_correction as precedes_correction,
+)
 from gypsumbridge_decisions.discovery.restoring import reconcile as reconcile
 from gypsumbridge_decisions.discovery.resume_timer import (
     ResumeTimer as ResumeTimer,
@@ -133,6 +139,9 @@
 from gypsumbridge_decisions.discovery.syncing import (
     apply_changes as apply_changes,
 )
+from gypsumbridge_decisions.discovery.syncing import (
+    awaits_peers as awaits_peers,
+)
 from gypsumbridge_decisions.discovery.syncing import (
     clear_missed_updates as clear_missed_updates,
 )
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/listing.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/listing.py
@@ -63,10 +63,7 @@
     now_ms: int,
 ) -> list[command.Command]:
     """Replace the records up to the revision of a list."""
-    records = listed.records
-    commands: list[command.Command] = []
-    if state.relay.log.era != state.era:
-        records, commands = restoring.reconcile(state, records)
+    records, commands = restoring.reconcile(state, listed.records)
     state.revision = listed.revision
     state.list_needed = False
     state.exact_list_needed = False
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/peer_updates.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/peer_updates.py
@@ -41,9 +41,11 @@
         relaying.readmit_peer(state.relay, answered.node_id)
         confirmed_ms = max(state.confirmed_ms, now_ms - updates.age_ms)
         commands += syncing.record_confirmation(state, confirmed_ms)
+        state.list_unconfirmed = False
+        state.start_confirmed = True
     else:
         commands += exclude_outdated(state, answered, now_ms)
-    if updates.revision > state.revision:
+    if updates.revision > state.revision or lacks_retained(state, updates):
         commands += apply_updates(state, updates, now_ms)
     elif updates.in_touch:
         if updates.complete:
@@ -60,6 +62,22 @@
     return [*commands, *syncing.resume(state, now_ms)]
 
 
+def lacks_retained(
+    state: states.DiscoveryState, updates: relaying.RelayedUpdates
+) -> bool:
+    """Return whether updates have what this node has not learned since start.
+
+    They are applied even if their revision is lower than this node's; the
+    changes in between are then read again.
+    """
+    return bool(
+        updates.in_touch
+        and updates.complete
+        and state.era
+        and not state.retained_known
+    )
+
+
 def exclude_outdated(
     state: states.DiscoveryState,
     answered: relaying.PeerAnswered,
@@ -100,6 +118,7 @@
 ) -> list[command.Command]:
     """Apply updates that are newer than this node's revision."""
     if updates.complete:
+        state.retained_known = state.retained_known or updates.in_touch
         listed = store_listed.StoreListed(updates.revision, updates.records)
         return listing.apply_list(state, listed, now_ms)
     changed = store_changed.StoreChanged(updates.revision, updates.records)
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/restoring.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/restoring.py
@@ -20,7 +20,7 @@
 def reconcile(
     state: states.DiscoveryState, listed: tuple[relaying.StoreRecord, ...]
 ) -> tuple[tuple[relaying.StoreRecord, ...], list[command.Command]]:
-    """Return the first list of an era, corrected by what is known.
+    """Return a list of the store, corrected by what is known.
 
     A key that is known to be deleted stays deleted, and a searcher's newer
     entry stays in force, at the position of the listed record: the next
@@ -31,7 +31,8 @@
     for record in listed:
         known = state.relay.log.records.get(record.key)
         if known is not None and is_outdated(state, known, record):
-            ignored.append(record.key)
+            if known.era < record.era:
+                ignored.append(record.key)
             record = relaying.StoreRecord(
                 record.key, record.revision, known.value, record.era
             )
@@ -50,6 +51,9 @@
     The copy keeps the revisions of its entries, so one with a higher
     revision than the known record is newer, in whichever era it was written.
     """
+    if known.position() == found.position():
+        corrected = known.value != found.value
+        return corrected and precedes_correction(state, known, found)
     if known.era >= found.era or found.value is None:
         return False
     if found.key == state.schema.routes_key:
@@ -67,6 +71,22 @@
     return departed is None or order <= departed
 
 
+def precedes_correction(
+    state: states.DiscoveryState,
+    known: relaying.StoreRecord,
+    found: relaying.StoreRecord,
+) -> bool:
+    """Return whether the known one of two records at a position is kept.
+
+    They differ if one of two nodes has corrected the store's record.
+    """
+    if known.value is None or found.value is None:
+        return known.value is None
+    if found.key.startswith(state.schema.searcher_prefix):
+        return entry_order(state, found) < entry_order(state, known)
+    return False
+
+
 def entry_order(
     state: states.DiscoveryState, record: relaying.StoreRecord
 ) -> tuple[int, int]:
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/state.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/state.py
@@ -25,6 +25,8 @@
     `era_pending` is set until the store has been listed in that era, and
     `listing_exactly` while a list that is not stale is in flight.
     `era_missing_logged` is set when a response without an era was logged.
+    `retained_known` is set once a peer has sent all that it retains, and
+    `start_confirmed` once the first list of the process was confirmed.
     `restore_timer_era` is the era for which the hold of entries that the
     copy lacks was started. `departed` holds the order of the last entry of
     searchers whose entry was deleted, and `routes_value` the configuration
@@ -46,6 +48,8 @@
         self.era_pending = False
         self.listing_exactly = False
         self.era_missing_logged = False
+        self.retained_known = False
+        self.start_confirmed = False
         self.restore_timer_era: int | None = None
         self.departed: dict[str, tuple[int, int]] = {}
         self.routes_value: bytes | None = None
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/syncing.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/syncing.py
@@ -44,7 +44,11 @@
         return [*record_outage(state, 'peers_without_news', now_ms), timer]
     commands = record_source(state, source.peer)
     if source.peer is not None:
-        after = 0 if state.list_needed else state.revision
+        # The store's copy lacks what the peers retain from older eras.
+        all_needed = state.list_needed or bool(
+            state.era and not state.retained_known
+        )
+        after = 0 if all_needed else state.revision
         watch = relaying.WatchPeer(
             source.peer, after, source.poll_ms, state.era
         )
@@ -100,6 +104,7 @@
     commands = record_confirmation(state, now_ms)
     relaying.readmit_store(state.relay)
     state.list_unconfirmed = False
+    state.start_confirmed = True
     current = changed.revision >= state.revision
     records = eras.stamp(state, changed.records)
     changed = dataclasses.replace(changed, records=records)
@@ -213,7 +218,8 @@
     removed node is harmless in both uses.
     """
     commands: list[command.Command] = []
-    if not state.ready_reported and state.routes_version is not None:
+    known = state.routes_version is not None and not awaits_peers(state)
+    if not state.ready_reported and known:
         state.ready_reported = True
         commands.append(discovery_ready.DiscoveryReady())
     own = state.relay.own
@@ -228,3 +234,14 @@
         state.writing_node = True
         commands.append(write_node.WriteNode(own))
     return commands
+
+
+def awaits_peers(state: states.DiscoveryState) -> bool:
+    """Return whether a process that has just started has to ask a peer.
+
+    After a restore the store may hold an older configuration than the one
+    that the other nodes have in force. If no peer answers, the store does.
+    """
+    if not state.era or state.start_confirmed:
+        return False
+    return bool(relaying.peers_ahead(state.relay, len(state.nodes)))
--- a/packages/decisions/src/gypsumbridge_decisions/relaying/record_log.py
+++ b/packages/decisions/src/gypsumbridge_decisions/relaying/record_log.py
@@ -36,7 +36,8 @@
         ones. Known changes after that revision stay in the log. A key that
         was present in the same era and is not listed was deleted. Records of
         older eras and known deletions stay until the list, or a later change,
-        has a newer record of their key.
+        has a newer record of their key. Of two records at one position the
+        listed one is used.
         """
         listed = {record.key: record for record in records}
         known = self.records
@@ -50,7 +51,11 @@
                 known[key] = store_record.StoreRecord(key, revision, None, era)
         self.deletions = {}
         self.add(known.values())
-        self.add(listed.values())
+        for key, record in listed.items():
+            current = known.get(key)
+            if current is None or current.position() <= record.position():
+                self.put(record)
+        self.evict()
 
     def add(
         self, records: Iterable[store_record.StoreRecord]
@@ -67,13 +72,17 @@
                     continue
             added.append(record)
             self.put(record)
+        self.evict()
+        return tuple(added)
+
+    def evict(self) -> None:
+        """Remove the oldest deletions over the limit."""
         while len(self.deletions) > MAX_DELETIONS:
             oldest = min(self.deletions, key=self.deletions.__getitem__)
             era, revision = self.deletions.pop(oldest)
             if era == self.era:
                 self.horizon = max(self.horizon, revision)
             del self.records[oldest]
-        return tuple(added)
 
     def put(self, record: store_record.StoreRecord) -> None:
         """Set the record of a key, whatever the known one is."""
--- a/packages/standins/src/gypsumbridge_standins/users_platform/__main__.py
+++ b/packages/standins/src/gypsumbridge_standins/users_platform/__main__.py
@@ -15,6 +15,7 @@
 from gypsumbridge_platform import platform_adapter
 from gypsumbridge_platform import server_body
 from gypsumbridge_standins.users_platform import platform_state
+from gypsumbridge_standins.users_platform import restore_drill
 from gypsumbridge_standins.users_platform import searcher_site
 from gypsumbridge_standins.users_platform import store_site
 
@@ -32,14 +33,18 @@
     them. The `address` of a searcher, if given, is registered in place of
     its own port, and its `born` as the time of its start. `run_log` is a file
     that gets a line for each run, and for each refusal that states a time.
+    `era` is the store's first era; without it no response states one.
     """
     from twisted.internet import reactor
 
     state = platform_state.PlatformState(make_run_log(plan.get('run_log')))
+    state.era = plan.get('era')
     listen(
         reactor, plan['store'], store_site.make_store_handler(reactor, state)
     )
-    listen(reactor, plan['control'], make_control_handler(state, plan))
+    listen(
+        reactor, plan['control'], make_control_handler(reactor, state, plan)
+    )
     write_config(state, plan['config'])
     for searcher_id, searcher in plan['searchers'].items():
         register(state, searcher_id, searcher, 'ready')
@@ -81,8 +86,18 @@
 
 def write_config(state: platform_state.PlatformState, config: Any) -> None:
     """Write a version of the operator's configuration."""
-    text = base64.b64encode(json.dumps(config).encode()).decode()
-    state.write(SCHEMA.routes_key, text)
+    write_as_operator(state, SCHEMA.routes_key, json.dumps(config))
+
+
+def write_as_operator(
+    state: platform_state.PlatformState, key: str, text: str | None
+) -> None:
+    """Write or delete an entry of the operator."""
+    value = None
+    if text is not None:
+        value = base64.b64encode(text.encode()).decode()
+    state.operator_entries[key] = value
+    state.write(key, value)
 
 
 def register(
@@ -92,6 +107,9 @@
     status: str,
 ) -> None:
     """Write a searcher's entry."""
+    state.registered[searcher_id] = status
+    sequence = state.sequences.get(searcher_id, 0) + 1
+    state.sequences[searcher_id] = sequence
     body = server_body.ServerBody(
         searcher['service'],
         searcher.get('address', f'127.0.0.1:{searcher["port"]}'),
@@ -100,15 +118,25 @@
         SLOTS,
         status,
         warmup_left_ms=0,
-        sequence=1,
+        sequence=sequence,
         born=searcher.get('born', 0),
     )
     text = base64.b64encode(msgspec.json.encode(body)).decode()
     state.write(SCHEMA.searcher_prefix + searcher_id, text)
 
 
-def make_control_handler(
+def write_again(
     state: platform_state.PlatformState, plan: dict[str, Any]
+) -> None:
+    """Write all entries of the operator and the searchers again."""
+    for key, value in state.operator_entries.items():
+        state.write(key, value)
+    for searcher_id, status in tuple(state.registered.items()):
+        register(state, searcher_id, plan['searchers'][searcher_id], status)
+
+
+def make_control_handler(
+    reactor: Any, state: platform_state.PlatformState, plan: dict[str, Any]
 ) -> Any:
     """Return a handler that sets faults and reports what has run."""
 
@@ -125,9 +153,21 @@
             searcher = plan['searchers'][searcher_id]
             register(state, searcher_id, searcher, status)
         for searcher_id in command.get('removed', ()):
+            state.registered.pop(searcher_id, None)
             state.write(SCHEMA.searcher_prefix + searcher_id, None)
         for key, text in command.get('raw', {}).items():
             state.write(key, base64.b64encode(text.encode()).decode())
+        for key, text in command.get('operator', {}).items():
+            write_as_operator(state, key, text)
+        if command.get('copy'):
+            restore_drill.take_copy(state)
+        if 'drill' in command:
+            restore_drill.start_drill(
+                reactor,
+                state,
+                **command['drill'],
+                write_again=lambda: write_again(state, plan),
+            )
         if command.get('compact'):
             state.compact()
         if 'config' in command:
--- a/packages/standins/src/gypsumbridge_standins/users_platform/gateway_cluster.py
+++ b/packages/standins/src/gypsumbridge_standins/users_platform/gateway_cluster.py
@@ -67,6 +67,7 @@
     relayed: bool = False,
     large: int = 0,
     single_services: Mapping[str, str] = NO_SERVICES,
+    era: int | None = None,
 ) -> None:
     """Start the store, two searchers for each service, and gateways.
 
@@ -75,7 +76,7 @@
     one gateway of each failure domain watches the store for the others. The
     first `large` gateways then gather for the others; with 0, each gathers
     for itself. `single_services` have one searcher, in the failure domain
-    that is given.
+    that is given. Responses of the store state its `era`, unless it is None.
     """
     ports_per_gateway = GATEWAY_PORTS + PEER_PORTS * relayed
     free_ports = ports.find_free_ports(
@@ -97,6 +98,7 @@
         'control': control,
         'config': config,
         'searchers': searchers,
+        'era': era,
     }
     path = cluster.folder / 'platform.json'
     path.write_text(json.dumps(plan))
--- a/packages/standins/src/gypsumbridge_standins/users_platform/platform_state.py
+++ b/packages/standins/src/gypsumbridge_standins/users_platform/platform_state.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from gypsumbridge_platform import item as items
+from gypsumbridge_standins.users_platform import store_copy
 
 RAN = 'ran'
 REFUSED = 'refused'
@@ -15,7 +16,12 @@
     `history` holds the changes after `oldest_revision`; a watch from an
     earlier revision gets 410. `faults` maps searchers to faults, `runs`
     lists the searchers that ran each request, and `on_event` is called with
-    the request's id, the searcher's, and RAN or REFUSED.
+    the request's id, the searcher's, and RAN or REFUSED. `era` is stated in
+    all responses, unless it is None. While the store is `away`, writes of the
+    operator and the searchers wait in `delayed`. `registered` and `sequences`
+    hold the state of each searcher's entry and the number of its writes, and
+    `operator_entries` what the operator has written, so that they can be
+    written again.
     """
 
     def __init__(
@@ -27,6 +33,13 @@
         self.history: list[items.Item] = []
         self.oldest_revision = 1
         self.outage = False
+        self.era: int | None = None
+        self.away = False
+        self.copy: store_copy.StoreCopy | None = None
+        self.delayed: list[tuple[str, str | None]] = []
+        self.registered: dict[str, str] = {}
+        self.sequences: dict[str, int] = {}
+        self.operator_entries: dict[str, str | None] = {}
         self.calls = 0
         self.waiting_watches: list[Any] = []
         self.faults: dict[str, str] = {}
@@ -34,6 +47,9 @@
 
     def write(self, key: str, value: str | None) -> None:
         """Store a value, which is in base64, or delete the key if None."""
+        if self.away:
+            self.delayed.append((key, value))
+            return
         self.revision += 1
         if value is None:
             self.items.pop(key, None)
@@ -42,6 +58,10 @@
             change = items.Item(key, self.revision, value)
             self.items[key] = change
         self.history.append(change)
+        self.end_watches()
+
+    def end_watches(self) -> None:
+        """Respond to the watches that wait for a change."""
         waiting, self.waiting_watches = self.waiting_watches, []
         for finish_watch in waiting:
             finish_watch()
--- a/packages/standins/src/gypsumbridge_standins/users_platform/store_site.py
+++ b/packages/standins/src/gypsumbridge_standins/users_platform/store_site.py
@@ -27,26 +27,37 @@
         request: parsed_request.ParsedRequest,
     ) -> None:
         state.calls += 1
-        if state.outage:
-            connection.respond(503, (), b'')
+        if state.outage or state.away:
+            connection.respond(503, era_headers(state), b'')
             return
         path, _, text = request.target.partition('?')
         query = dict(urllib.parse.parse_qsl(text))
         if path == store_calls.RANGE_PATH:
             body = list_range(state, query)
-            connection.respond(200, (), msgspec.json.encode(body))
+            connection.respond(
+                200, era_headers(state), msgspec.json.encode(body)
+            )
         elif path == store_calls.WATCH_PATH:
             watch(reactor, state, connection, query)
         elif path == store_calls.WRITE_PATH:
             for put in msgspec.json.decode(request.body)['puts']:
                 state.write(put['key'], put['value'])
-            connection.respond(200, (), b'{}')
+            connection.respond(200, era_headers(state), b'{}')
         else:
-            connection.respond(404, (), b'')
+            connection.respond(404, era_headers(state), b'')
 
     return handle
 
 
+def era_headers(
+    state: platform_state.PlatformState,
+) -> tuple[tuple[str, str], ...]:
+    """Return the header that states the era, unless it is switched off."""
+    if state.era is None:
+        return ()
+    return ((store_calls.ERA, str(state.era)),)
+
+
 def list_range(
     state: platform_state.PlatformState, query: dict[str, str]
 ) -> range_body.RangeBody:
@@ -70,12 +81,16 @@
 ) -> None:
     """Respond with the changes after a revision, once there are any.
 
-    After `wait_ms` the response is empty.
+    After `wait_ms` the response is empty. A revision that the store does not
+    have, or no longer has the changes of, gets 410.
     """
     after = int(query[store_calls.AFTER])
+    if after > state.revision:
+        connection.respond(410, era_headers(state), b'')
+        return
     if after < state.oldest_revision and state.revision > after:
         if state.oldest_revision > 1:
-            connection.respond(410, (), b'')
+            connection.respond(410, era_headers(state), b'')
             return
 
     def changes() -> list[items.Item]:
@@ -89,8 +104,11 @@
     def finish() -> None:
         if finish_early in state.waiting_watches:
             state.waiting_watches.remove(finish_early)
+        if state.away:
+            connection.respond(503, era_headers(state), b'')
+            return
         body = watch_body.WatchBody(changes(), state.revision)
-        connection.respond(200, (), msgspec.json.encode(body))
+        connection.respond(200, era_headers(state), msgspec.json.encode(body))
 
     wait_ms = int(query[store_calls.WAIT_MS])
     timer = reactor.callLater(wait_ms / 1000, finish)
--- a/tests/decisions/discovery/test_eras.py
+++ b/tests/decisions/discovery/test_eras.py
@@ -330,3 +330,63 @@
         fresh.list(5, None, routes=(5, b'1'))
         polled(fresh, updates)
         self.assertEqual(20, fresh.state.revision)
+
+
+class RestartBehindRelayTest(unittest.TestCase):
+    """Node n1 retains what the copy lacks, and n2, behind it, restarts."""
+
+    def setUp(self):
+        self.copy = {
+            'nodes_n1': (1, b'd1 n1:70'),
+            'nodes_n2': (2, b'd1 n2:70'),
+            'routes': (3, b'4'),
+            'searchers_a': (4, b'ready 1'),
+        }
+        self.relay = Node('n1')
+        self.relay.start(**self.copy, searchers_b=(9, b'ready 1'))
+        self.relay.change(12, 1, routes=(10, b'5'), searchers_a=(12, None))
+        self.relay.restore(7, **self.copy)
+        self.node = Node('n2', direct_nodes=0)
+        self.node.handle(discovery.ResumeTimer())
+        self.commands = self.node.list(8, 2, **self.copy)
+
+    def test_a_process_asks_its_relay_before_it_is_ready(self):
+        """Guards against an older configuration after a restart.
+
+        tests/processes/test_restored_store.py: the process served what its
+        first list of the copy holds, and polled only for later changes.
+        """
+        self.assertEqual([], of_type(self.commands, discovery.DiscoveryReady))
+        (poll,) = of_type(self.commands, relaying.WatchPeer)
+        updates = self.relay.answer_poll(poll.after_revision, poll.era)
+        commands = polled(self.node, updates, 'n1')
+        self.assertIn(discovery.DiscoveryReady(), commands)
+        (changed,) = of_type(commands, forwarding.RoutesChanged)
+        self.assertEqual(5, changed.table.version)
+        self.assertIn('b', self.node.drain)
+        self.assertEqual(['a'], list(self.node.state.removals))
+        # The changes between the two revisions are read again.
+        (poll,) = of_type(commands, relaying.WatchPeer)
+        self.assertEqual(7, poll.after_revision)
+
+    def test_a_process_is_ready_if_only_the_store_answers(self):
+        """Guards against waiting for a relay that is gone."""
+        self.node.now_ms = 2_000
+        commands = self.node.handle(relaying.PeerFailed('n1', 'refused'))
+        self.assertEqual(1, len(of_type(commands, discovery.WatchStore)))
+        commands = self.node.change(8, 2)
+        self.assertIn(discovery.DiscoveryReady(), commands)
+
+    def test_a_relay_that_has_restarted_corrects_nothing_back(self):
+        """Guards against a copy that a relay without memory passes on."""
+        restarted = Node('n3')
+        restarted.handle(discovery.ResumeTimer())
+        restarted.list(7, 2, **self.copy)
+        restarted.change(7, 2)
+        self.relay.state.list_needed = True
+        self.relay.state.retained_known = False
+        polled(self.relay, restarted.answer_poll(0, 2))
+        self.assertEqual({'b'}, set(self.relay.drain) - {'a'})
+        records = self.relay.state.relay.log.records
+        self.assertEqual(b'5', records['routes'].value)
+        self.assertIsNone(records['searchers/a'].value)
