Log an older configuration in the copy, and hold searchers learned late

A configuration of the copy that is not used left no log line. A retained searcher that a node learned of after its hold had ended was never dropped. A node whose own entry the copy lacks took the pause of a new fleet (1.5 s) before its next call.

Change: store_entries_ignored is also logged for the configuration, each hold can be followed by another one in its era, and the pause follows the first list of a process only.

--- a/packages/decisions/src/gypsumbridge_decisions/discovery/listing.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/listing.py
@@ -48,6 +48,7 @@
         state.writing_node
         and state.relay.own.address
         and not state.settle_timer_set
+        and not state.start_confirmed
     ):
         # Without the other nodes' keys each node would watch the store.
         state.settle_timer_set = True
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/restoring.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/restoring.py
@@ -102,38 +102,43 @@
     return found.incarnation, found.sequence
 
 
-def keep_routes(state: states.DiscoveryState) -> None:
+def keep_routes(state: states.DiscoveryState) -> list[command.Command]:
     """Relay the configuration in force in place of an older one.
 
     A node that restarts would otherwise get the older one from this node.
     """
     if not state.era or state.routes_value is None:
-        return
+        return []
     record = state.relay.log.records.get(state.schema.routes_key)
     if record is None or record.value == state.routes_value:
-        return
+        return []
     state.relay.log.put(
         relaying.StoreRecord(
             record.key, record.revision, state.routes_value, record.era
         )
     )
+    return log_keys('store_entries_ignored', 'not_newer', [record.key])
 
 
 def hold_missing(
     state: states.DiscoveryState,
 ) -> list[command.Command]:
-    """Start the hold of the entries that the copy lacks, once in an era."""
-    if state.restore_timer_era == state.era:
-        return []
+    """Start the hold of the searchers that the copy lacks.
+
+    All entries that it lacks are logged once in an era.
+    """
     kept = [r.key for r in state.relay.log.present() if r.era < state.era]
-    if not kept:
-        return []
-    state.restore_timer_era = state.era
-    timer = restore_timer.RestoreTimer(state.era)
-    return [
-        *log_keys('store_entries_kept', 'missing_in_copy', kept),
-        messages.Timer(RESTORE_HOLD_MS, timer),
-    ]
+    commands: list[command.Command] = []
+    if kept and state.kept_era != state.era:
+        state.kept_era = state.era
+        commands += log_keys('store_entries_kept', 'missing_in_copy', kept)
+    prefix = state.schema.searcher_prefix
+    held = any(key.startswith(prefix) for key in kept)
+    if held and state.restore_timer_era != state.era:
+        state.restore_timer_era = state.era
+        timer = restore_timer.RestoreTimer(state.era)
+        commands.append(messages.Timer(RESTORE_HOLD_MS, timer))
+    return commands
 
 
 def end_hold(
@@ -145,6 +150,7 @@
     """
     if ended.era != state.era:
         return ()
+    state.restore_timer_era = None
     return tuple(
         relaying.StoreRecord(record.key, state.revision, None, state.era)
         for record in state.relay.log.present()
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/state.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/state.py
@@ -27,8 +27,9 @@
     `era_missing_logged` is set when a response without an era was logged.
     `retained_known` is set once a peer has sent all that it retains, and
     `start_confirmed` once the first list of the process was confirmed.
-    `restore_timer_era` is the era for which the hold of entries that the
-    copy lacks was started. `departed` holds the order of the last entry of
+    `restore_timer_era` is the era for which searchers that the copy lacks
+    are held, and `kept_era` the last one for which the entries that it lacks
+    were logged. `departed` holds the order of the last entry of
     searchers whose entry was deleted, and `routes_value` the configuration
     in force.
     """
@@ -51,6 +52,7 @@
         self.retained_known = False
         self.start_confirmed = False
         self.restore_timer_era: int | None = None
+        self.kept_era = 0
         self.departed: dict[str, tuple[int, int]] = {}
         self.routes_value: bytes | None = None
         self.ready_reported = False
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/syncing.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/syncing.py
@@ -144,9 +144,9 @@
 ) -> list[command.Command]:
     """Apply records, and relay them to the nodes with waiting polls."""
     commands = applying.apply_records(state, records, now_ms)
-    restoring.keep_routes(state)
     return [
         *commands,
+        *restoring.keep_routes(state),
         *relaying.answer_waiting(state.relay, state.status(now_ms)),
         *announce_node(state),
     ]
--- a/tests/decisions/discovery/test_eras.py
+++ b/tests/decisions/discovery/test_eras.py
@@ -221,6 +221,26 @@
         self.node.handle(discovery.RestoreTimer(2))
         self.assertEqual(['c'], list(self.node.state.removals))
 
+    def test_a_retained_searcher_that_is_learned_later_is_held(self):
+        """Guards against a searcher that is never dropped.
+
+        A relay that learned of the restore later still retains it.
+        """
+        self.node.start(routes=(1, b'1'), searchers_b=(9, b'ready 1'))
+        self.node.restore(7, routes=(1, b'1'))
+        self.node.handle(discovery.RestoreTimer(2))
+        retained = relaying.StoreRecord('searchers/c', 9, b'ready 1', 1)
+        routes = relaying.StoreRecord('routes', 1, b'1', 2)
+        commands = polled(
+            self.node,
+            relaying.RelayedUpdates(
+                8, (retained, routes), True, True, 0, era=2
+            ),
+        )
+        self.assertIn('c', self.node.drain)
+        timer = messages.Timer(RESTORE_HOLD_MS, discovery.RestoreTimer(2))
+        self.assertIn(timer, commands)
+
     def test_other_missing_entries_stay_in_force(self):
         """Guards against an evacuation that ends because the copy lacks it."""
         self.node.start(routes=(1, b'1'), evacuate_z=(9, b''))
@@ -249,6 +269,8 @@
         self.assertFalse(self.node.state.writing_node)
         commands = self.node.restore(7, routes=(1, b'1'))
         self.assertEqual(1, len(of_type(commands, discovery.WriteNode)))
+        # The pause of a new fleet would delay changes.
+        self.assertEqual(1, len(of_type(commands, discovery.WatchStore)))
         # The result of a write in the older era proves nothing.
         self.node.handle(discovery.NodeWritten(True, 1))
         commands = self.node.change(7, 2)
