--- a/packages/decisions/src/gypsumbridge_decisions/discovery/holders.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/holders.py
@@ -28,15 +28,19 @@
     claim = 0 if before is None else before.claim
     commands: list[command.Command] = []
     if record.value is None:
-        found = quotas.HolderRecord(partition, '', claim, 0)
+        found = quotas.HolderRecord(partition, '', claim, 0, record.era)
     else:
-        found = quotas.HolderRecord(partition, '', claim, record.revision)
+        found = quotas.HolderRecord(
+            partition, '', claim, record.revision, record.era
+        )
         try:
             decoded = state.schema.decode_holder(partition, record.value)
         except errors.FrameError as error:
             commands += skipping.skip_record(record, str(error))
         else:
-            found = dataclasses.replace(decoded, revision=record.revision)
+            found = dataclasses.replace(
+                decoded, revision=record.revision, era=record.era
+            )
     state.holders[partition] = found
     return found != before, commands
 
@@ -56,7 +60,7 @@
     """Return deletions of the known entries that are not among `keys`."""
     prefix = state.schema.holder_prefix
     return tuple(
-        relaying.StoreRecord(f'{prefix}{partition}', revision, None)
+        relaying.StoreRecord(f'{prefix}{partition}', revision, None, state.era)
         for partition, found in state.holders.items()
         if found.revision and f'{prefix}{partition}' not in keys
     )
--- a/packages/node/src/gypsumbridge_node/gateway/adapter.py
+++ b/packages/node/src/gypsumbridge_node/gateway/adapter.py
@@ -5,6 +5,7 @@
 
 from gypsumbridge_decisions import discovery
 from gypsumbridge_node.gateway import header_names
+from gypsumbridge_node.gateway import headers as http_headers
 from gypsumbridge_node.gateway import http_request
 from gypsumbridge_node.gateway import store_page
 
@@ -19,7 +20,9 @@
     revision that the key must still have, 0 if it must not exist. The
     decoders get the body of a successful response; they raise FrameError for
     a body that they cannot decode. `decode_written` returns the revision of
-    the write. `ready_path` is the path that the load balancer polls.
+    the write. `decode_era` gets the headers of any response and returns the
+    store's era, None if they state none. `ready_path` is the path that the
+    load balancer polls.
     """
 
     headers: header_names.HeaderNames
@@ -34,3 +37,4 @@
         [str, bytes, int], http_request.HttpRequest
     ]
     decode_written: Callable[[bytes], int]
+    decode_era: Callable[[http_headers.Headers], int | None]
--- a/packages/standins/src/gypsumbridge_standins/users_platform/gateway_cluster.py
+++ b/packages/standins/src/gypsumbridge_standins/users_platform/gateway_cluster.py
@@ -69,6 +69,7 @@
     large: int = 0,
     single_services: Mapping[str, str] = NO_SERVICES,
     more_settings: str = '',
+    era: int | None = None,
 ) -> None:
     """Start the store, two searchers for each service, and gateways.
 
@@ -79,6 +80,7 @@
     for itself. `single_services` have one searcher, in the failure domain
     that is given. `more_settings` are sections of the gateways' settings.
     The file `runs.log` in the cluster's folder gets the searchers' runs.
+    Responses of the store state its `era`, unless it is None.
     """
     ports_per_gateway = GATEWAY_PORTS + PEER_PORTS * relayed
     free_ports = ports.find_free_ports(
@@ -101,6 +103,7 @@
         'config': config,
         'searchers': searchers,
         'run_log': str(cluster.folder / RUN_LOG),
+        'era': era,
     }
     path = cluster.folder / 'platform.json'
     path.write_text(json.dumps(plan))
--- a/tests/processes/test_quotas.py
+++ b/tests/processes/test_quotas.py
@@ -6,6 +6,7 @@
 
 from gypsumbridge_platform import customer_body
 from gypsumbridge_platform import header_names
+from gypsumbridge_platform import store_calls
 from gypsumbridge_standins import json_http
 from gypsumbridge_standins.cluster import cluster as clusters
 from gypsumbridge_standins.cluster import ports
@@ -32,7 +33,9 @@
 
 
 class QuotasTest(unittest.TestCase):
-    def start(self, rate_per_s, burst, nodes, holders=(), apart=False):
+    def start(
+        self, rate_per_s, burst, nodes, holders=(), apart=False, era=None
+    ):
         """Start gateways; `holders` are written before, for each partition.
 
         With `apart` they have no address for other gateways.
@@ -48,15 +51,16 @@
         )
         config = operator_config.make_config(1, SERVICES, (route,), [customer])
         gateway_cluster.start_gateway_cluster(
-            self.cluster, config, SERVICES, 0
+            self.cluster, config, SERVICES, 0, era=era
         )
         values = {
             f'quotas/{number}': json.dumps({'node_id': holder, 'claim': 2})
             for number, holder in enumerate(holders)
         }
         clusters.wait_until(
-            lambda: self.write_items(values), 'the platform answers'
+            lambda: self.control(copy=True), 'the platform answers'
         )
+        self.control(raw=values)
         settings = SETTINGS.format(first_start=str(not holders).lower())
         count = gateway_cluster.GATEWAY_PORTS
         if not apart:
@@ -74,15 +78,21 @@
         for name in self.cluster.nodes:
             self.send_until_answered((name,))
 
-    def write_items(self, values):
+    def control(self, **command):
+        """Return whether the platform has carried out a command."""
         try:
             status, _ = json_http.call_json(
-                'POST', self.cluster.controls[0], '/', {'raw': values}
+                'POST', self.cluster.controls[0], '/', command
             )
         except OSError:
             return False
         return status == 200
 
+    def count_stored(self):
+        target = f'{store_calls.RANGE_PATH}?{store_calls.PREFIX}=quotas/'
+        _, page = json_http.call_json('GET', self.cluster.store, target)
+        return len(page['items'])
+
     def decisions(self, wanted):
         return [
             line
@@ -195,3 +205,25 @@
             {1, 4},
             {d['partition'] for d in self.decisions('partition_taken_over')},
         )
+
+    def test_holders_go_on_after_the_store_has_lost_their_entries(self):
+        """Guards against customers that are refused after a restore.
+
+        The copy is from before the first holder.
+        """
+        holders = ('gateway-0', 'gateway-1') * 3
+        self.start(50, 50, 2, holders[:PARTITIONS], era=1)
+        self.control(drill={'away_ms': 500, 'rewrite_ms': 1_000})
+        clusters.wait_until(
+            lambda: len(self.decisions('quota_era_changed')) == 2,
+            'both gateways have seen the new era',
+        )
+        nodes = tuple(self.cluster.nodes)
+        statuses = [self.send_until_answered(nodes) for _ in range(25)]
+        self.assertEqual([200] * 25, statuses)
+        self.assertEqual([], self.decisions('partition_lost'))
+        self.assertEqual([], self.decisions('partition_taken_over'))
+        clusters.wait_until(
+            lambda: self.count_stored() == PARTITIONS,
+            'the holders are in the store again',
+        )
