Test each decision of quotas, and wait for the era of a missing entry

Cause: a list of holders without any entry does not tell its era, so a holder took a restored store without entries for a deletion and lost its partition instead of writing it again. Change: missing entries are applied with the next proof, which names the era.

--- a/packages/decisions/src/gypsumbridge_decisions/quotas/holder_changes.py
+++ b/packages/decisions/src/gypsumbridge_decisions/quotas/holder_changes.py
@@ -18,19 +18,17 @@
 ) -> list[command.Command]:
     """Apply the entries in this node's copy of the store.
 
-    Entries of an older era are not in the newest copy. Before the first proof,
-    a missing entry may be one that has not been read yet.
+    Entries of an older era are not in the newest copy. Missing entries wait
+    for the next proof, as only that tells the era in which they are missing.
     """
     newest_era = max((r.era for r in message.records), default=state.era)
     commands = record_era(state, newest_era)
     records = {r.partition: r for r in message.records if r.era == state.era}
+    state.listed = frozenset(records)
     for partition in state.partitions:
         record = records.get(partition.number)
-        if record is None:
-            if partition.holding.record is None:
-                continue
-            record = make_missing(state, partition)
-        commands += apply_record(state, partition, record, now_ms)
+        if record is not None:
+            commands += apply_record(state, partition, record, now_ms)
     return commands
 
 
@@ -42,18 +40,13 @@
     """Apply a proof that all entries of this node's copy are current."""
     if message.era < state.era:
         return []
-    commands: list[command.Command] = []
-    if message.era > state.era:
-        commands += record_era(state, message.era)
-        for partition in state.partitions:
-            missing = make_missing(state, partition)
-            commands += apply_record(state, partition, missing, now_ms)
+    commands = record_era(state, message.era)
     proven_ms = min(message.proven_ms, now_ms)
     if state.proven_ms is not None:
         proven_ms = max(proven_ms, state.proven_ms)
     state.proven_ms = proven_ms
     for partition in state.partitions:
-        if partition.holding.record is None:
+        if partition.number not in state.listed:
             missing = make_missing(state, partition)
             commands += apply_record(state, partition, missing, now_ms)
         confirmed = entitlement.confirm(
@@ -72,6 +65,7 @@
         'era': era,
     }
     state.era = era
+    state.listed = frozenset()
     state.proven_ms = None
     if all(p.holding.record is None for p in state.partitions):
         return []
--- a/packages/decisions/src/gypsumbridge_decisions/quotas/quota_changes.py
+++ b/packages/decisions/src/gypsumbridge_decisions/quotas/quota_changes.py
@@ -19,7 +19,7 @@
     Buckets of customers that are gone are kept for a time, as the customers
     may come back before the tokens that they got no longer count.
     """
-    if state.version is not None and message.version < state.version:
+    if state.version is not None and message.version <= state.version:
         return []
     state.version = message.version
     state.orders = {}
--- a/packages/decisions/src/gypsumbridge_decisions/quotas/state.py
+++ b/packages/decisions/src/gypsumbridge_decisions/quotas/state.py
@@ -20,9 +20,9 @@
     `quotas` are those of the configuration `version`, and `limits` what they
     mean for each customer with a limit. In `repartitioned_ms` is when the
     number of a customer's partitions last changed. The copy of the store is
-    of `era` and was the newest at `proven_ms`. `waiting` holds the customer
-    of each waiting request, and `asks` the requests to holders that have not
-    ended.
+    of `era`, has entries of the `listed` partitions and was the newest at
+    `proven_ms`. `waiting` holds the customer of each waiting request, and
+    `asks` the requests to holders that have not ended.
     """
 
     def __init__(self, policy: quota_policy.QuotaPolicy) -> None:
@@ -35,6 +35,7 @@
         self.nodes: dict[str, peer_node.PeerNode] = {}
         self.candidates: dict[int, tuple[str, ...]] = {}
         self.era = 0
+        self.listed: frozenset[int] = frozenset()
         self.era_changed = False
         self.proven_ms: int | None = None
         self.partitions = [
--- /dev/null
+++ b/tests/decisions/quotas/test_token_bucket.py
@@ -0,0 +1,99 @@
+import unittest
+
+import hypothesis
+from hypothesis import strategies as st
+
+from gypsumbridge_decisions import quotas
+
+POLICY = quotas.QuotaPolicy('n', 'd', 5_000, 0.1, 20.0, 5, 30_000)
+LIMITS = quotas.derive_limits(quotas.Quota(4, 2), POLICY)
+SETTINGS = hypothesis.settings(
+    derandomize=True, max_examples=300, deadline=None, database=None
+)
+# Times at which the additions to a new bucket are due are drawn often.
+GAPS = st.one_of(
+    st.integers(0, 9_000),
+    st.sampled_from((0, 1, 2_499, 2_500, 2_501, 5_550, 5_551, 5_552)),
+)
+
+
+class TokenBucketTest(unittest.TestCase):
+    @SETTINGS
+    @hypothesis.given(
+        st.floats(0, 50),
+        st.floats(0, 50),
+        st.floats(0, 40),
+        st.booleans(),
+        st.lists(
+            st.tuples(GAPS, st.sampled_from(('take', 'take', 'restart'))),
+            max_size=60,
+        ),
+    )
+    def test_restarts_exceed_no_window(
+        self, rate_per_s, burst, slack, first_start, steps
+    ):
+        """Guards against processes in a row that together grant more than
+        one bucket may, whenever they restart and tokens are taken.
+        """
+        policy = quotas.QuotaPolicy('n', 'd', 5_000, 0.1, slack, 1, 30_000)
+        quota = quotas.Quota(rate_per_s, burst)
+        limits = quotas.derive_limits(quota, policy)
+        bucket = quotas.TokenBucket(limits, 0, first_start)
+        now_ms = 0
+        granted = []
+        for gap_ms, action in steps:
+            now_ms += gap_ms
+            if action == 'restart':
+                bucket = quotas.TokenBucket(limits, now_ms, False)
+                continue
+            granted.append((now_ms, bucket.take(10_000, now_ms)))
+        span_ms = policy.window_ms + limits.lifetime_ms
+        bound = quotas.window_bound(quota, policy)
+        for last_ms, _ in granted:
+            total = sum(
+                tokens
+                for at_ms, tokens in granted
+                if last_ms - span_ms < at_ms <= last_ms
+            )
+            self.assertLessEqual(total, bound + 1e-6)
+
+    def test_a_restarted_holder_begins_empty(self):
+        """Guards against a burst from each process of a crash loop."""
+        bucket = quotas.TokenBucket(LIMITS, 1_000, False)
+        self.assertEqual(0, bucket.take(1, 1_000))
+        self.assertEqual(1_251, bucket.next_token_ms(1_000))
+        self.assertEqual(1, bucket.take(5, 2_251))
+
+    def test_it_gets_the_bonus_and_later_counts_as_full(self):
+        """Guards against a partition that is short for long after a restart,
+        which refuses customers within their quota.
+        """
+        limits = quotas.derive_limits(quotas.Quota(0.05, 8), POLICY)
+        bucket = quotas.TokenBucket(limits, 0, False)
+        self.assertEqual(0, bucket.take(9, 2_499))
+        self.assertEqual(1, bucket.next_token_ms(2_499))
+        bucket.advance(2_500)
+        self.assertAlmostEqual(0.825, bucket.level)
+        bucket.advance(limits.full_after_ms - 1)
+        self.assertLess(bucket.level, 1)
+        self.assertEqual(3, bucket.take(9, limits.full_after_ms))
+
+    def test_a_lower_limit_cuts_the_level(self):
+        """Guards against a burst by the old limit after it was lowered."""
+        bucket = quotas.TokenBucket(LIMITS, 0, True)
+        lower = quotas.derive_limits(quotas.Quota(1, 0), POLICY)
+        bucket.resize(lower, 10)
+        self.assertEqual(1, bucket.take(9, 10))
+
+    def test_a_bucket_without_a_rate_never_gains(self):
+        """Guards against a division by a rate of 0."""
+        limits = quotas.derive_limits(quotas.Quota(0, 2), POLICY)
+        bucket = quotas.TokenBucket(limits, 0, True)
+        self.assertEqual(2, bucket.take(9, 0))
+        self.assertEqual(quotas.NEVER_MS, bucket.next_token_ms(50))
+
+    def test_odd_numbers_of_tokens_take_nothing(self):
+        """Guards against a request that returns tokens to a bucket."""
+        bucket = quotas.TokenBucket(LIMITS, 0, True)
+        self.assertEqual(0, bucket.take(-5, 0))
+        self.assertEqual(2, bucket.take(2**80, 0))
