Draw a restored store in the fault soak

Cause: the soak knew no store that comes back from an older copy.

Change: the fault drill takes a copy, then writes a version and lets a searcher depart, and restores the store from the copy after 3.5 s, in the next era; operator and searchers write again 3 s later. Four seeds in five have eras; the entries' sequence grows with each write.

--- a/packages/standins/src/gypsumbridge_standins/fault_soak/callers.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/callers.py
@@ -59,8 +59,8 @@
     target = f'/{kind}/{state.sent_count}'
     if kind in ('new', 'dropped'):
         version = pick_version(state, kind, now_ms)
-        if version is None or not contact.is_in_contact(
-            state, node, now_ms, now_ms
+        if version is None or not contact.is_bound_to_version(
+            state, node, max(state.versions), now_ms
         ):
             return None
         target = f'{deployment.marker_prefix(version)}{state.sent_count}'
--- a/packages/standins/src/gypsumbridge_standins/fault_soak/fault_kinds.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/fault_kinds.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from gypsumbridge_standins.fault_soak import drill_faults
 from gypsumbridge_standins.fault_soak import gateway_faults
 from gypsumbridge_standins.fault_soak import link_faults
 from gypsumbridge_standins.fault_soak import link_mode
@@ -35,6 +36,7 @@
     'outage': store_faults.outage,
     'compact': store_faults.compact,
     'configure': store_faults.configure,
+    'drill': drill_faults.drill,
     **{
         f'{group}_{mode.value}': link_faults.make_link_fault(group, mode)
         for group in LINK_GROUPS
--- a/packages/standins/src/gypsumbridge_standins/fault_soak/fault_plan.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/fault_plan.py
@@ -49,6 +49,7 @@
     'outage': 1,
     'compact': 1,
     'configure': 4,
+    'drill': 3,
 }
 # Other faults excuse lost requests for seconds, so every fourth seed draws
 # planned work alone, during which no request may be lost.
@@ -60,10 +61,14 @@
     'unreadable_entry',
     'compact',
     'configure',
+    'drill',
 )
 PLANNED_SEED_REMAINDER = 3
 # With other seeds every gateway watches the store itself, as in a small fleet.
 RELAYED_SEED_REMAINDERS = (0, 2, 3)
+# With one seed in five the store states no era, and is never restored.
+NO_ERA_SEED_REMAINDER = 4
+ERA_SEEDS = 5
 MEAN_INTERVAL_MS = 500
 MEAN_LENGTH_MS = 1_500
 MAX_LENGTH_MS = 6_000
@@ -79,6 +84,9 @@
     weights = KINDS
     if seed % 4 == PLANNED_SEED_REMAINDER:
         weights = {kind: KINDS[kind] for kind in PLANNED_KINDS}
+    eras = seed % ERA_SEEDS != NO_ERA_SEED_REMAINDER
+    if not eras:
+        weights = {kind: weights[kind] for kind in weights if kind != 'drill'}
     drawn = []
     at_ms = 0.0
     while True:
@@ -106,4 +114,5 @@
         gateways,
         tuple(drawn),
         seed % 4 in RELAYED_SEED_REMAINDERS,
+        eras,
     )
--- a/packages/standins/src/gypsumbridge_standins/fault_soak/processes.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/processes.py
@@ -20,6 +20,7 @@
 
 RUN_LOG_NAME = 'runs-{number}.log'
 PLATFORM_COUNT = 2
+FIRST_ERA = 1
 REQUEST_ID = re.compile(
     header_names.HEADERS.request_id.encode() + rb': (\S+)', re.IGNORECASE
 )
@@ -59,6 +60,7 @@
             'control': free_ports.pop(),
             'config': deployment.make_config(1),
             'searchers': searchers,
+            'era': FIRST_ERA if state.plan.eras else None,
             'serves': [s for s in searchers if s.endswith(f'-{domain}')],
             'run_log': str(
                 state.cluster.folder / RUN_LOG_NAME.format(number=number)
--- a/packages/standins/src/gypsumbridge_standins/fault_soak/run.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/run.py
@@ -10,6 +10,7 @@
 from gypsumbridge_standins.cluster import cluster as clusters
 from gypsumbridge_standins.fault_soak import callers
 from gypsumbridge_standins.fault_soak import disturbance
+from gypsumbridge_standins.fault_soak import drill_checks
 from gypsumbridge_standins.fault_soak import fault as faults
 from gypsumbridge_standins.fault_soak import fault_kinds
 from gypsumbridge_standins.fault_soak import processes
@@ -90,6 +91,7 @@
     refusals = [record for record in records if record.refused]
     current_violations = [
         *run_checks.check_runs(state, runs),
+        *drill_checks.check_departed(state, runs),
         *statement_checks.check_leaving(state, runs),
         *statement_checks.check_refusals(state, refusals),
     ]
--- a/packages/standins/src/gypsumbridge_standins/fault_soak/searcher_faults.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/searcher_faults.py
@@ -49,9 +49,7 @@
     if searcher_id in state.under_fault:
         return
     state.under_fault.add(searcher_id)
-    removed = {'removed': [searcher_id]} if fault.for_ms % 2 else {}
-    states = {} if removed else {searcher_id: 'draining'}
-    await control.send_command(state, 0, states=states, **removed)
+    await depart(state, fault, searcher_id)
     end = disturbance.begin_span(state, state.draining, searcher_id)
     await task.deferLater(
         state.reactor, DRAIN_S + SERVE_AFTER_BOUND_S, lambda: None
@@ -61,6 +59,15 @@
     state.under_fault.discard(searcher_id)
 
 
+async def depart(
+    state: soak_state.SoakState, fault: faults.Fault, searcher_id: str
+) -> None:
+    """Write that a searcher drains, or remove its entry."""
+    removed = {'removed': [searcher_id]} if fault.for_ms % 2 else {}
+    states = {} if removed else {searcher_id: 'draining'}
+    await control.send_command(state, 0, states=states, **removed)
+
+
 async def leave(state: soak_state.SoakState, fault: faults.Fault) -> None:
     """Let a searcher say in its answers that it leaves, and restart it.
 
--- a/packages/standins/src/gypsumbridge_standins/fault_soak/soak_plan.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/soak_plan.py
@@ -11,6 +11,7 @@
 
     With `relayed`, one gateway of each failure domain watches the store and
     relays its updates to the others, and the first gateways gather for them.
+    With `eras`, the store states its era.
     """
 
     seed: int
@@ -18,3 +19,4 @@
     gateways: int
     faults: tuple[faults.Fault, ...]
     relayed: bool = False
+    eras: bool = False
--- a/packages/standins/src/gypsumbridge_standins/fault_soak/soak_state.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/soak_state.py
@@ -4,6 +4,7 @@
 
 from gypsumbridge_decisions import clock as clocks
 from gypsumbridge_standins.cluster import cluster as clusters
+from gypsumbridge_standins.fault_soak import drill
 from gypsumbridge_standins.fault_soak import link_state
 from gypsumbridge_standins.fault_soak import outcome as outcomes
 from gypsumbridge_standins.fault_soak import soak_plan
@@ -18,7 +19,8 @@
     and of planned work by node, or under `store`, `peers` and `searchers`.
     `versions` holds when the store accepted each version of the
     configuration, and `draining` the spans in which a searcher drains;
-    `leaving` those in which its answers say that it leaves.
+    `leaving` those in which its answers say that it leaves, and `departed`
+    those in which a searcher drains over one of the `drills`.
     `under_fault` names the targets of faults that exclude each other.
     `forwarded_ms` holds when the link to a gateway forwarded a request; it
     lacks requests that arrived while no process listened there.
@@ -42,6 +44,8 @@
         self.versions: dict[int, int] = {}
         self.draining: dict[str, list[span.Span]] = {}
         self.leaving: dict[str, list[span.Span]] = {}
+        self.departed: dict[str, list[span.Span]] = {}
+        self.drills: list[drill.Drill] = []
         self.events: list[str] = []
         self.violations: list[str] = []
         self.under_fault: set[str] = set()
--- a/packages/standins/src/gypsumbridge_standins/users_platform/__main__.py
+++ b/packages/standins/src/gypsumbridge_standins/users_platform/__main__.py
@@ -149,6 +149,7 @@
         state.outage = command.get('outage', state.outage)
         for searcher_id, born in command.get('born', {}).items():
             plan['searchers'][searcher_id]['born'] = born
+            state.sequences[searcher_id] = 0
         for searcher_id, status in command.get('states', {}).items():
             searcher = plan['searchers'][searcher_id]
             register(state, searcher_id, searcher, status)
