Serve no routes before a relay or the store has confirmed them

Cause: a process that starts in an era above 0 was not ready before its relay had answered, but requests that arrived then were served by the configuration of its first list, which a copy may have set back. And within an era a store that goes back (its header lost) was listed and watched without a pause, as the fault soak showed with eras ignored.

Change: the routes of the first list are held until the process is confirmed. An exact list that is older than what is known counts as a failed call. Updates that are not complete are not used before the new era is listed.

--- a/packages/decisions/src/gypsumbridge_decisions/discovery/listing.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/listing.py
@@ -33,6 +33,12 @@
     state.list_needed = False
     state.list_unconfirmed = stale_ok
     current = listed.revision >= state.revision
+    if not (stale_ok or current):
+        # A store that went back without a new era. Watches would be refused
+        # as well, so the next call follows after a pause.
+        state.list_needed = state.exact_list_needed = True
+        failed = syncing.handle_store_failure(state, 'older_list', now_ms)
+        return [*commands, *failed]
     if current:
         records = eras.stamp(state, listed.records)
         listed = dataclasses.replace(listed, records=records)
@@ -41,8 +47,7 @@
         syncing.mark_updates_missed(state)
     else:
         syncing.clear_missed_updates(state)
-        if current:
-            proving.record_proof(state, listed.sent_ms)
+        proving.record_proof(state, listed.sent_ms)
         commands += proving.report_confirmation(state)
     if (
         state.writing_node
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/peer_updates.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/peer_updates.py
@@ -27,7 +27,7 @@
     if era < state.era:
         return drop_older_updates(state, answered, now_ms)
     commands: list[command.Command] = []
-    if era > state.era:
+    if era > state.era or state.era_pending:
         if not (updates.in_touch and updates.complete):
             # The peer has not listed the new era either.
             state.list_needed = True
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/state.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/state.py
@@ -26,7 +26,8 @@
     `listing_exactly` while a list that is not stale is in flight.
     `era_missing_logged` is set when a response without an era was logged.
     `retained_known` is set once a peer has sent all that it retains, and
-    `start_confirmed` once the first list of the process was confirmed.
+    `start_confirmed` once the first list of the process was confirmed;
+    `held_routes` are those that are not published before.
     `restore_timer_era` is the era for which searchers that the copy lacks
     are held, and `kept_era` the last one for which the entries that it lacks
     were logged. `departed` holds the order of the last entry of
@@ -51,6 +52,7 @@
         self.era_missing_logged = False
         self.retained_known = False
         self.start_confirmed = False
+        self.held_routes: forwarding.RoutesChanged | None = None
         self.restore_timer_era: int | None = None
         self.kept_era = 0
         self.departed: dict[str, tuple[int, int]] = {}
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/syncing.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/syncing.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from gypsumbridge_decisions import forwarding
 from gypsumbridge_decisions import messages
 from gypsumbridge_decisions import relaying
 from gypsumbridge_decisions.discovery import applying
@@ -145,7 +146,7 @@
     """Apply records, and relay them to the nodes with waiting polls."""
     commands = applying.apply_records(state, records, now_ms)
     return [
-        *commands,
+        *hold_routes(state, commands),
         *restoring.keep_routes(state),
         *relaying.answer_waiting(state.relay, state.status(now_ms)),
         *announce_node(state),
@@ -236,6 +237,23 @@
     return commands
 
 
+def hold_routes(
+    state: states.DiscoveryState, commands: list[command.Command]
+) -> list[command.Command]:
+    """Publish no routes while a process that has just started asks a peer."""
+    for found in commands:
+        if isinstance(found, forwarding.RoutesChanged):
+            state.held_routes = found
+    if state.held_routes is None:
+        return commands
+    held = state.held_routes
+    others = [c for c in commands if c is not held]
+    if awaits_peers(state):
+        return others
+    state.held_routes = None
+    return [held, *others]
+
+
 def awaits_peers(state: states.DiscoveryState) -> bool:
     """Return whether a process that has just started has to ask a peer.
 
--- a/tests/decisions/discovery/test_eras.py
+++ b/tests/decisions/discovery/test_eras.py
@@ -288,6 +288,21 @@
         commands = self.node.change(6, None)
         self.assertEqual([], decisions(commands))
 
+    def test_a_store_that_goes_back_within_an_era_is_called_with_pauses(self):
+        """Guards against lists and refused watches without a pause.
+
+        Seen in the fault soak with eras ignored: a list that was not applied
+        and a watch that got 410 followed each other without end.
+        """
+        self.node.start(routes=(9, b'1'))
+        self.node.handle(discovery.HistoryLost(era=1))
+        commands = self.node.list(7, 1, routes=(5, b'1'))
+        calls = (discovery.ListStore, discovery.WatchStore)
+        self.assertEqual([], of_type(commands, calls))
+        self.assertEqual([], of_type(commands, forwarding.CopyConfirmed))
+        commands = self.node.handle(discovery.ResumeTimer())
+        self.assertEqual(1, len(of_type(commands, discovery.ListStore)))
+
     def test_a_store_without_eras_logs_nothing(self):
         """Guards against log lines about eras in older deployments."""
         self.node.handle(discovery.ResumeTimer())
@@ -378,7 +393,8 @@
         tests/processes/test_restored_store.py: the process served what its
         first list of the copy holds, and polled only for later changes.
         """
-        self.assertEqual([], of_type(self.commands, discovery.DiscoveryReady))
+        early = (discovery.DiscoveryReady, forwarding.RoutesChanged)
+        self.assertEqual([], of_type(self.commands, early))
         (poll,) = of_type(self.commands, relaying.WatchPeer)
         updates = self.relay.answer_poll(poll.after_revision, poll.era)
         commands = polled(self.node, updates, 'n1')
@@ -398,6 +414,7 @@
         self.assertEqual(1, len(of_type(commands, discovery.WatchStore)))
         commands = self.node.change(8, 2)
         self.assertIn(discovery.DiscoveryReady(), commands)
+        self.assertEqual(1, len(of_type(commands, forwarding.RoutesChanged)))
 
     def test_a_relay_that_has_restarted_corrects_nothing_back(self):
         """Guards against a copy that a relay without memory passes on."""
