Judge a silent holder by a proof from after its silence began

Cause: with CONTACT_MS at 8 s, test_takeover. test_a_node_without_the_store_takes_nothing_over failed: a candidate that lost the store and the holder at once wrote a takeover in the seconds in which its last proof still counted. Change: a takeover from a silent holder also needs a proof that is newer than the beginning of the silence.

--- a/packages/decisions/src/gypsumbridge_decisions/quotas/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/quotas/__init__.py
@@ -158,10 +158,10 @@
 from gypsumbridge_decisions.quotas.refusing import (
     refuse_unknown as refuse_unknown,
 )
+from gypsumbridge_decisions.quotas.state import QuotaState as QuotaState
 from gypsumbridge_decisions.quotas.state import (
     make_quota_state as make_quota_state,
 )
-from gypsumbridge_decisions.quotas.state import QuotaState as QuotaState
 from gypsumbridge_decisions.quotas.takeover import (
     check_partitions as check_partitions,
 )
@@ -173,6 +173,9 @@
 )
 from gypsumbridge_decisions.quotas.takeover import probe as probe
 from gypsumbridge_decisions.quotas.takeover import take_over as take_over
+from gypsumbridge_decisions.quotas.takeover import (
+    was_in_contact_since as was_in_contact_since,
+)
 from gypsumbridge_decisions.quotas.takeover import watch_holder as watch_holder
 from gypsumbridge_decisions.quotas.takeover import write as write
 from gypsumbridge_decisions.quotas.takeover import write_again as write_again
--- a/packages/decisions/src/gypsumbridge_decisions/quotas/takeover.py
+++ b/packages/decisions/src/gypsumbridge_decisions/quotas/takeover.py
@@ -99,10 +99,22 @@
     if rank == 0 and not partition.holder_id:
         patience_ms = SETTLE_MS
     if in_contact and silent_ms >= patience_ms:
-        return take_over(state, partition, record)
+        if not partition.holder_id or was_in_contact_since(
+            state, partition.silent_since_ms
+        ):
+            return take_over(state, partition, record)
     return probe(state, partition, now_ms)
 
 
+def was_in_contact_since(state: states.QuotaState, since_ms: int) -> bool:
+    """Return whether the copy was proven current after a time.
+
+    A node that lost the store and a holder at the same time is cut off
+    itself.
+    """
+    return state.proven_ms is not None and state.proven_ms > since_ms
+
+
 def probe(
     state: states.QuotaState,
     partition: partition_state.PartitionState,
