--- a/packages/decisions/src/gypsumbridge_decisions/quotas/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/quotas/__init__.py
@@ -158,10 +158,10 @@
 from gypsumbridge_decisions.quotas.refusing import (
     refuse_unknown as refuse_unknown,
 )
-from gypsumbridge_decisions.quotas.state import QuotaState as QuotaState
 from gypsumbridge_decisions.quotas.state import (
     make_quota_state as make_quota_state,
 )
+from gypsumbridge_decisions.quotas.state import QuotaState as QuotaState
 from gypsumbridge_decisions.quotas.takeover import (
     check_partitions as check_partitions,
 )
