--- a/packages/decisions/src/gypsumbridge_decisions/quotas/asking.py
+++ b/packages/decisions/src/gypsumbridge_decisions/quotas/asking.py
@@ -188,7 +188,10 @@
         demand.unknown_until_ms[partition] = until_ms
         return []
     if reply.refusal:
-        return back_off_from(state, ask, reply.refusal, now_ms)
+        # The reason names a counter.
+        known = reply.refusal in granting.REFUSALS
+        reason = reply.refusal if known else 'other'
+        return back_off_from(state, ask, reason, now_ms)
     state.back_off.reset(partition)
     limits = state.limits.get(ask.customer)
     if reply.tokens > 0 and limits is not None:
--- a/packages/decisions/src/gypsumbridge_decisions/quotas/granting.py
+++ b/packages/decisions/src/gypsumbridge_decisions/quotas/granting.py
@@ -18,6 +18,9 @@
 STALE_PROOF = 'stale_proof'
 UNKNOWN_CUSTOMER = 'unknown_customer'
 OTHER_PARTITION = 'other_partition'
+REFUSALS = frozenset(
+    {NOT_HOLDER, WAITING, STALE_PROOF, UNKNOWN_CUSTOMER, OTHER_PARTITION}
+)
 
 
 def receive_ask(
--- a/packages/decisions/src/gypsumbridge_decisions/quotas/takeover.py
+++ b/packages/decisions/src/gypsumbridge_decisions/quotas/takeover.py
@@ -75,13 +75,18 @@
     own_id = state.policy.node_id
     candidates = state.candidates.get(partition.number, ())
     record = partition.holding.record
-    if record is None or own_id not in candidates or record.node_id == own_id:
-        return []
     ttl_ms = state.policy.holder_ttl_ms
-    is_restoring = partition.holding.restoring
-    if is_restoring and entitlement.may_grant(
+    holds = partition.holding.restoring and entitlement.may_grant(
         partition.holding, ttl_ms, now_ms
+    )
+    if (
+        record is None
+        or record.node_id == own_id
+        or own_id not in candidates
+        or holds
     ):
+        # Nothing is known of the holder until this node has probed it.
+        partition.silent_since_ms = None
         return []
     proven_ms = state.proven_ms
     in_contact = proven_ms is not None and now_ms - proven_ms < CONTACT_MS
--- a/tests/decisions/quotas/test_admission.py
+++ b/tests/decisions/quotas/test_admission.py
@@ -170,12 +170,19 @@
 
     def test_a_holder_that_cannot_tell_is_left_alone(self):
         """Guards against requests to a holder that waits for its turn."""
-        for refusal in ('waiting', 'stale_proof', 'not_holder', 'other'):
+        for refusal, counted in (
+            ('waiting', 'waiting'),
+            ('stale_proof', 'stale_proof'),
+            ('not_holder', 'not_holder'),
+            ('no such reason', 'other'),
+        ):
             with self.subTest(refusal):
                 self.start()
                 commands = self.request()
                 first = self.asked(commands).request.partition
                 commands = self.reply(commands, refusal=refusal)
+                count = messages.Count(f'quotas.ask_failed.{counted}')
+                self.assertIn(count, commands)
                 second = self.asked(commands).request.partition
                 self.assertNotEqual(first, second)
                 self.assertTrue(
--- a/tests/decisions/quotas/test_takeover.py
+++ b/tests/decisions/quotas/test_takeover.py
@@ -118,6 +118,20 @@
         commands += self.wait(3_000)
         self.assertEqual([], self.writes(commands))
 
+    def test_a_node_that_becomes_a_candidate_probes_first(self):
+        """Guards against a takeover from a holder that this node has not
+        probed for long, after nodes were added or removed.
+        """
+        others = tuple(
+            node for node in quota_case.PEERS if node.node_id != 'n2'
+        )
+        self.handle(quota_case.forwarding.NodesChanged(others))
+        self.wait(60_000)
+        self.handle(quota_case.forwarding.NodesChanged(quota_case.PEERS))
+        commands = self.wait(5_000)
+        self.assertEqual([], self.writes(commands))
+        self.assertIn(0, self.taken_over(self.wait(1_000)))
+
     def test_a_missing_entry_is_written_after_the_fleet_has_settled(self):
         """Guards against a first node that takes all partitions."""
         self.holders = {}
