--- a/packages/decisions/src/gypsumbridge_decisions/quotas/granting.py
+++ b/packages/decisions/src/gypsumbridge_decisions/quotas/granting.py
@@ -18,6 +18,9 @@
 STALE_PROOF = 'stale_proof'
 UNKNOWN_CUSTOMER = 'unknown_customer'
 OTHER_PARTITION = 'other_partition'
+REFUSALS = frozenset(
+    {NOT_HOLDER, WAITING, STALE_PROOF, UNKNOWN_CUSTOMER, OTHER_PARTITION}
+)
 
 
 def receive_ask(
@@ -63,9 +66,13 @@
         return grant_reply.GrantReply(refusal=OTHER_PARTITION)
     bucket = find_bucket(state, partition, request.customer, limits)
     tokens = bucket.take(request.tokens, now_ms)
-    if tokens:
+    if tokens == request.tokens:
         return grant_reply.GrantReply(tokens, limits.lifetime_ms)
-    return grant_reply.GrantReply(retry_after_ms=bucket.next_token_ms(now_ms))
+    return grant_reply.GrantReply(
+        tokens,
+        limits.lifetime_ms if tokens else 0,
+        bucket.next_token_ms(now_ms),
+    )
 
 
 def find_refusal(
