Count a conflict with the node's own first entry as the first start

A proof that has expired, and an entry that names nobody, counted as a missing entry. Change: a conflict keeps the right of a first start; whose entry it was is seen in the copy. Proofs older than a term prove no missing entry, and a first start needs a key that is missing. A test that took a conflict for proof of another writer now lets the copy show one.

--- a/packages/decisions/src/gypsumbridge_decisions/quotas/holder_changes.py
+++ b/packages/decisions/src/gypsumbridge_decisions/quotas/holder_changes.py
@@ -37,10 +37,16 @@
     message: copy_confirmed.CopyConfirmed,
     now_ms: int,
 ) -> list[command.Command]:
-    """Apply a proof that all entries of this node's copy are current."""
+    """Apply a proof that all entries of this node's copy are current.
+
+    A proof that is older than a holder's term proves nothing, and a copy that
+    was never proven may lack entries.
+    """
     if message.era < state.era:
         return []
     commands = record_era(state, message.era)
+    if now_ms - message.proven_ms >= state.policy.holder_ttl_ms:
+        return commands
     proven_ms = min(message.proven_ms, now_ms)
     if state.proven_ms is not None:
         proven_ms = max(proven_ms, state.proven_ms)
--- a/packages/decisions/src/gypsumbridge_decisions/quotas/takeover.py
+++ b/packages/decisions/src/gypsumbridge_decisions/quotas/takeover.py
@@ -97,7 +97,7 @@
     patience_ms = SILENCE_MS * (rank + 1)
     if rank == 0 and not partition.holder_id:
         patience_ms = SETTLE_MS
-    if silent_ms >= patience_ms:
+    if in_contact and silent_ms >= patience_ms:
         return take_over(state, partition, record)
     return probe(state, partition, now_ms)
 
@@ -148,6 +148,7 @@
         return []
     is_first = (
         state.policy.first_start
+        and not record.revision
         and not partition.holder_id
         and not state.era_changed
     )
@@ -192,7 +193,11 @@
     state: states.QuotaState,
     message: holder_written.HolderWritten,
 ) -> list[command.Command]:
-    """Record the end of a write; the entry counts once the copy has it."""
+    """Record the end of a write; the entry counts once the copy has it.
+
+    The entry that caused a conflict may be that of an earlier write of this
+    node whose answer was lost.
+    """
     if not 0 <= message.partition < len(state.partitions):
         return []
     partition = state.partitions[message.partition]
@@ -202,9 +207,6 @@
     partition.writing = message.revision > 0 and not seen
     if not message.conflict:
         return []
-    partition.holding = dataclasses.replace(
-        partition.holding, first_write=False
-    )
     return holder_changes.report(
         state, partition, 'holder_conflict', 'entry_changed'
     )
--- a/tests/decisions/quotas/test_holding.py
+++ b/tests/decisions/quotas/test_holding.py
@@ -168,6 +168,18 @@
         self.hold_from_start()
         self.assertEqual(quotas.GrantReply(), self.ask(0, 0, customer=''))
 
+    def test_a_copy_that_was_never_proven_has_no_missing_entries(self):
+        """Guards against a holder that waits after a restart, since its first
+        copy of the store was too old to have its entry.
+        """
+        entries, self.holders = self.holders, {}
+        self.state = quotas.make_quota_state(self.state.policy)
+        self.copy(age_ms=2**53)
+        self.holders = entries
+        self.hold(0, 'n2')
+        self.copy()
+        self.assertEqual('', self.ask(0, 0).refusal)
+
     def test_an_older_proof_does_not_shorten_the_right(self):
         """Guards against a relay with an older copy."""
         self.hold_from_start()
@@ -320,10 +332,34 @@
         commands = self.handle(written)
         conflict = ('holder_conflict', 'entry_changed')
         self.assertIn(conflict, self.logged(commands))
+        self.hold(record.partition, 'n1', record.claim)
+        self.copy()
         self.hold(record.partition, 'n2', record.claim)
         self.copy()
         self.assertEqual('waiting', self.ask(record.partition).refusal)
 
+    def test_a_conflict_with_the_own_entry_is_a_first_start(self):
+        """Guards against a wait of 31 s at the first start because the answer
+        to a write was lost and the write was made again.
+        """
+        record = self.take_over()
+        self.handle(quotas.HolderWritten(record.partition, 0))
+        self.assertEqual(record, self.take_over())
+        self.handle(quotas.HolderWritten(record.partition, 0, True))
+        self.hold(record.partition, 'n2', record.claim)
+        self.copy()
+        self.assertEqual(4, self.ask(record.partition, 9).tokens)
+
+    def test_an_unreadable_entry_is_no_missing_one(self):
+        """Guards against a full bucket after an entry that names nobody."""
+        self.hold(0, '', claim=0)
+        self.copy()
+        record = self.writes(self.wait(3_000))[0]
+        self.assertEqual(
+            (0, self.revision), (record.partition, record.revision)
+        )
+        self.assertFalse(quotas.is_settled(record))
+
     def test_a_lost_entry_in_a_new_era_is_no_first_start(self):
         """Guards against full buckets after a restore, as the settings still
         say that the system starts for the first time.
