--- a/packages/decisions/src/gypsumbridge_decisions/quotas/takeover.py
+++ b/packages/decisions/src/gypsumbridge_decisions/quotas/takeover.py
@@ -166,6 +166,7 @@
         return []
     is_first = (
         state.policy.first_start
+        and not record.revision
         and not partition.holder_id
         and not state.era_changed
     )
@@ -210,7 +211,11 @@
     state: states.QuotaState,
     message: holder_written.HolderWritten,
 ) -> list[command.Command]:
-    """Record the end of a write; the entry counts once the copy has it."""
+    """Record the end of a write; the entry counts once the copy has it.
+
+    The entry that caused a conflict may be that of an earlier write of this
+    node whose answer was lost.
+    """
     if not 0 <= message.partition < len(state.partitions):
         return []
     partition = state.partitions[message.partition]
@@ -220,9 +225,6 @@
     partition.writing = message.revision > 0 and not seen
     if not message.conflict:
         return []
-    partition.holding = dataclasses.replace(
-        partition.holding, first_write=False
-    )
     return holder_changes.report(
         state, partition, 'holder_conflict', 'entry_changed'
     )
