--- a/packages/node/src/gypsumbridge_node/settings/load.py
+++ b/packages/node/src/gypsumbridge_node/settings/load.py
@@ -5,6 +5,7 @@
 import configparser
 import dataclasses
 import pathlib
+import re
 from typing import Any
 from typing import TypeVar
 
@@ -15,6 +16,7 @@
 from gypsumbridge_node.settings import settings
 
 T = TypeVar('T')
+PLACEHOLDER = re.compile(r'\{\{[^{}]*\}\}')
 ValueChecks = Mapping[tuple[str, str], checks.Check]
 
 
@@ -109,7 +111,7 @@
     converted: dict[str, Any] = {}
     for name, field in fields.items():
         converted[name] = None
-        if name in values and not _is_left_out(field, values[name]):
+        if name in values and _is_given(values[name], field):
             problem = _read_value(
                 section, field, values[name], converted, value_checks
             )
@@ -125,15 +127,18 @@
     return section_type(**converted)
 
 
-def _is_left_out(field: dataclasses.Field[Any], text: str) -> bool:
-    """Return whether an empty value stands for the default.
+def _is_given(text: str, field: dataclasses.Field[Any]) -> bool:
+    """Return whether a template has filled in a value.
 
-    A template's placeholder without a value is rendered as nothing. Texts
-    may be empty, and a key without a default must have a value.
+    It leaves a number empty that its platform does not know, and a
+    placeholder whose form it does not know. Without a default, both are read,
+    and reported.
     """
-    if text or field.type is str:
-        return False
-    return field.default is not dataclasses.MISSING
+    if field.default is dataclasses.MISSING:
+        return True
+    if not text:
+        return not isinstance(field.default, int | float)
+    return PLACEHOLDER.fullmatch(text) is None
 
 
 def _read_value(
