--- a/packages/decisions/src/gypsumbridge_decisions/discovery/applying.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/applying.py
@@ -6,11 +6,15 @@
 from gypsumbridge_decisions import relaying
 from gypsumbridge_decisions.discovery import command
 from gypsumbridge_decisions.discovery import evacuating
+from gypsumbridge_decisions.discovery import holders
 from gypsumbridge_decisions.discovery import removal_timer
+from gypsumbridge_decisions.discovery import skipping
 from gypsumbridge_decisions.discovery import state as states
 
 # A request that was sent just before the removal arrives within this time.
 REMOVAL_MARGIN_MS = 500
+# As many as the deletions that are retained for other nodes.
+MAX_DEPARTED = 1_000
 
 
 def apply_records(
@@ -24,6 +28,7 @@
     nodes_before = len(state.nodes)
     peers_changed = False
     evacuated_before = frozenset(state.evacuated)
+    holders_changed = False
     for record in records:
         if record.key == state.schema.routes_key:
             commands += apply_routes(state, record)
@@ -33,6 +38,11 @@
             peers_changed = peers_changed or changed
             commands += more
             continue
+        if record.key.startswith(state.schema.holder_prefix):
+            changed, more = holders.apply_holder(state, record)
+            holders_changed = holders_changed or changed
+            commands += more
+            continue
         if record.key.startswith(state.schema.searcher_prefix):
             changed, more = apply_searcher(state, record, now_ms)
             searchers_changed = searchers_changed or changed
@@ -58,6 +68,8 @@
     if peers_changed:
         nodes = tuple(state.relay.peers.values())
         fleet.append(forwarding.NodesChanged(nodes))
+    if holders_changed:
+        fleet.append(holders.publish_holders(state))
     # The hold of a new searcher follows its first publication.
     return fleet + published + commands
 
@@ -80,15 +92,16 @@
     replaced by a value that cannot be decoded.
     """
     if record.value is None:
-        return skip_record(record, 'routes were deleted')
+        return skipping.skip_record(record, 'routes were deleted')
     try:
         table = state.schema.decode_routes(record.value)
     except errors.FrameError as error:
-        return skip_record(record, str(error))
+        return skipping.skip_record(record, str(error))
     if state.routes_version is not None:
         if table.version <= state.routes_version:
             return []
     state.routes_version = table.version
+    state.routes_value = record.value
     return [forwarding.RoutesChanged(table)]
 
 
@@ -108,7 +121,7 @@
     try:
         found = state.schema.decode_node(node_id, record.value)
     except errors.FrameError as error:
-        return False, skip_record(record, str(error))
+        return False, skipping.skip_record(record, str(error))
     changed = state.relay.peers.get(node_id) != found
     state.relay.peers[node_id] = found
     return changed, []
@@ -133,12 +146,13 @@
         found = state.schema.decode_searcher(searcher_id, record.value)
     except errors.FrameError as error:
         return False, [
-            *skip_record(record, str(error)),
+            *skipping.skip_record(record, str(error)),
             *schedule_removal(state, searcher_id, now_ms),
         ]
     commands: list[command.Command] = []
     if state.removals.pop(searcher_id, None) is not None:
         commands.append(forwarding.HoldChanged(searcher_id, None))
+    state.departed.pop(searcher_id, None)
     previous = state.searchers.get(searcher_id)
     state.searchers[searcher_id] = found
     changed = previous != found or not found.is_same_process(previous)
@@ -151,6 +165,7 @@
     """Schedule the removal of a searcher whose entry is missing."""
     if searcher_id not in state.searchers or searcher_id in state.removals:
         return []
+    record_departure(state, searcher_id)
     due_ms = now_ms + state.hold_ms
     if state.missed_since_ms is not None and not state.store_failed:
         # The entry may have been deleted long before this node was notified.
@@ -164,6 +179,17 @@
     ]
 
 
+def record_departure(state: states.DiscoveryState, searcher_id: str) -> None:
+    """Remember the order of a searcher's last entry.
+
+    After a restore it tells whether an entry was written before or after.
+    """
+    last = state.searchers[searcher_id]
+    state.departed[searcher_id] = (last.incarnation, last.sequence)
+    while len(state.departed) > MAX_DEPARTED:
+        del state.departed[next(iter(state.departed))]
+
+
 def remove_due_searchers(
     state: states.DiscoveryState, now_ms: int
 ) -> list[command.Command]:
@@ -182,17 +208,3 @@
         messages.Decision('searchers_removed', 'entry_missing', fields),
         publish_searchers(state),
     ]
-
-
-def skip_record(
-    record: relaying.StoreRecord, error: str
-) -> list[command.Command]:
-    """Log and count a record that is ignored."""
-    return [
-        messages.Decision(
-            'store_record_skipped',
-            error,
-            {'key': record.key, 'revision': record.revision},
-        ),
-        messages.Count('discovery.records_skipped'),
-    ]
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/command.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/command.py
@@ -2,6 +2,7 @@
 
 from gypsumbridge_decisions import forwarding
 from gypsumbridge_decisions import messages
+from gypsumbridge_decisions import quotas
 from gypsumbridge_decisions import relaying
 from gypsumbridge_decisions.discovery import discovery_ready
 from gypsumbridge_decisions.discovery import list_store
@@ -18,6 +19,7 @@
     | forwarding.EvacuationChanged
     | forwarding.FleetSizeChanged
     | forwarding.NodesChanged
+    | quotas.HoldersChanged
     | forwarding.CopyConfirmed
     | discovery_ready.DiscoveryReady
     | relaying.WatchPeer
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/listing.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/listing.py
@@ -1,10 +1,15 @@
 """Lists of the store."""
 
+import dataclasses
+
 from gypsumbridge_decisions import messages
 from gypsumbridge_decisions import relaying
 from gypsumbridge_decisions.discovery import command
+from gypsumbridge_decisions.discovery import eras
 from gypsumbridge_decisions.discovery import evacuating
+from gypsumbridge_decisions.discovery import holders
 from gypsumbridge_decisions.discovery import proving
+from gypsumbridge_decisions.discovery import restoring
 from gypsumbridge_decisions.discovery import resume_timer
 from gypsumbridge_decisions.discovery import state as states
 from gypsumbridge_decisions.discovery import store_listed
@@ -21,7 +26,10 @@
     now_ms: int,
 ) -> list[command.Command]:
     """Apply a list of the store, and make the next call."""
-    stale_ok = not state.exact_list_needed
+    stale_ok = not state.listing_exactly
+    if stale_ok and state.exact_list_needed:
+        # The need arose after the list had been requested.
+        return syncing.resume(state, now_ms)
     commands = syncing.record_confirmation(state, now_ms)
     relaying.readmit_store(state.relay)
     state.list_needed = False
@@ -30,7 +38,16 @@
         # No searcher was known before the first list, so no entry of one can
         # have expired while the store did not answer.
         state.store_failed = False
-    if listed.revision >= state.revision:
+    current = listed.revision >= state.revision
+    if not (stale_ok or current):
+        # A store that went back without a new era. Watches would be refused
+        # as well, so the next call follows after a pause.
+        state.list_needed = state.exact_list_needed = True
+        failed = syncing.handle_store_failure(state, 'older_list', now_ms)
+        return [*commands, *failed]
+    if current:
+        records = eras.stamp(state, listed.records)
+        listed = dataclasses.replace(listed, records=records)
         commands += apply_list(state, listed, now_ms)
     if stale_ok:
         syncing.mark_updates_missed(state)
@@ -42,6 +59,7 @@
         state.writing_node
         and state.relay.own.address
         and not state.settle_timer_set
+        and not state.start_confirmed
     ):
         # Without the other nodes' keys each node would watch the store.
         state.settle_timer_set = True
@@ -57,10 +75,12 @@
     now_ms: int,
 ) -> list[command.Command]:
     """Replace the records up to the revision of a list."""
+    records, commands = restoring.reconcile(state, listed.records)
     state.revision = listed.revision
     state.list_needed = False
     state.exact_list_needed = False
-    state.relay.log.replace(listed.records, listed.revision)
+    state.era_pending = False
+    state.relay.log.replace(records, listed.revision, state.era)
     present = state.relay.log.present()
     keys = {record.key for record in present}
     prefix = state.schema.searcher_prefix
@@ -73,9 +93,15 @@
         ),
     ]
     removed = tuple(
-        relaying.StoreRecord(key, listed.revision, None) for key in missing
+        relaying.StoreRecord(key, listed.revision, None, state.era)
+        for key in missing
     )
-    return syncing.apply(state, present + removed, now_ms)
+    removed += holders.removed_holders(state, keys, listed.revision)
+    return [
+        *commands,
+        *syncing.apply(state, present + removed, now_ms),
+        *restoring.hold_missing(state),
+    ]
 
 
 def handle_history_lost(
--- a/packages/decisions/src/gypsumbridge_decisions/discovery/schema.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/schema.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from gypsumbridge_decisions import forwarding
+from gypsumbridge_decisions import quotas
 from gypsumbridge_decisions import relaying
 
 
@@ -13,8 +14,10 @@
 
     The decoders raise FrameError for an invalid value.
     `decode_searcher` and `decode_node` get the id, which is the key without
-    its prefix. A key with `evacuation_prefix`, unless that is empty, requests
-    the evacuation of the failure domain that the rest of the key names.
+    its prefix. `decode_holder` gets the partition, whose number follows its
+    prefix, and returns a record without a revision. A key with
+    `evacuation_prefix`, unless that is empty, requests the evacuation of the
+    failure domain that the rest of the key names.
     """
 
     routes_key: str
@@ -23,4 +26,6 @@
     decode_routes: Callable[[bytes], forwarding.RouteTable]
     decode_searcher: Callable[[str, bytes], forwarding.Searcher]
     decode_node: Callable[[str, bytes], relaying.PeerNode]
+    holder_prefix: str
+    decode_holder: Callable[[int, bytes], quotas.HolderRecord]
     evacuation_prefix: str = ''
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/relay.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/relay.py
@@ -2,10 +2,9 @@
 
 import dataclasses
 
-from gypsumbridge_decisions import forwarding
 from gypsumbridge_decisions import relaying
-from gypsumbridge_node import address
 from gypsumbridge_node.gateway import parsed_request
+from gypsumbridge_node.gateway import peer_site
 from gypsumbridge_node.gateway import runtime as runtimes
 from gypsumbridge_node.gateway import server_connection
 from gypsumbridge_wire import relay
@@ -15,7 +14,9 @@
 PROOF_AGE_STEP_MS = 10
 
 
-def start_relay_task(runtime: runtimes.GatewayRuntime) -> None:
+def start_relay_task(
+    runtime: runtimes.GatewayRuntime,
+) -> peer_site.PeerSite:
     """Pass polls to the discovery task and send its answers."""
     mailbox = runtime.mailboxes.discovery
     waiting: dict[int, server_connection.ServerConnection] = {}
@@ -58,14 +59,7 @@
         connection.respond(STATUS_OK, (), last_encoded[1])
 
     runtime.mailboxes.relay.start(answer)
-    if not runtime.settings.listen.peers:
-        return
-    limits = forwarding.IngressLimits()
-    factory = server_connection.make_factory(
-        handle_poll, remove_polls, lambda: limits, lambda: False
-    )
-    host, port = address.split_address(runtime.settings.listen.peers)
-    runtime.reactor.listenTCP(port, factory, interface=host)
+    return peer_site.PeerSite(handle_poll, remove_polls)
 
 
 def state_proof_age(
