--- a/tests/decisions/quotas/test_holding.py
+++ b/tests/decisions/quotas/test_holding.py
@@ -350,6 +350,15 @@
         self.copy()
         self.assertEqual(4, self.ask(record.partition, 9).tokens)
 
+    def test_a_removed_entry_is_no_first_start(self):
+        """Guards against a full bucket while the former holder may grant."""
+        self.hold(0, 'n1')
+        self.copy()
+        del self.holders[0]
+        self.copy()
+        records = [r for r in self.writes(self.wait(6_000)) if not r.partition]
+        self.assertFalse(quotas.is_settled(records[0]))
+
     def test_an_unreadable_entry_is_no_missing_one(self):
         """Guards against a full bucket after an entry that names nobody."""
         self.hold(0, '', claim=0)
