Read values that the platform does not know as not given

Cause: the template's JSON form renders a missing value as null. Change: null counts as empty, for numbers and for regions; the log line of a malformed evacuation key uses the moved function.

--- a/packages/decisions/src/gypsumbridge_decisions/discovery/applying.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/applying.py
@@ -51,7 +51,7 @@
         if evacuating.is_evacuation(state, record.key):
             domain = evacuating.domain_of(state, record.key)
             if domain is None:
-                commands += skip_record(record, evacuating.MALFORMED)
+                commands += skipping.skip_record(record, evacuating.MALFORMED)
                 continue
             evacuating.apply_evacuation(state, domain, record)
     published: list[command.Command] = []
--- a/packages/node/src/gypsumbridge_node/gateway/settings/regions.py
+++ b/packages/node/src/gypsumbridge_node/gateway/settings/regions.py
@@ -6,6 +6,8 @@
 def decode_regions(text: str) -> dict[str, str]:
     """Return the region of each failure domain; raises MsgspecError.
 
-    An empty text names no regions.
+    An empty text and null name no regions.
     """
-    return msgspec.json.decode(text, type=dict[str, str]) if text else {}
+    if not text:
+        return {}
+    return msgspec.json.decode(text, type=dict[str, str] | None) or {}
--- a/packages/node/src/gypsumbridge_node/settings/load.py
+++ b/packages/node/src/gypsumbridge_node/settings/load.py
@@ -16,6 +16,8 @@
 from gypsumbridge_node.settings import settings
 
 T = TypeVar('T')
+# How templates render a value that their platform does not know.
+ABSENT = frozenset({'', 'null'})
 PLACEHOLDER = re.compile(r'\{\{[^{}]*\}\}')
 ValueChecks = Mapping[tuple[str, str], checks.Check]
 
@@ -130,13 +132,13 @@
 def _is_given(text: str, field: dataclasses.Field[Any]) -> bool:
     """Return whether a template has filled in a value.
 
-    It leaves a number empty that its platform does not know, and a
-    placeholder whose form it does not know. Without a default, both are read,
-    and reported.
+    A number that the platform does not know is rendered as nothing or null,
+    and a placeholder whose form it does not know stays. Without a default,
+    all of them are read, and reported.
     """
     if field.default is dataclasses.MISSING:
         return True
-    if not text:
+    if text in ABSENT:
         return not isinstance(field.default, int | float)
     return PLACEHOLDER.fullmatch(text) is None
 
--- a/tests/node/gateway/test_edges.py
+++ b/tests/node/gateway/test_edges.py
@@ -234,6 +234,7 @@
         check = gateway_checks.VALUE_CHECKS['discovery', 'regions']
         for value, expected in (
             ('', {}),
+            ('null', {}),
             ('{}', {}),
             ('{"z0":"east","z1":"west"}', {'z0': 'east', 'z1': 'west'}),
         ):
--- a/tests/node/gateway/test_quota_settings.py
+++ b/tests/node/gateway/test_quota_settings.py
@@ -37,7 +37,9 @@
 def load(values, more=''):
     """Load the template as the platform renders it, with more of [quota]."""
     text = re.sub(
-        r'\{\{([\w.]+)\}\}', lambda m: values.get(m[1], ''), TEMPLATE
+        r'\{\{([\w.]+)(\|json)?\}\}',
+        lambda m: values.get(m[1], 'null' if m[2] else ''),
+        TEMPLATE,
     )
     with tempfile.TemporaryDirectory() as folder:
         path = pathlib.Path(folder) / 'gateway.ini'
--- a/tests/node/settings/test_load.py
+++ b/tests/node/settings/test_load.py
@@ -72,7 +72,7 @@
     def test_a_value_that_the_template_left_open_has_its_default(self):
         """Guards against a node that does not start on an older platform."""
         defaults = load.load_settings(write(self.folder))
-        for value in ('', '{{bounds.timeoutMs|json}}'):
+        for value in ('', 'null', '{{bounds.timeoutMs|json}}'):
             with self.subTest(value=value):
                 path = write(self.folder, [('store', 'timeout_ms', value)])
                 self.assertEqual(defaults, load.load_settings(path))
