Replace and slow down searchers, and move the demand, in the fault soak

Cause: the soak had no replacement of a service's searchers, no uneven searchers, and the same demand at all gateways.

Change: replace registers a new searcher and drains the old one half a second later, one failure domain after the other, and back; slow_down makes a searcher up to ten times slower for a time. With every third seed the demand moves between the failure domains in a wave of 8 s. None of them excuses anything; they are part of the seeds with planned work.

--- a/packages/standins/src/gypsumbridge_standins/fault_soak/callers.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/callers.py
@@ -9,6 +9,7 @@
 from gypsumbridge_platform import header_names
 from gypsumbridge_standins.fault_soak import answer_checks
 from gypsumbridge_standins.fault_soak import contact
+from gypsumbridge_standins.fault_soak import demand_wave
 from gypsumbridge_standins.fault_soak import deployment
 from gypsumbridge_standins.fault_soak import http_exchange
 from gypsumbridge_standins.fault_soak import outcome as outcomes
@@ -50,8 +51,8 @@
 ) -> sent_request.SentRequest | None:
     """Return the next request, or None if its kind cannot be checked now."""
     kind = rng.choices(tuple(KINDS), tuple(KINDS.values()))[0]
-    node = rng.choice(sorted(state.cluster.nodes))
     now_ms = state.clock.now_ms()
+    node = demand_wave.pick_node(state, rng, now_ms)
     give_up_after_ms = DEADLINE_MS
     if rng.randrange(GIVE_UP_ONE_IN) == 0:
         give_up_after_ms = rng.randint(*GIVE_UP_AFTER_MS)
--- a/packages/standins/src/gypsumbridge_standins/fault_soak/deployment.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/deployment.py
@@ -21,6 +21,8 @@
 SEARCHERS = tuple(
     f'{s}-{d}' for s in REPLICATED_SERVICES for d in DOMAINS
 ) + tuple(f'{s}-{d}' for s, d in SINGLE_SERVICES.items())
+# They replace the searchers of a service, one after the other.
+SPARES = tuple(f'{s}-new-{d}' for s in REPLICATED_SERVICES for d in DOMAINS)
 HOST = operator_config.HOST
 TOP_K = 5
 MIN_COVERAGE = 0.5
--- a/packages/standins/src/gypsumbridge_standins/fault_soak/fault_kinds.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/fault_kinds.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from gypsumbridge_standins.fault_soak import drill_faults
+from gypsumbridge_standins.fault_soak import fleet_faults
 from gypsumbridge_standins.fault_soak import gateway_faults
 from gypsumbridge_standins.fault_soak import link_faults
 from gypsumbridge_standins.fault_soak import link_mode
@@ -37,6 +38,8 @@
     'compact': store_faults.compact,
     'configure': store_faults.configure,
     'drill': drill_faults.drill,
+    'replace': fleet_faults.replace,
+    'slow_down': fleet_faults.slow_down,
     **{
         f'{group}_{mode.value}': link_faults.make_link_fault(group, mode)
         for group in LINK_GROUPS
--- a/packages/standins/src/gypsumbridge_standins/fault_soak/fault_plan.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/fault_plan.py
@@ -50,6 +50,8 @@
     'compact': 1,
     'configure': 4,
     'drill': 3,
+    'replace': 2,
+    'slow_down': 3,
 }
 # Other faults excuse lost requests for seconds, so every fourth seed draws
 # planned work alone, during which no request may be lost.
@@ -62,6 +64,8 @@
     'compact',
     'configure',
     'drill',
+    'replace',
+    'slow_down',
 )
 PLANNED_SEED_REMAINDER = 3
 # With other seeds every gateway watches the store itself, as in a small fleet.
@@ -69,6 +73,8 @@
 # With one seed in five the store states no era, and is never restored.
 NO_ERA_SEED_REMAINDER = 4
 ERA_SEEDS = 5
+# With every third seed the demand moves between the failure domains.
+WAVE_SEEDS = 3
 MEAN_INTERVAL_MS = 500
 MEAN_LENGTH_MS = 1_500
 MAX_LENGTH_MS = 6_000
@@ -115,4 +121,5 @@
         tuple(drawn),
         seed % 4 in RELAYED_SEED_REMAINDERS,
         eras,
+        seed % WAVE_SEEDS == 0,
     )
--- a/packages/standins/src/gypsumbridge_standins/fault_soak/processes.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/processes.py
@@ -36,21 +36,24 @@
     failure domain. The second one serves the other searchers, so that it
     can be killed without the store.
     """
-    count = len(deployment.SEARCHERS)
+    searcher_ids = (*deployment.SEARCHERS, *deployment.SPARES)
+    count = len(searcher_ids)
     free_ports = ports.find_free_ports(
         2 * PLATFORM_COUNT
         + 2 * count
         + PORTS_PER_GATEWAY * state.plan.gateways
     )
     searchers = {}
-    for searcher_id in deployment.SEARCHERS:
-        service, _, domain = searcher_id.partition('-')
+    for searcher_id in searcher_ids:
+        service = searcher_id.partition('-')[0]
+        domain = searcher_id.rpartition('-')[2]
         port, proxy = free_ports.pop(), free_ports.pop()
         searchers[searcher_id] = {
             'service': service,
             'port': port,
             'domain': domain,
             'address': f'127.0.0.1:{proxy}',
+            'spare': searcher_id in deployment.SPARES,
         }
         # All searchers of a failure domain are behind one link.
         add_link(state, f'searchers/{domain}', proxy, port)
--- a/packages/standins/src/gypsumbridge_standins/fault_soak/soak_plan.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/soak_plan.py
@@ -11,7 +11,8 @@
 
     With `relayed`, one gateway of each failure domain watches the store and
     relays its updates to the others, and the first gateways gather for them.
-    With `eras`, the store states its era.
+    With `eras`, the store states its era. With `wave`, the demand moves
+    between the failure domains.
     """
 
     seed: int
@@ -20,3 +21,4 @@
     faults: tuple[faults.Fault, ...]
     relayed: bool = False
     eras: bool = False
+    wave: bool = False
--- a/packages/standins/src/gypsumbridge_standins/users_platform/__main__.py
+++ b/packages/standins/src/gypsumbridge_standins/users_platform/__main__.py
@@ -30,7 +30,8 @@
     In the plan, `store` and `control` are ports, `config` is the operator's
     configuration, and `searchers` maps ids to service, port and domain.
     `serves` names the searchers that this process runs, by default all of
-    them. The `address` of a searcher, if given, is registered in place of
+    them. A `spare` searcher is not registered at the start. The `address` of a
+    searcher, if given, is registered in place of
     its own port, and its `born` as the time of its start. `run_log` is a file
     that gets a line for each run, and for each refusal that states a time.
     `era` is the store's first era; without it no response states one.
@@ -47,7 +48,8 @@
     )
     write_config(state, plan['config'])
     for searcher_id, searcher in plan['searchers'].items():
-        register(state, searcher_id, searcher, 'ready')
+        if not searcher.get('spare'):
+            register(state, searcher_id, searcher, 'ready')
         if searcher_id not in plan.get('serves', plan['searchers']):
             continue
         handler = searcher_site.make_searcher_handler(
@@ -146,6 +148,7 @@
     ) -> None:
         command = json.loads(request.body) if request.body else {}
         state.faults.update(command.get('faults', {}))
+        state.slowness.update(command.get('slowness', {}))
         state.outage = command.get('outage', state.outage)
         for searcher_id, born in command.get('born', {}).items():
             plan['searchers'][searcher_id]['born'] = born
--- a/packages/standins/src/gypsumbridge_standins/users_platform/platform_state.py
+++ b/packages/standins/src/gypsumbridge_standins/users_platform/platform_state.py
@@ -21,7 +21,7 @@
     operator and the searchers wait in `delayed`. `registered` and `sequences`
     hold the state of each searcher's entry and the number of its writes, and
     `operator_entries` what the operator has written, so that they can be
-    written again.
+    written again. `slowness` has the factor of each searcher's service time.
     """
 
     def __init__(
@@ -39,6 +39,7 @@
         self.delayed: list[tuple[str, str | None]] = []
         self.registered: dict[str, str] = {}
         self.sequences: dict[str, int] = {}
+        self.slowness: dict[str, float] = {}
         self.operator_entries: dict[str, str | None] = {}
         self.calls = 0
         self.waiting_watches: list[Any] = []
--- a/packages/standins/src/gypsumbridge_standins/users_platform/searcher_site.py
+++ b/packages/standins/src/gypsumbridge_standins/users_platform/searcher_site.py
@@ -130,7 +130,8 @@
             else:
                 connection.respond(200, (echo, signature), body)
 
-        delay_s = PAUSE_DELAY_S if fault == 'pause' else SERVICE_TIME_S
+        service_s = SERVICE_TIME_S * state.slowness.get(searcher_id, 1)
+        delay_s = PAUSE_DELAY_S if fault == 'pause' else service_s
         if fault != 'silent':
             reactor.callLater(delay_s, respond)
 
--- a/tests/standins/test_fault_soak_drills.py
+++ b/tests/standins/test_fault_soak_drills.py
@@ -2,6 +2,7 @@
 import unittest
 
 from gypsumbridge_standins.fault_soak import contact
+from gypsumbridge_standins.fault_soak import demand_wave
 from gypsumbridge_standins.fault_soak import deployment
 from gypsumbridge_standins.fault_soak import drill
 from gypsumbridge_standins.fault_soak import drill_checks
@@ -52,6 +53,20 @@
         self.disturb('n1', BACK_MS)
         self.assertEqual(0, self.count_violations('one'))
 
+    def test_the_demand_of_a_failure_domain_comes_and_goes(self):
+        """Guards against a wave that is the same everywhere, or stops one."""
+        half_ms = demand_wave.PERIOD_MS // 2
+        times = range(0, demand_wave.PERIOD_MS, 100)
+        for domain in deployment.DOMAINS:
+            found = [demand_wave.weight_at(domain, at_ms) for at_ms in times]
+            self.assertGreater(min(found), 0)
+            self.assertGreater(max(found), 10 * min(found))
+        first, second = deployment.DOMAINS
+        self.assertAlmostEqual(
+            demand_wave.weight_at(first, half_ms),
+            demand_wave.weight_at(second, 0),
+        )
+
     def is_bound(self, now_ms):
         return contact.is_bound_to_version(self.state, 'n1', 7, now_ms)
 
