Hold no searcher longer because of failures before the first list

Cause: the fault soak's plan removal_in_first_pause failed once (23 requests up to 3.4 s into a drain). The store refused the first calls of a gateway, whose process was ready before the stand-in. The failure was still counted when a removal was learned of after the first pause, so the full hold began then.

Change: failures before the first list are forgotten with it.

--- a/packages/decisions/src/gypsumbridge_decisions/discovery/listing.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/listing.py
@@ -30,6 +30,9 @@
         return syncing.resume(state, now_ms)
     commands = syncing.record_confirmation(state, now_ms)
     relaying.readmit_store(state.relay)
+    if state.revision == 0 and not state.era_pending:
+        # Entries that expired before the first list were never known.
+        state.store_failed = False
     state.list_needed = False
     state.list_unconfirmed = stale_ok
     current = listed.revision >= state.revision
--- a/tests/decisions/discovery/test_discovery.py
+++ b/tests/decisions/discovery/test_discovery.py
@@ -141,6 +141,17 @@
         commands = self.change(searchers_a=None)
         self.assertLess(self.removal_due_ms(commands), DRAIN_MS)
 
+    def test_a_failed_start_does_not_prolong_the_hold(self):
+        """Guards against requests to a searcher after its drain time.
+
+        Fault soak, plan removal_in_first_pause: the store refused the first
+        calls of the process. Entries that expire in such an outage are not
+        in the first list, so it is no reason to hold a searcher longer.
+        """
+        self.pause_after_first_list(discovery.StoreFailed('refused'))
+        commands = self.list(routes=b'1')
+        self.assertLess(self.removal_due_ms(commands), DRAIN_MS)
+
     def test_a_removal_after_a_confirmed_list_is_held_in_full(self):
         """Guards against dropping live searchers whose entries expired."""
         self.pause_after_first_list()
@@ -154,12 +165,14 @@
         commands = self.change(searchers_a=None)
         self.assertEqual(noticed_ms + HOLD_MS, self.removal_due_ms(commands))
 
-    def pause_after_first_list(self):
+    def pause_after_first_list(self, *before):
         """Begin again as a node of a new fleet, and end its first pause."""
         self.own = relaying.PeerNode('n1', '10.0.0.1:70', 'd1', 1.0)
         self.state = discovery.make_discovery_state(
             relaying.make_relay_state(self.own, 10), SCHEMA, DRAIN_MS
         )
+        for message in before:
+            self.handle(message)
         commands = self.list(routes=b'1', searchers_a=b'ready')
         (pause,) = (
             c
