--- a/packages/decisions/src/gypsumbridge_decisions/discovery/listing.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/listing.py
@@ -32,12 +32,11 @@
         return syncing.resume(state, now_ms)
     commands = syncing.record_confirmation(state, now_ms)
     relaying.readmit_store(state.relay)
+    if state.revision == 0 and not state.era_pending:
+        # Entries that expired before the first list were never known.
+        state.store_failed = False
     state.list_needed = False
     state.list_unconfirmed = stale_ok
-    if state.revision == 0:
-        # No searcher was known before the first list, so no entry of one can
-        # have expired while the store did not answer.
-        state.store_failed = False
     current = listed.revision >= state.revision
     if not (stale_ok or current):
         # A store that went back without a new era. Watches would be refused
--- a/packages/standins/src/gypsumbridge_standins/fault_soak/fault_kinds.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/fault_kinds.py
@@ -4,6 +4,7 @@
 
 from gypsumbridge_standins.fault_soak import drill_faults
 from gypsumbridge_standins.fault_soak import evacuation_faults
+from gypsumbridge_standins.fault_soak import fleet_faults
 from gypsumbridge_standins.fault_soak import gateway_faults
 from gypsumbridge_standins.fault_soak import link_faults
 from gypsumbridge_standins.fault_soak import link_mode
@@ -39,6 +40,8 @@
     'configure': store_faults.configure,
     'evacuate': evacuation_faults.evacuate,
     'drill': drill_faults.drill,
+    'replace': fleet_faults.replace,
+    'slow_down': fleet_faults.slow_down,
     **{
         f'{group}_{mode.value}': link_faults.make_link_fault(group, mode)
         for group in LINK_GROUPS
