Charge all that connections hold to one budget of the process

Cause: up to 64 KiB of requests were parsed in one go, about 3.5 MB of objects in each connection, whether or not their answers were read; the parser kept a header, a trailer or a chunk's extension without end unseen; the kernel's buffers of a connection grew to megabytes; each port and client had a budget of 48 MiB of its own; nothing bounded descriptors. Change: - A connection parses 1 KiB at a time and stops while an answer is unread or eight requests wait. Bytes without a complete header or piece of a body are limited as a head is, empty lines included. - One MemoryBudget for the process, clients' and searchers' side, from the new setting memory_mb: bytes not parsed, heads, bodies, requests that wait or are in progress, unread answers, and the socket's buffers while they are full. Over it, the connection with the most bytes times the square of their age is refused with 503, or closed if it does not read. - OpenConnections, from max_fds: connections without an answered request are closed first, one in progress never. The number of the new descriptor shows how many are open, so connections to searchers count. 16 accepts a turn. - Accepted sockets have buffers of 64 KiB: with connections alone bounded, 1,000 of them could take 6 MB each in the kernel. - The writer knows what the socket did not accept, so a connection is blocked from the first unread byte; the 64 KiB of Twisted's buffer were not counted. - server_connection.py is split: request_reader, request_input, memory_account, server_factory; client_connection.py: received_response, keep_alive_header, client_opening. Changed tests: uploads in progress count until they are answered, so the test of half-sent uploads answers them; it compares the budget with heads and bodies, as both are charged. Others follow the names.

--- a/packages/node/src/gypsumbridge_node/gateway/api_client.py
+++ b/packages/node/src/gypsumbridge_node/gateway/api_client.py
@@ -8,6 +8,7 @@
 from gypsumbridge_node import address
 from gypsumbridge_node.gateway import api_client_state
 from gypsumbridge_node.gateway import client_connection
+from gypsumbridge_node.gateway import client_opening
 from gypsumbridge_node.gateway import http_head
 from gypsumbridge_node.gateway import http_reply
 from gypsumbridge_node.gateway import http_request
@@ -60,7 +61,7 @@
     def handle_connect_failure(reason: failure.Failure) -> None:
         fail_call(client, call, f'connect_{type(reason.value).__name__}')
 
-    client_connection.connect(
+    client_opening.connect(
         client.runtime.reactor,
         address.split_address(client.address),
         CONNECT_TIMEOUT_S,
--- a/packages/node/src/gypsumbridge_node/gateway/api_client_state.py
+++ b/packages/node/src/gypsumbridge_node/gateway/api_client_state.py
@@ -3,7 +3,6 @@
 from gypsumbridge_node.gateway import client_connection
 from gypsumbridge_node.gateway import idle_connections
 from gypsumbridge_node.gateway import pending_call
-from gypsumbridge_node.gateway import receive_budget
 from gypsumbridge_node.gateway import runtime as runtimes
 
 
@@ -19,7 +18,7 @@
         self.runtime = runtime
         self.name = name
         self.address = address
-        self.budget = receive_budget.make_receive_budget()
+        self.budget = runtime.resources.budget
         self.idle = idle_connections.IdleConnections()
         self.running: dict[
             client_connection.ClientConnection, pending_call.PendingCall
--- a/packages/node/src/gypsumbridge_node/gateway/client_connection.py
+++ b/packages/node/src/gypsumbridge_node/gateway/client_connection.py
@@ -1,7 +1,6 @@
 """A connection to a server that carries one request at a time."""
 
 from collections.abc import Callable
-from typing import Any
 
 import httptools
 import logbook
@@ -9,11 +8,11 @@
 from twisted.internet import protocol
 from twisted.python import failure
 
-from gypsumbridge_node.gateway import decimal_number
 from gypsumbridge_node.gateway import headers
 from gypsumbridge_node.gateway import http_reply
-from gypsumbridge_node.gateway import opening_factory
-from gypsumbridge_node.gateway import receive_budget
+from gypsumbridge_node.gateway import keep_alive_header
+from gypsumbridge_node.gateway import memory_budget
+from gypsumbridge_node.gateway import received_response
 from gypsumbridge_node.gateway import response_head
 from gypsumbridge_node.gateway import socket_options
 from gypsumbridge_node.gateway import socket_writer
@@ -59,7 +58,7 @@
         on_reply: Callable[['ClientConnection', http_reply.HttpReply], None],
         on_close: Callable[['ClientConnection', str], None],
         logger: logbook.Logger,
-        budget: receive_budget.ReceiveBudget,
+        budget: memory_budget.MemoryBudget,
     ) -> None:
         self.on_reply = on_reply
         self.on_close = on_close
@@ -71,7 +70,8 @@
         )
         self.expects: Callable[[http_reply.HttpReply], bool] | None = None
         self.on_interim: Callable[[], None] = ignore_interim
-        self._clear_message()
+        self.received = received_response.ReceivedResponse()
+        self.interim = False
         self.max_body_bytes = MAX_BODY_BYTES
         self.head_only = False
         self.received_bytes = 0
@@ -148,7 +148,7 @@
             if self.receiving:
                 self._abort('bytes_after_response')
             return
-        body_bytes = len(self.body)
+        body_bytes = len(self.received.body)
         framing_bytes = self.received_bytes - body_bytes
         limit_bytes = MAX_HEAD_BYTES + MAX_FRAMING_SHARE * body_bytes
         if framing_bytes > limit_bytes:
@@ -162,9 +162,9 @@
         """Report the close; a clean close completes an unframed response."""
         self.reusable = False
         clean = reason.check(net_errors.ConnectionDone) is not None
-        if clean and self.response_headers is not None and not self.aborted:
-            if not self._is_framed(self.response_headers):
-                self._complete(self.response_headers, framed=False)
+        if clean and self.received.head is not None and not self.aborted:
+            if not self._is_framed():
+                self._complete(self.received.head, framed=False)
         # The parser and this object refer to each other.
         self.parser = None
         self._clear_message()
@@ -178,55 +178,55 @@
 
     def on_status(self, reason: bytes) -> None:
         """Store a piece of the reason phrase."""
-        self.reason += reason
+        self.received.reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store one header."""
         if self.aborted:
             return
-        self.headers.append((name.decode('latin-1'), value.decode('latin-1')))
-        if len(self.headers) > MAX_HEADERS:
+        fields = self.received.fields
+        fields.append((name.decode('latin-1'), value.decode('latin-1')))
+        if len(fields) > MAX_HEADERS:
             self._abort('head_too_large')
 
     def on_headers_complete(self) -> None:
         """Close the connection if the head cannot be used."""
         if self.aborted:
             return
+        received = self.received
         if response_head.is_merged(
-            self.reason.decode('latin-1'), self.headers
+            received.reason.decode('latin-1'), received.fields
         ):
             self._abort('merged_head')
             return
-        self.response_headers = headers.make_headers(self.headers)
-        if self.head_only and self.parser.get_status_code() >= 200:
+        self.interim = self.parser.get_status_code() < 200
+        received.head = headers.make_headers(received.fields)
+        if self.head_only and not self.interim:
             # The parser would wait for the body.
             self.reusable = False
-            self._complete(self.response_headers, framed=True)
+            self._complete(received.head, framed=True)
             return
-        length = self.response_headers.first.get('content-length', '')
-        if length.isdecimal() and int(length) > self.max_body_bytes:
+        if received.stated_length() > self.max_body_bytes:
             self._abort(BODY_TOO_LARGE)
 
     def on_body(self, body: bytes) -> None:
         """Append a chunk to the body."""
         if self.aborted:
             return
-        self.body += body
-        if len(self.body) > self.max_body_bytes:
+        self.received.body += body
+        if len(self.received.body) > self.max_body_bytes:
             self._abort(BODY_TOO_LARGE)
 
     def on_message_complete(self) -> None:
         """Report the response unless it is an interim one (1xx)."""
-        if self.aborted or self.response_headers is None:
+        if self.aborted or self.received.head is None:
             return
-        if self.parser.get_status_code() < 200:
+        if self.interim:
             # Its head must not complete a response if the connection closes.
             self._clear_message()
             self.on_interim()
             return
-        self._complete(
-            self.response_headers, self._is_framed(self.response_headers)
-        )
+        self._complete(self.received.head, self._is_framed())
 
     def _abort(self, reason: str) -> None:
         self.abort_reason = reason
@@ -235,26 +235,17 @@
     def _abort_over_budget(self) -> None:
         self._abort('receive_budget')
 
-    def _is_framed(self, found: headers.Headers) -> bool:
-        status = self.parser.get_status_code()
-        if status in (204, 304):
-            return True
-        return 'content-length' in found.first or (
-            'transfer-encoding' in found.first
-        )
+    def _is_framed(self) -> bool:
+        return self.received.is_framed(self.parser.get_status_code())
 
     def _complete(self, found: headers.Headers, framed: bool) -> None:
         self.receiving = False
-        self.response_headers = None
-        reply = http_reply.HttpReply(
-            self.parser.get_status_code(),
-            found,
-            bytes(self.body),
-            framed,
+        reply = self.received.make_reply(
+            self.parser.get_status_code(), found, framed
         )
         if not framed or not self.parser.should_keep_alive():
             self.reusable = False
-        self.keep_alive_ms = _keep_alive_ms(reply)
+        self.keep_alive_ms = keep_alive_header.keep_alive_ms(reply)
         self._clear_message()
         if self.expects is None or not self.expects(reply):
             # The server may still be about to send the real response.
@@ -268,38 +259,4 @@
         if self.in_budget:
             self.in_budget = False
             self.budget.release(self._abort_over_budget)
-        self.response_headers: headers.Headers | None = None
-        self.reason = b''
-        self.headers: list[tuple[str, str]] = []
-        self.body = bytearray()
-
-
-def _keep_alive_ms(reply: http_reply.HttpReply) -> int | None:
-    """Return the server's idle timeout from its Keep-Alive header, if any."""
-    value = reply.headers.first.get('keep-alive')
-    if value is None:
-        return None
-    for part in value.split(','):
-        name, _, number = part.strip().partition('=')
-        seconds = decimal_number.parse(number.strip())
-        if name.strip().lower() == 'timeout' and seconds is not None:
-            return seconds * 1_000
-    return None
-
-
-def connect(
-    reactor: Any,
-    address: tuple[str, int],
-    timeout_s: float,
-    on_reply: Callable[[ClientConnection, http_reply.HttpReply], None],
-    on_close: Callable[[ClientConnection, str], None],
-    logger: logbook.Logger,
-    budget: receive_budget.ReceiveBudget,
-) -> Any:
-    """Return a Deferred that fires with a connection using the callbacks."""
-    factory = opening_factory.OpeningFactory(
-        reactor, ClientConnection(on_reply, on_close, logger, budget)
-    )
-    opened = factory.opened
-    reactor.connectTCP(*address, factory, timeout=timeout_s)
-    return opened
+        self.received.clear()
--- a/packages/node/src/gypsumbridge_node/gateway/daemon.py
+++ b/packages/node/src/gypsumbridge_node/gateway/daemon.py
@@ -4,12 +4,15 @@
 import pathlib
 import sys
 
+import logbook
+
 from gypsumbridge_decisions import errors
 from gypsumbridge_node import json_lines
 from gypsumbridge_node import metrics
 from gypsumbridge_node import process_controls
 from gypsumbridge_node import runtime_factory
 from gypsumbridge_node.gateway import adapter as adapters
+from gypsumbridge_node.gateway import edge_resources
 from gypsumbridge_node.gateway import gateway_mailboxes
 from gypsumbridge_node.gateway import runtime as runtimes
 from gypsumbridge_node.gateway.settings import gateway_checks
@@ -55,13 +58,17 @@
     from twisted.internet import reactor
 
     json_lines.install_handler(settings.log.level)
+    counters = metrics.make_metrics('', 'gypsumbridge')
     runtime = runtime_factory.make_runtime(
         runtimes.GatewayRuntime,
         gateway_mailboxes.GatewayMailboxes,
         reactor,
         settings,
-        metrics.make_metrics('', 'gypsumbridge'),
+        counters,
         adapter=adapter,
+        resources=edge_resources.make_reported_resources(
+            settings.limits, counters, logbook.Logger(settings.node.node_id)
+        ),
     )
     exit_statuses = [0]
 
--- a/packages/node/src/gypsumbridge_node/gateway/pool_checkout.py
+++ b/packages/node/src/gypsumbridge_node/gateway/pool_checkout.py
@@ -8,6 +8,7 @@
 from gypsumbridge_node.gateway import attempt_reports
 from gypsumbridge_node.gateway import attempt_sending
 from gypsumbridge_node.gateway import client_connection
+from gypsumbridge_node.gateway import client_opening
 from gypsumbridge_node.gateway import http_reply
 from gypsumbridge_node.gateway import searcher_pool
 from gypsumbridge_node.gateway import searchers_context
@@ -40,7 +41,7 @@
     """Open a connection to the pool's searcher."""
     pool.opening += 1
     context.runtime.metrics.count('searchers.connections_opened')
-    running = client_connection.connect(
+    running = client_opening.connect(
         context.runtime.reactor,
         (pool.searcher.address, pool.searcher.port),
         CONNECT_TIMEOUT_S,
--- a/packages/node/src/gypsumbridge_node/gateway/searchers_state.py
+++ b/packages/node/src/gypsumbridge_node/gateway/searchers_state.py
@@ -2,7 +2,7 @@
 
 from gypsumbridge_decisions import forwarding
 from gypsumbridge_node.gateway import attempt_job
-from gypsumbridge_node.gateway import receive_budget
+from gypsumbridge_node.gateway import memory_budget
 from gypsumbridge_node.gateway import searcher_pool
 
 # The id, incarnation, address and port of a searcher.
@@ -19,7 +19,7 @@
     """
 
     def __init__(
-        self, node_id: str, budget: receive_budget.ReceiveBudget
+        self, node_id: str, budget: memory_budget.MemoryBudget
     ) -> None:
         self.budget = budget
         self.pools: dict[PoolKey, searcher_pool.SearcherPool] = {}
--- a/packages/node/src/gypsumbridge_node/gateway/settings/gateway_checks.py
+++ b/packages/node/src/gypsumbridge_node/gateway/settings/gateway_checks.py
@@ -21,6 +21,8 @@
     ('retry', 'ratio'): checks.in_range(0, 10),
     ('retry', 'allowance'): checks.in_range(0, 1_000_000),
     ('retry', 'window_s'): checks.in_range(0.1, 3_600),
+    ('limits', 'memory_mb'): checks.in_range(0, 1_000_000),
+    ('limits', 'max_fds'): checks.in_range(0, 10_000_000),
     ('stop', 'grace_s'): checks.in_range(1, 3_600),
     ('stop', 'balancer_lag_ms'): checks.in_range(0, 600_000),
     ('log', 'level'): checks.one_of(checks.LOG_LEVELS),
--- a/packages/node/src/gypsumbridge_node/gateway/settings/gateway_settings.py
+++ b/packages/node/src/gypsumbridge_node/gateway/settings/gateway_settings.py
@@ -4,6 +4,7 @@
 
 from gypsumbridge_node.gateway.settings import discovery_settings
 from gypsumbridge_node.gateway.settings import gateway_node_settings
+from gypsumbridge_node.gateway.settings import limits_settings
 from gypsumbridge_node.gateway.settings import listen_settings
 from gypsumbridge_node.gateway.settings import retry_settings
 from gypsumbridge_node.gateway.settings import stop_settings
@@ -18,5 +19,6 @@
     listen: listen_settings.ListenSettings
     discovery: discovery_settings.DiscoverySettings
     retry: retry_settings.RetrySettings
+    limits: limits_settings.LimitsSettings
     stop: stop_settings.StopSettings
     log: log_settings.LogSettings
--- a/packages/node/src/gypsumbridge_node/gateway/socket_options.py
+++ b/packages/node/src/gypsumbridge_node/gateway/socket_options.py
@@ -13,6 +13,12 @@
 # A connection is closed if sent data is not acknowledged for this long.
 USER_TIMEOUT_MS = 2_000
 
+# Buffers of each accepted connection. Those that Linux sizes by itself grow to
+# megabytes for a peer that sends much and reads nothing, and count towards the
+# memory of the host. Linux takes twice the size, with its own overhead.
+BUFFER_BYTES = 65_536
+HELD_BUFFER_BYTES = 2 * BUFFER_BYTES
+
 # `struct tcp_info` of Linux: its size up to `tcpi_total_retrans`, and where
 # `tcpi_rtt` (microseconds, 32 bits) lies in it.
 TCP_INFO_BYTES = 104
@@ -42,6 +48,16 @@
             )
 
 
+def bound_buffers(listening: socket.socket) -> None:
+    """Bound the buffers of the connections that a socket will accept.
+
+    The window that TCP offers a peer is fixed when a connection opens, so
+    this comes before the first one.
+    """
+    for name in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+        listening.setsockopt(socket.SOL_SOCKET, name, BUFFER_BYTES)
+
+
 def round_trip_ms(sock: socket.socket) -> float:
     """Return TCP's smoothed round-trip time."""
     info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/delegated.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/delegated.py
@@ -7,11 +7,12 @@
 from gypsumbridge_decisions import errors
 from gypsumbridge_decisions import forwarding
 from gypsumbridge_decisions import messages
-from gypsumbridge_node import address
 from gypsumbridge_node.gateway import ingress_state
+from gypsumbridge_node.gateway import listening
 from gypsumbridge_node.gateway import parsed_request
 from gypsumbridge_node.gateway import runtime as runtimes
 from gypsumbridge_node.gateway import server_connection
+from gypsumbridge_node.gateway import server_factory
 from gypsumbridge_wire import delegated_reply
 from gypsumbridge_wire import delegation
 
@@ -77,11 +78,14 @@
         )
 
     limits = forwarding.IngressLimits(max_body_bytes=MAX_REQUEST_BYTES)
-    factory = server_connection.make_factory(
-        on_request, on_disconnect, lambda: limits, lambda: False
+    factory = server_factory.make_factory(
+        on_request,
+        on_disconnect,
+        lambda: limits,
+        lambda: False,
+        runtime.resources,
     )
-    host, port = address.split_address(runtime.settings.listen.gathers)
-    runtime.reactor.listenTCP(port, factory, backlog=512, interface=host)
+    listening.listen(runtime, runtime.settings.listen.gathers, factory)
 
 
 def accept(
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/ingress.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/ingress.py
@@ -5,14 +5,15 @@
 
 from gypsumbridge_decisions import forwarding
 from gypsumbridge_decisions import messages
-from gypsumbridge_node import address
 from gypsumbridge_node.gateway import caller_key
 from gypsumbridge_node.gateway import decimal_number
 from gypsumbridge_node.gateway import end_to_end
 from gypsumbridge_node.gateway import ingress_state
+from gypsumbridge_node.gateway import listening
 from gypsumbridge_node.gateway import parsed_request
 from gypsumbridge_node.gateway import runtime as runtimes
 from gypsumbridge_node.gateway import server_connection
+from gypsumbridge_node.gateway import server_factory
 
 SOURCE = 'ingress'
 # Applies to a request without a valid deadline header.
@@ -39,8 +40,12 @@
             forwarding.CallerDisconnected(call_id)
         )
 
-    factory = server_connection.make_factory(
-        on_request, on_disconnect, lambda: state.limits, lambda: state.closing
+    factory = server_factory.make_factory(
+        on_request,
+        on_disconnect,
+        lambda: state.limits,
+        lambda: state.closing,
+        runtime.resources,
     )
 
     def change_routes(update: forwarding.RoutesChanged) -> None:
@@ -67,10 +72,7 @@
         handlers[type(message)](message)
 
     runtime.mailboxes.ingress.start(handle)
-    host, port = address.split_address(runtime.settings.listen.callers)
-    return runtime.reactor.listenTCP(
-        port, factory, backlog=512, interface=host
-    )
+    return listening.listen(runtime, runtime.settings.listen.callers, factory)
 
 
 def accept(
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/relay.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/relay.py
@@ -4,10 +4,11 @@
 
 from gypsumbridge_decisions import forwarding
 from gypsumbridge_decisions import relaying
-from gypsumbridge_node import address
+from gypsumbridge_node.gateway import listening
 from gypsumbridge_node.gateway import parsed_request
 from gypsumbridge_node.gateway import runtime as runtimes
 from gypsumbridge_node.gateway import server_connection
+from gypsumbridge_node.gateway import server_factory
 from gypsumbridge_wire import relay
 
 STATUS_OK = 200
@@ -61,11 +62,14 @@
     if not runtime.settings.listen.peers:
         return
     limits = forwarding.IngressLimits()
-    factory = server_connection.make_factory(
-        handle_poll, remove_polls, lambda: limits, lambda: False
+    factory = server_factory.make_factory(
+        handle_poll,
+        remove_polls,
+        lambda: limits,
+        lambda: False,
+        runtime.resources,
     )
-    host, port = address.split_address(runtime.settings.listen.peers)
-    runtime.reactor.listenTCP(port, factory, interface=host)
+    listening.listen(runtime, runtime.settings.listen.peers, factory)
 
 
 def state_proof_age(
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/searchers.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/searchers.py
@@ -8,7 +8,6 @@
 from gypsumbridge_node.gateway import attempt_reports
 from gypsumbridge_node.gateway import attempt_sending
 from gypsumbridge_node.gateway import pool_checkout
-from gypsumbridge_node.gateway import receive_budget
 from gypsumbridge_node.gateway import runtime as runtimes
 from gypsumbridge_node.gateway import searcher_pool
 from gypsumbridge_node.gateway import searchers_context
@@ -21,7 +20,7 @@
 def start_searchers_task(runtime: runtimes.GatewayRuntime) -> None:
     """Send attempts to searchers and report their results."""
     state = searchers_state.SearchersState(
-        runtime.settings.node.node_id, receive_budget.make_receive_budget()
+        runtime.settings.node.node_id, runtime.resources.budget
     )
     context = searchers_context.SearchersContext(
         runtime, state, runtime.adapter.headers
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/status_http.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/status_http.py
@@ -3,11 +3,12 @@
 from collections.abc import Callable
 
 from gypsumbridge_decisions import forwarding
-from gypsumbridge_node import address
 from gypsumbridge_node.gateway import exposition
+from gypsumbridge_node.gateway import listening
 from gypsumbridge_node.gateway import parsed_request
 from gypsumbridge_node.gateway import runtime as runtimes
 from gypsumbridge_node.gateway import server_connection
+from gypsumbridge_node.gateway import server_factory
 
 
 def start_status_http_task(
@@ -48,8 +49,11 @@
 ) -> None:
     """Listen on an address; `on_request` answers each request at once."""
     limits = forwarding.IngressLimits()
-    factory = server_connection.make_factory(
-        on_request, lambda connection: None, lambda: limits, lambda: False
+    factory = server_factory.make_factory(
+        on_request,
+        lambda connection: None,
+        lambda: limits,
+        lambda: False,
+        runtime.resources,
     )
-    host, port = address.split_address(listen)
-    runtime.reactor.listenTCP(port, factory, interface=host)
+    listening.listen(runtime, listen, factory)
--- a/packages/node/src/gypsumbridge_node/settings/load.py
+++ b/packages/node/src/gypsumbridge_node/settings/load.py
@@ -109,7 +109,11 @@
     converted: dict[str, Any] = {}
     for name, field in fields.items():
         converted[name] = None
-        if name in values:
+        given = name in values
+        if given and not values[name] and _has_default_number(field):
+            # A template leaves a value empty that its platform does not know.
+            given = False
+        if given:
             problem = _read_value(
                 section, field, values[name], converted, value_checks
             )
@@ -125,6 +129,10 @@
     return section_type(**converted)
 
 
+def _has_default_number(field: dataclasses.Field[Any]) -> bool:
+    return isinstance(field.default, int | float)
+
+
 def _read_value(
     section: str,
     field: dataclasses.Field[Any],
--- a/packages/standins/src/gypsumbridge_standins/bench/parser_cost.py
+++ b/packages/standins/src/gypsumbridge_standins/bench/parser_cost.py
@@ -14,7 +14,7 @@
 from twisted.internet import testing
 
 from gypsumbridge_decisions import forwarding
-from gypsumbridge_node.gateway import server_connection
+from gypsumbridge_node.gateway import server_factory
 from gypsumbridge_platform import header_names
 
 REQUESTS = 2_000
@@ -45,6 +45,10 @@
 class _Socket:
     """Accepts everything that is written."""
 
+    def fileno(self) -> int:
+        """Return a number of an open descriptor."""
+        return 10
+
     def send(self, data: bytes) -> int:
         """Return the number of bytes, as if all had been sent."""
         return len(data)
@@ -70,7 +74,7 @@
         count += 1
         connection.respond(200, (), b'')
 
-    factory = server_connection.make_factory(
+    factory = server_factory.make_factory(
         accept, lambda found: None, forwarding.IngressLimits, lambda: False
     )
     connection = factory.buildProtocol(None)
--- a/packages/standins/src/gypsumbridge_standins/users_platform/__main__.py
+++ b/packages/standins/src/gypsumbridge_standins/users_platform/__main__.py
@@ -12,6 +12,7 @@
 from gypsumbridge_decisions import forwarding
 from gypsumbridge_node.gateway import parsed_request
 from gypsumbridge_node.gateway import server_connection
+from gypsumbridge_node.gateway import server_factory
 from gypsumbridge_platform import platform_adapter
 from gypsumbridge_platform import server_body
 from gypsumbridge_standins.users_platform import platform_state
@@ -73,7 +74,7 @@
 def listen(reactor: Any, port: int, on_request: Any) -> None:
     """Listen on loopback and call `on_request` for every request."""
     limits = forwarding.IngressLimits()
-    factory = server_connection.make_factory(
+    factory = server_factory.make_factory(
         on_request, lambda connection: None, lambda: limits, lambda: False
     )
     reactor.listenTCP(port, factory, interface='127.0.0.1')
--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -370,7 +370,7 @@
             'nodeName': name,
             'zone': zone,
             'ip': self.ip,
-            'limits': {'linkMbps': 1000.0},
+            'limits': {'linkMbps': 1000.0, 'memoryMb': '', 'maxFds': ''},
             'listen': {
                 'front': f'{self.ip}:{front}',
                 'ready': f'{self.ip}:{ready}',
--- a/tests/node/gateway/bare_runtime.py
+++ b/tests/node/gateway/bare_runtime.py
@@ -6,7 +6,9 @@
 
 from gypsumbridge_decisions import clock as clocks
 from gypsumbridge_node.gateway import client_connection
-from gypsumbridge_node.gateway import receive_budget
+from gypsumbridge_node.gateway import edge_resources
+from gypsumbridge_node.gateway import memory_budget
+from gypsumbridge_node.gateway.settings import limits_settings
 from tests.node.gateway import socket_transport
 
 NOW_MS = 1_000
@@ -19,6 +21,9 @@
         clock=clocks.ManualTime(NOW_MS).clock(),
         metrics=types.SimpleNamespace(count=lambda name: None),
         logger=None,
+        resources=edge_resources.make_edge_resources(
+            limits_settings.LimitsSettings()
+        ),
         settings=types.SimpleNamespace(**settings),
     )
 
@@ -29,7 +34,7 @@
         lambda *reply: None,
         lambda *reason: None,
         None,
-        receive_budget.make_receive_budget(),
+        memory_budget.make_memory_budget(),
     )
     transport = socket_transport.SocketTransport()
     transport.protocol = connection
--- a/tests/node/gateway/socket_transport.py
+++ b/tests/node/gateway/socket_transport.py
@@ -10,6 +10,9 @@
         self.room = 100_000
         self.sent = b''
 
+    def fileno(self):
+        return 10
+
     def setsockopt(self, level, name, value):
         pass
 
--- a/tests/node/gateway/test_client_connection.py
+++ b/tests/node/gateway/test_client_connection.py
@@ -5,7 +5,7 @@
 from twisted.python import failure
 
 from gypsumbridge_node.gateway import client_connection
-from gypsumbridge_node.gateway import receive_budget
+from gypsumbridge_node.gateway import memory_budget
 from tests.node.gateway import socket_transport
 
 HEAD_LIMIT_BYTES = 64 * 1_024
@@ -37,7 +37,7 @@
             lambda c, reply: self.replies.append(reply),
             lambda c, reason: self.closed.append(reason),
             logbook.Logger('test'),
-            receive_budget.make_receive_budget(),
+            memory_budget.make_memory_budget(),
         )
         self.transport = socket_transport.SocketTransport()
         self.transport.protocol = self.connection
--- a/tests/node/gateway/test_edges.py
+++ b/tests/node/gateway/test_edges.py
@@ -16,7 +16,7 @@
 from gypsumbridge_decisions import relaying
 from gypsumbridge_node.gateway import api_client_state
 from gypsumbridge_node.gateway import daemon
-from gypsumbridge_node.gateway import server_connection
+from gypsumbridge_node.gateway import server_factory
 from gypsumbridge_node.gateway.tasks import store
 from gypsumbridge_platform import platform_adapter
 from gypsumbridge_platform import routes
@@ -80,7 +80,7 @@
             found.append((request.target, request.body))
             connection.respond(200, (), b'')
 
-        factory = server_connection.make_factory(
+        factory = server_factory.make_factory(
             accept, lambda c: None, forwarding.IngressLimits, lambda: False
         )
         connection = factory.buildProtocol(None)
--- a/tests/node/gateway/test_ingress.py
+++ b/tests/node/gateway/test_ingress.py
@@ -4,7 +4,7 @@
 from gypsumbridge_decisions import forwarding
 from gypsumbridge_node.gateway import headers
 from gypsumbridge_node.gateway import ingress_state
-from gypsumbridge_node.gateway import server_connection
+from gypsumbridge_node.gateway import server_factory
 from gypsumbridge_node.gateway.tasks import ingress
 from gypsumbridge_platform import header_names
 from tests.node.gateway import bare_runtime
@@ -20,7 +20,7 @@
             forwarding=types.SimpleNamespace(put=self.accepted.append)
         )
         self.state = ingress_state.IngressState()
-        factory = server_connection.make_factory(
+        factory = server_factory.make_factory(
             lambda connection, request: ingress.accept(
                 runtime, self.state, connection, request
             ),
--- a/tests/node/gateway/test_new_connections.py
+++ b/tests/node/gateway/test_new_connections.py
@@ -4,8 +4,8 @@
 from gypsumbridge_decisions import forwarding
 from gypsumbridge_node.gateway import headers as headers_type
 from gypsumbridge_node.gateway import http_reply
+from gypsumbridge_node.gateway import memory_budget
 from gypsumbridge_node.gateway import pool_checkout
-from gypsumbridge_node.gateway import receive_budget
 from gypsumbridge_node.gateway import searchers_context
 from gypsumbridge_node.gateway import searchers_state
 from gypsumbridge_node.gateway.tasks import searchers
@@ -18,7 +18,7 @@
 class NewConnectionsTest(unittest.TestCase):
     def setUp(self):
         state = searchers_state.SearchersState(
-            'n1', receive_budget.make_receive_budget()
+            'n1', memory_budget.make_memory_budget()
         )
         state.nodes = 26
         state.table = gateway_case.make_table()
--- a/tests/node/gateway/test_receive_budget.py
+++ b/tests/node/gateway/test_receive_budget.py
@@ -4,8 +4,8 @@
 
 from gypsumbridge_decisions import forwarding
 from gypsumbridge_node.gateway import client_connection
-from gypsumbridge_node.gateway import receive_budget
-from gypsumbridge_node.gateway import server_connection
+from gypsumbridge_node.gateway import memory_budget
+from gypsumbridge_node.gateway import server_factory
 from tests.node.gateway import socket_transport
 
 LIMIT_BYTES = 1_000_000
@@ -16,7 +16,7 @@
 
 class ReceiveBudgetTest(unittest.TestCase):
     def setUp(self):
-        self.budget = receive_budget.ReceiveBudget(LIMIT_BYTES)
+        self.budget = memory_budget.MemoryBudget(LIMIT_BYTES)
         self.closed = []
         self.replies = []
 
@@ -44,7 +44,7 @@
         for _ in range(20):
             for connection in connections:
                 connection.dataReceived(CHUNK)
-                held = sum(len(c.body) for c in connections)
+                held = sum(len(c.received.body) for c in connections)
                 self.assertLessEqual(held, LIMIT_BYTES)
                 self.assertEqual(held, self.budget.used_bytes)
         self.assertGreater(len(self.closed), 0)
@@ -68,8 +68,8 @@
 
     def test_half_sent_uploads_stay_within_one_limit(self):
         """Guards against callers that fill the memory with uploads."""
-        factory = server_connection.make_factory(
-            lambda c, request: None,
+        factory = server_factory.make_factory(
+            lambda c, request: c.respond(200, (), b''),
             lambda c: None,
             lambda: forwarding.IngressLimits(max_body_bytes=LIMIT_BYTES),
             lambda: False,
@@ -86,8 +86,11 @@
             connection.dataReceived(UPLOAD + CHUNK)
             connections.append(connection)
         self.assertLessEqual(factory.budget.used_bytes, LIMIT_BYTES)
-        held = sum(len(c.body) for c in connections)
+        held = sum(c.input.reader.held_bytes() for c in connections)
         self.assertEqual(held, factory.budget.used_bytes)
+        bodies = sum(len(c.input.reader.body) for c in connections)
+        self.assertLessEqual(bodies, held)
+        self.assertGreater(bodies, 0)
         ended = [c for c in connections if c.ended]
         self.assertGreater(len(ended), 0)
         for connection in ended:
--- a/tests/node/gateway/test_received_memory.py
+++ b/tests/node/gateway/test_received_memory.py
@@ -7,8 +7,9 @@
 
 from gypsumbridge_decisions import forwarding
 from gypsumbridge_node.gateway import client_connection
-from gypsumbridge_node.gateway import receive_budget
-from gypsumbridge_node.gateway import server_connection
+from gypsumbridge_node.gateway import client_opening
+from gypsumbridge_node.gateway import memory_budget
+from gypsumbridge_node.gateway import server_factory
 from tests.node.gateway import loopback_reactor
 from tests.node.gateway import socket_transport
 
@@ -42,7 +43,7 @@
         self.replies = []
         self.requests = []
         self.closed = []
-        self.factory = server_connection.make_factory(
+        self.factory = server_factory.make_factory(
             lambda c, request: self.requests.append(request),
             lambda c: None,
             lambda: LIMITS,
@@ -57,7 +58,7 @@
             lambda c, reply: self.replies.append(reply),
             lambda c, reason: self.closed.append(reason),
             logbook.Logger('test'),
-            receive_budget.make_receive_budget(),
+            memory_budget.make_memory_budget(),
         )
 
     def open_client(self):
@@ -133,7 +134,7 @@
         connection.dataReceived(CHUNKED_HEAD)
         for _ in range(10):
             connection.dataReceived(make_small_chunks(64))
-        self.assertEqual(0, len(connection.body))
+        self.assertEqual(0, len(connection.received.body))
         self.assertEqual([], self.replies)
 
     def test_an_aborted_response_is_freed_without_the_collector(self):
@@ -174,27 +175,27 @@
         for _ in range(5):
             connection.dataReceived(make_small_chunks(64))
         self.assertTrue(connection.ended)
-        self.assertEqual(0, len(connection.body))
+        self.assertEqual(0, connection.input.reader.held_bytes())
 
     def test_a_closed_socket_frees_its_connection(self):
         """Guards against references of the reactor to lost connections."""
         loopback = loopback_reactor.LoopbackReactor(self)
         opened = []
-        client_connection.connect(
+        client_opening.connect(
             loopback.reactor,
             loopback.address,
             loopback_reactor.TIMEOUT_S,
             lambda c, reply: self.replies.append(reply),
             lambda c, reason: self.closed.append(reason),
             logbook.Logger('test'),
-            receive_budget.make_receive_budget(),
+            memory_budget.make_memory_budget(),
         ).addCallback(opened.append)
         loopback.run_until(lambda: opened)
         peer, _ = loopback.server.accept()
         self.addCleanup(peer.close)
         opened[0].send(b'GET / HTTP/1.1\r\n\r\n', lambda reply: True)
         peer.sendall(CHUNKED_HEAD + make_small_chunks(64)[:30_000])
-        loopback.run_until(lambda: len(opened[0].body) > 0)
+        loopback.run_until(lambda: len(opened[0].received.body) > 0)
         found = weakref.ref(opened.pop())
         found().close()
         loopback.run_until(lambda: self.closed)
--- a/tests/node/gateway/test_run_together_answers.py
+++ b/tests/node/gateway/test_run_together_answers.py
@@ -2,7 +2,7 @@
 import unittest
 
 from gypsumbridge_decisions import forwarding
-from gypsumbridge_node.gateway import receive_budget
+from gypsumbridge_node.gateway import memory_budget
 from gypsumbridge_node.gateway import searchers_context
 from gypsumbridge_node.gateway import searchers_state
 from gypsumbridge_node.gateway.tasks import searchers
@@ -55,7 +55,7 @@
 class RunTogetherAnswersTest(unittest.TestCase):
     def setUp(self):
         state = searchers_state.SearchersState(
-            'n1', receive_budget.make_receive_budget()
+            'n1', memory_budget.make_memory_budget()
         )
         state.table = gateway_case.make_table()
         self.counts = []
--- a/tests/node/gateway/test_server_connection.py
+++ b/tests/node/gateway/test_server_connection.py
@@ -6,6 +6,7 @@
 
 from gypsumbridge_decisions import forwarding
 from gypsumbridge_node.gateway import server_connection
+from gypsumbridge_node.gateway import server_factory
 from tests.node.gateway import socket_transport
 
 # Twisted pauses a producer over this size of its write buffer.
@@ -24,7 +25,7 @@
         self.requests = []
         self.disconnects = 0
         self.closing = False
-        factory = server_connection.make_factory(
+        factory = server_factory.make_factory(
             lambda c, request: self.requests.append(request),
             lambda c: self.count_disconnect(),
             lambda: LIMITS,
--- a/tests/node/gateway/test_slow_readers.py
+++ b/tests/node/gateway/test_slow_readers.py
@@ -2,7 +2,7 @@
 import unittest
 
 from gypsumbridge_decisions import forwarding
-from gypsumbridge_node.gateway import server_connection
+from gypsumbridge_node.gateway import server_factory
 from tests.node.gateway import loopback_reactor
 
 REQUESTS = 300
@@ -15,7 +15,7 @@
     def setUp(self):
         self.loopback = loopback_reactor.LoopbackReactor(self)
         self.served = 0
-        factory = server_connection.make_factory(
+        factory = server_factory.make_factory(
             self.serve,
             lambda connection: None,
             forwarding.IngressLimits,
--- a/tests/node/gateway/test_upgrade_offers.py
+++ b/tests/node/gateway/test_upgrade_offers.py
@@ -4,7 +4,7 @@
 
 from gypsumbridge_decisions import forwarding
 from gypsumbridge_node.gateway import end_to_end
-from gypsumbridge_node.gateway import server_connection
+from gypsumbridge_node.gateway import server_factory
 from tests.node.gateway import socket_transport
 
 # As sent by Java's HTTP client and by `curl --http2`.
@@ -39,7 +39,7 @@
     def setUp(self):
         self.requests = []
         self.answered = 0
-        factory = server_connection.make_factory(
+        factory = server_factory.make_factory(
             lambda c, request: self.requests.append(request),
             lambda c: None,
             forwarding.IngressLimits,
