Take only what a status line says for an answer

Cause: every client judged statuses by comparing numbers, so 000 to 199 were interim answers and 600 to 999 answers; Twisted's client also reads `+200` and `0200`. Change: status_line.py in the wire layer says what is an answer (200 to 599), what is interim (100, 102, 103), and that all else is a broken exchange. The connection ends with `bad_status`, and the request may have run (LOST). The gateway's client, used for attempts, parts, the store, polls and delegated gathers, asks it once the head is read; the query API's client checks each status line before Twisted gets it. A delegated response needs the status of an answer.

--- a/packages/node/src/gypsumbridge_node/gateway/client_connection.py
+++ b/packages/node/src/gypsumbridge_node/gateway/client_connection.py
@@ -16,6 +16,8 @@
 from gypsumbridge_node.gateway import response_head
 from gypsumbridge_node.gateway import socket_options
 from gypsumbridge_node.gateway import socket_writer
+from gypsumbridge_wire import status_kind
+from gypsumbridge_wire import status_line
 
 # A longer response body closes the connection.
 MAX_BODY_BYTES = 8 * 1_048_576
@@ -199,7 +201,14 @@
         ):
             self._abort('merged_head')
             return
-        self.interim = self.parser.get_status_code() < 200
+        kind = status_line.classify(
+            self.parser.get_http_version(),
+            f'{self.parser.get_status_code():03}',
+        )
+        if kind is status_kind.StatusKind.BROKEN:
+            self._abort('bad_status')
+            return
+        self.interim = kind is status_kind.StatusKind.INTERIM
         received.head = headers.make_headers(received.fields)
         if self.head_only and not self.interim:
             # The parser would wait for the body.
--- a/packages/node/src/gypsumbridge_node/head_limit.py
+++ b/packages/node/src/gypsumbridge_node/head_limit.py
@@ -1,4 +1,4 @@
-"""A limit on the heads of responses that Twisted's client reads."""
+"""Limits on the heads of responses that Twisted's client reads."""
 
 from typing import Any
 
@@ -7,51 +7,35 @@
 from twisted.protocols import policies
 from zope import interface
 
-# Twisted limits the length of a line, but not the number of lines.
-MAX_HEAD_BYTES = 64 * 1_024
-_BLANK_LINES = (b'\r\n\r\n', b'\n\n')
-_OVERLAP = 3
+from gypsumbridge_node import head_scan
 
 
 class HeadLimit(policies.ProtocolWrapper):
-    """Aborts a connection whose response has a longer head.
+    """Aborts a connection whose response has a head that is not accepted.
 
-    Each request that is written starts the count again. After the first
-    blank line the bytes belong to a body, which its reader limits.
+    Each request that is written starts the scan again. What follows the head
+    of a final response is a body, which its reader limits.
     """
 
-    in_head = False
-    head_bytes = 0
-    tail = b''
+    scan: head_scan.HeadScan | None = None
 
     def write(self, data: bytes) -> None:
         """Send a piece of a request."""
-        self._begin()
+        self.scan = head_scan.HeadScan()
         super().write(data)
 
     def writeSequence(self, data: Any) -> None:
         """Send pieces of a request."""
-        self._begin()
+        self.scan = head_scan.HeadScan()
         super().writeSequence(data)
 
     def dataReceived(self, data: bytes) -> None:
-        """Count the bytes of a head, and pass them on."""
-        if self.in_head:
-            seen = self.tail + data
-            self.tail = seen[-_OVERLAP:]
-            self.head_bytes += len(data)
-            if any(line in seen for line in _BLANK_LINES):
-                self.in_head = False
-            elif self.head_bytes > MAX_HEAD_BYTES:
-                self.transport.abortConnection()
-                return
+        """Check the bytes of a head, and pass them on."""
+        if self.scan is not None and not self.scan.accept(data):
+            self.transport.abortConnection()
+            return
         super().dataReceived(data)
 
-    def _begin(self) -> None:
-        self.in_head = True
-        self.head_bytes = 0
-        self.tail = b''
-
 
 @interface.implementer(interfaces.IStreamClientEndpoint)
 class _LimitedEndpoint:
--- a/packages/wire/src/gypsumbridge_wire/delegation.py
+++ b/packages/wire/src/gypsumbridge_wire/delegation.py
@@ -14,6 +14,7 @@
 from gypsumbridge_wire import decode_errors
 from gypsumbridge_wire import delegated_reply
 from gypsumbridge_wire import reply_body
+from gypsumbridge_wire import status_line
 
 PATH = '/v1/gathers'
 _REMEDY = 'run nodes of the same release'
@@ -71,6 +72,11 @@
         raise errors.FrameError(
             'a coordinator sent neither a response nor a refusal', _REMEDY
         )
+    if response is not None and not status_line.is_answer(response.status):
+        raise errors.FrameError(
+            'a coordinator sent a response with a status that is no answer',
+            _REMEDY,
+        )
     if response is not None and response.part_services:
         if len(response.part_services) != len(response.part_signatures):
             raise errors.FrameError(
