Count connections to searchers towards the descriptors

Change: while accepted connections and those to searchers are as many as the descriptors, a pool gets no more connections than it has, or than one. The new unit test fails without the change and passes.

--- a/packages/node/src/gypsumbridge_node/gateway/edge_resources.py
+++ b/packages/node/src/gypsumbridge_node/gateway/edge_resources.py
@@ -23,7 +23,7 @@
     """
 
     budget: memory_budget.MemoryBudget
-    accepted: open_connections.OpenConnections
+    connections: open_connections.OpenConnections
     report: Callable[[str], None] = ignore_report
 
 
--- a/packages/node/src/gypsumbridge_node/gateway/open_connections.py
+++ b/packages/node/src/gypsumbridge_node/gateway/open_connections.py
@@ -1,4 +1,4 @@
-"""The open connections of all listening ports, and a limit on them."""
+"""The open connections of all ports and pools, and a limit on them."""
 
 from typing import Any
 
@@ -12,17 +12,20 @@
 
 
 class OpenConnections:
-    """Closes connections over a limit, those without a request first.
+    """Closes accepted connections over a limit, the least used first.
 
-    Next come those that have waited longest for their next request. One
-    whose request is in progress is not closed; if there is no other, the
-    newest one is.
+    Those without an answered request come first, then those that have waited
+    longest for their next request. One whose request is in progress is not
+    closed; if there is no other, the newest one is. `outbound` counts the
+    connections to searchers, which may be opened while all of them together
+    are fewer than the descriptors.
     """
 
     def __init__(self, limit: int, max_fds: int) -> None:
         self.limit = limit
         self.max_fds = max_fds
         self.connections: dict[Any, None] = {}
+        self.outbound = 0
 
     def add(self, connection: Any, descriptor: int) -> None:
         """Add a new connection, closing others or it over a limit.
@@ -47,6 +50,10 @@
             del self.connections[each]
             each.abort('descriptors')
 
+    def can_open(self) -> bool:
+        """Return whether there is a descriptor for another server."""
+        return len(self.connections) + self.outbound < self.max_fds
+
     def discard(self, connection: Any) -> None:
         """Remove a connection that was closed."""
         self.connections.pop(connection, None)
--- a/packages/node/src/gypsumbridge_node/gateway/pool_checkout.py
+++ b/packages/node/src/gypsumbridge_node/gateway/pool_checkout.py
@@ -34,12 +34,27 @@
     return found
 
 
+def limit_for(
+    context: searchers_context.SearchersContext,
+    pool: searcher_pool.SearcherPool,
+) -> int:
+    """Return how many connections a pool may have.
+
+    Without free descriptors no pool gets more than it has, or than one.
+    """
+    limit = context.state.limit_for(pool.searcher.service)
+    if context.runtime.resources.connections.can_open():
+        return limit
+    return min(limit, max(1, pool.size()))
+
+
 def open_connection(
     context: searchers_context.SearchersContext,
     pool: searcher_pool.SearcherPool,
 ) -> None:
     """Open a connection to the pool's searcher."""
     pool.opening += 1
+    context.runtime.resources.connections.outbound += 1
     context.runtime.metrics.count('searchers.connections_opened')
     running = client_opening.connect(
         context.runtime.reactor,
@@ -72,7 +87,7 @@
     one to be released.
     """
     pool.waiting.append(job)
-    limit = context.state.limit_for(pool.searcher.service)
+    limit = limit_for(context, pool)
     if pool.size() >= limit:
         pool.idle.close_oldest()
     if pool.size() < limit:
@@ -99,6 +114,7 @@
 ) -> None:
     """Fail the first waiting attempt after a connection failed to open."""
     pool.opening -= 1
+    context.runtime.resources.connections.outbound -= 1
     pool.warmed = False
     context.runtime.metrics.count('searchers.connections_failed')
     if not pool.waiting:
@@ -154,9 +170,8 @@
             pool.idle.put_back(found)
     if not pool.waiting:
         return
-    limit = context.state.limit_for(pool.searcher.service)
     wanted = len(pool.waiting) - pool.opening
-    while wanted > 0 and pool.size() < limit:
+    while wanted > 0 and pool.size() < limit_for(context, pool):
         wanted -= 1
         open_connection(context, pool)
 
@@ -197,6 +212,7 @@
     reason: str,
 ) -> None:
     """Report the attempt in flight on a connection that was closed."""
+    context.runtime.resources.connections.outbound -= 1
     pool.idle.discard(connection)
     if reason != client_connection.CLOSED:
         pool.warmed = False
--- a/packages/node/src/gypsumbridge_node/gateway/server_connection.py
+++ b/packages/node/src/gypsumbridge_node/gateway/server_connection.py
@@ -85,7 +85,9 @@
         )
         self.factory.connections.add(self)
         self._set_timeout_ms(self.limits().idle_timeout_ms)
-        self.resources.accepted.add(self, self.transport.getHandle().fileno())
+        self.resources.connections.add(
+            self, self.transport.getHandle().fileno()
+        )
 
     def dataReceived(self, data: bytes) -> None:
         """Parse received bytes, unless earlier ones have to wait."""
@@ -121,7 +123,7 @@
         self.account.end()
         self.input.reader.free_parser()
         self.factory.connections.discard(self)
-        self.resources.accepted.discard(self)
+        self.resources.connections.discard(self)
         if self.in_progress:
             self.in_progress = False
             self.on_disconnect(self)
--- a/tests/node/gateway/test_new_connections.py
+++ b/tests/node/gateway/test_new_connections.py
@@ -1,6 +1,9 @@
 import types
 import unittest
 
+from twisted.internet import error as net_errors
+from twisted.python import failure
+
 from gypsumbridge_decisions import forwarding
 from gypsumbridge_node.gateway import headers as headers_type
 from gypsumbridge_node.gateway import http_reply
@@ -70,6 +73,28 @@
         self.assertEqual({}, self.pool.busy)
         self.assertEqual(1, len(self.reactor.tcpClients))
 
+    def test_without_free_descriptors_a_pool_does_not_grow(self):
+        """Guards against hedges that take the last descriptors."""
+        connections = self.context.runtime.resources.connections
+        connections.max_fds = 0
+        self.context.state.nodes = 1
+        self.pool.idle.discard(self.idle)
+        for attempt_id in (1, 2, 3):
+            self.send(max_idle_ms=0, attempt_id=attempt_id)
+        # One connection serves them in turn.
+        self.assertEqual(1, len(self.reactor.tcpClients))
+        self.assertEqual(1, connections.outbound)
+        connections.max_fds = 100
+        self.send(max_idle_ms=0, attempt_id=4)
+        self.assertEqual(2, connections.outbound)
+        for _, _, factory, _, _ in self.reactor.tcpClients:
+            factory.clientConnectionFailed(
+                None, failure.Failure(net_errors.ConnectError())
+            )
+        self.reactor.advance(0)
+        opened = len(self.reactor.tcpClients)
+        self.assertEqual(opened - 2, connections.outbound)
+
     def test_waiting_attempts_do_not_reach_a_searcher_that_refuses(self):
         """Guards against requests that are sent after a refusal."""
         refusals = (
