--- a/packages/node/src/gypsumbridge_node/gateway/pool_checkout.py
+++ b/packages/node/src/gypsumbridge_node/gateway/pool_checkout.py
@@ -8,6 +8,7 @@
 from gypsumbridge_node.gateway import attempt_reports
 from gypsumbridge_node.gateway import attempt_sending
 from gypsumbridge_node.gateway import client_connection
+from gypsumbridge_node.gateway import client_opening
 from gypsumbridge_node.gateway import http_reply
 from gypsumbridge_node.gateway import searcher_pool
 from gypsumbridge_node.gateway import searchers_context
@@ -33,14 +34,29 @@
     return found
 
 
+def limit_for(
+    context: searchers_context.SearchersContext,
+    pool: searcher_pool.SearcherPool,
+) -> int:
+    """Return how many connections a pool may have.
+
+    Without free descriptors no pool gets more than it has, or than one.
+    """
+    limit = context.state.limit_for(pool.searcher.service)
+    if context.runtime.resources.connections.can_open():
+        return limit
+    return min(limit, max(1, pool.size()))
+
+
 def open_connection(
     context: searchers_context.SearchersContext,
     pool: searcher_pool.SearcherPool,
 ) -> None:
     """Open a connection to the pool's searcher."""
     pool.opening += 1
+    context.runtime.resources.connections.outbound += 1
     context.runtime.metrics.count('searchers.connections_opened')
-    running = client_connection.connect(
+    running = client_opening.connect(
         context.runtime.reactor,
         (pool.searcher.address, pool.searcher.port),
         CONNECT_TIMEOUT_S,
@@ -71,7 +87,7 @@
     one to be released.
     """
     pool.waiting.append(job)
-    limit = context.state.limit_for(pool.searcher.service)
+    limit = limit_for(context, pool)
     if pool.size() >= limit:
         pool.idle.close_oldest()
     if pool.size() < limit:
@@ -98,6 +114,7 @@
 ) -> None:
     """Fail the first waiting attempt after a connection failed to open."""
     pool.opening -= 1
+    context.runtime.resources.connections.outbound -= 1
     pool.warmed = False
     context.runtime.metrics.count('searchers.connections_failed')
     if not pool.waiting:
@@ -157,9 +174,8 @@
             pool.idle.put_back(found)
     if not pool.waiting:
         return
-    limit = context.state.limit_for(pool.searcher.service)
     wanted = len(pool.waiting) - pool.opening
-    while wanted > 0 and pool.size() < limit:
+    while wanted > 0 and pool.size() < limit_for(context, pool):
         wanted -= 1
         open_connection(context, pool)
 
@@ -200,6 +216,7 @@
     reason: str,
 ) -> None:
     """Report the attempt in flight on a connection that was closed."""
+    context.runtime.resources.connections.outbound -= 1
     pool.idle.discard(connection)
     if reason != client_connection.CLOSED:
         pool.warmed = False
--- a/packages/node/src/gypsumbridge_node/gateway/settings/gateway_checks.py
+++ b/packages/node/src/gypsumbridge_node/gateway/settings/gateway_checks.py
@@ -49,6 +49,8 @@
     ('quota', 'partitions'): checks.in_range(1, MAX_PARTITIONS),
     ('quota', 'holder_ttl_s'): checks.in_range(MIN_HOLDER_TTL_S, 3_600),
     ('quota', 'first_start'): checks.accept_any,
+    ('limits', 'memory_mb'): checks.in_range(0, 1_000_000),
+    ('limits', 'max_fds'): checks.in_range(0, 10_000_000),
     ('stop', 'grace_s'): checks.in_range(1, 3_600),
     ('stop', 'balancer_lag_ms'): checks.in_range(0, 600_000),
     ('log', 'level'): checks.one_of(checks.LOG_LEVELS),
--- a/packages/node/src/gypsumbridge_node/gateway/settings/gateway_settings.py
+++ b/packages/node/src/gypsumbridge_node/gateway/settings/gateway_settings.py
@@ -4,6 +4,7 @@
 
 from gypsumbridge_node.gateway.settings import discovery_settings
 from gypsumbridge_node.gateway.settings import gateway_node_settings
+from gypsumbridge_node.gateway.settings import limits_settings
 from gypsumbridge_node.gateway.settings import listen_settings
 from gypsumbridge_node.gateway.settings import quota_settings
 from gypsumbridge_node.gateway.settings import retry_settings
@@ -20,5 +21,6 @@
     discovery: discovery_settings.DiscoverySettings
     retry: retry_settings.RetrySettings
     quota: quota_settings.QuotaSettings
+    limits: limits_settings.LimitsSettings
     stop: stop_settings.StopSettings
     log: log_settings.LogSettings
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/peer_http.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/peer_http.py
@@ -3,11 +3,12 @@
 from collections.abc import Mapping
 
 from gypsumbridge_decisions import forwarding
-from gypsumbridge_node import address
+from gypsumbridge_node.gateway import listening
 from gypsumbridge_node.gateway import parsed_request
 from gypsumbridge_node.gateway import peer_site
 from gypsumbridge_node.gateway import runtime as runtimes
 from gypsumbridge_node.gateway import server_connection
+from gypsumbridge_node.gateway import server_factory
 
 STATUS_NOT_FOUND = 404
 # Polls have no body, and grant requests have under 300 bytes.
@@ -41,8 +42,11 @@
         for site in sites.values():
             site.on_disconnect(connection)
 
-    factory = server_connection.make_factory(
-        handle_request, handle_disconnect, lambda: limits, lambda: False
+    factory = server_factory.make_factory(
+        handle_request,
+        handle_disconnect,
+        lambda: limits,
+        lambda: False,
+        runtime.resources,
     )
-    host, port = address.split_address(runtime.settings.listen.peers)
-    runtime.reactor.listenTCP(port, factory, interface=host)
+    listening.listen(runtime, runtime.settings.listen.peers, factory)
--- a/tests/node/gateway/test_edges.py
+++ b/tests/node/gateway/test_edges.py
@@ -16,7 +16,7 @@
 from gypsumbridge_decisions import relaying
 from gypsumbridge_node.gateway import api_client_state
 from gypsumbridge_node.gateway import daemon
-from gypsumbridge_node.gateway import server_connection
+from gypsumbridge_node.gateway import server_factory
 from gypsumbridge_node.gateway.settings import gateway_checks
 from gypsumbridge_node.gateway.settings import regions
 from gypsumbridge_node.gateway.tasks import store
@@ -82,7 +82,7 @@
             found.append((request.target, request.body))
             connection.respond(200, (), b'')
 
-        factory = server_connection.make_factory(
+        factory = server_factory.make_factory(
             accept, lambda c: None, forwarding.IngressLimits, lambda: False
         )
         connection = factory.buildProtocol(None)
--- a/tests/node/gateway/test_quota_calls.py
+++ b/tests/node/gateway/test_quota_calls.py
@@ -7,6 +7,8 @@
 from gypsumbridge_decisions import quotas
 from gypsumbridge_decisions import relaying
 from gypsumbridge_node.gateway import api_client_state
+from gypsumbridge_node.gateway import edge_resources
+from gypsumbridge_node.gateway.settings import limits_settings
 from gypsumbridge_node.gateway.tasks import grants as grants_task
 from gypsumbridge_node.gateway.tasks import holders
 from gypsumbridge_node.gateway.tasks import peer_http
@@ -61,6 +63,9 @@
             clock=clocks.make_clock(now_ns, now_ns),
             metrics=Space(count=lambda name: None),
             logger=LOGGER,
+            resources=edge_resources.make_edge_resources(
+                limits_settings.LimitsSettings()
+            ),
             settings=Space(listen=Space(peers=peers)),
             mailboxes=Space(**{name: make_mailbox(name) for name in names}),
         )
