--- a/packages/decisions/src/gypsumbridge_decisions/quotas/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/quotas/__init__.py
@@ -115,6 +115,9 @@
     grant_lifetime_ms as grant_lifetime_ms,
 )
 from gypsumbridge_decisions.quotas.limits import is_limited as is_limited
+from gypsumbridge_decisions.quotas.limits import (
+    total_capacity as total_capacity,
+)
 from gypsumbridge_decisions.quotas.limits import (
     total_rate_per_s as total_rate_per_s,
 )
--- a/packages/node/src/gypsumbridge_node/gateway/settings/quota_settings.py
+++ b/packages/node/src/gypsumbridge_node/gateway/settings/quota_settings.py
@@ -18,6 +18,6 @@
     window_s: float = 5.0
     overshoot: float = 0.1
     slack: float = 20.0
-    partitions: int = 5
+    partitions: int = 3
     holder_ttl_s: float = 30.0
     first_start: bool = False
