Give each refused request a later moment, one token apart

Cause: a holder's reply without tokens said when its bucket has one again, and when many were refused, all were told the same moment: they came back together, and one that was refused later could get the token of an earlier one. Change: the bucket keeps `promised_ms` and promises each reply without tokens a moment one token after the last one, at most 1 s ahead unless the next token is later than that. Replies with some of the tokens state the next token as before, and the node still caps at a third of the time left.

--- a/packages/decisions/src/gypsumbridge_decisions/quotas/granting.py
+++ b/packages/decisions/src/gypsumbridge_decisions/quotas/granting.py
@@ -68,10 +68,10 @@
     tokens = bucket.take(request.tokens, now_ms)
     if tokens == request.tokens:
         return grant_reply.GrantReply(tokens, limits.lifetime_ms)
+    if not tokens:
+        return grant_reply.GrantReply(retry_after_ms=bucket.promise_ms(now_ms))
     return grant_reply.GrantReply(
-        tokens,
-        limits.lifetime_ms if tokens else 0,
-        bucket.next_token_ms(now_ms),
+        tokens, limits.lifetime_ms, bucket.next_token_ms(now_ms)
     )
 
 
--- a/packages/decisions/src/gypsumbridge_decisions/quotas/token_bucket.py
+++ b/packages/decisions/src/gypsumbridge_decisions/quotas/token_bucket.py
@@ -1,11 +1,16 @@
 """The tokens that a holder has for one customer."""
 
+import math
+
 from gypsumbridge_decisions.quotas import customer_limits
 
 # Stated when a bucket without a rate never gains a token.
 NEVER_MS = 3_600_000
 # Absorbs the rounding of fractions, so that a token is given when it is due.
 EPSILON = 1e-9
+# A node does not ask this bucket before the promised moment. Tokens that
+# nobody comes back for are reserved for no longer than this.
+MAX_PROMISE_MS = 1_000
 
 
 class TokenBucket:
@@ -28,6 +33,7 @@
         self.updated_ms = begin_ms
         self.level = limits.capacity if full else 0.0
         self.granted = 0
+        self.promised_ms = -math.inf
         self.bonus_due_ms: int | None = None
         self.full_due_ms: int | None = None
         if not full:
@@ -82,6 +88,21 @@
                 delay_ms = min(delay_ms, max(1, due_ms - now_ms))
         return delay_ms
 
+    def promise_ms(self, now_ms: int) -> int:
+        """Return after how many milliseconds a refused request may return.
+
+        Each is promised a moment one token after the last one, so that
+        those which were refused earlier come back earlier.
+        """
+        earliest_ms = now_ms + self.next_token_ms(now_ms)
+        rate = self.limits.rate_per_ms
+        apart_ms = float(MAX_PROMISE_MS)
+        if rate * MAX_PROMISE_MS > 1:
+            apart_ms = 1 / rate
+        later_ms = min(self.promised_ms + apart_ms, now_ms + MAX_PROMISE_MS)
+        self.promised_ms = max(earliest_ms, later_ms)
+        return math.ceil(self.promised_ms) - now_ms
+
     def _fill(self, now_ms: int) -> None:
         elapsed_ms = max(0, now_ms - self.updated_ms)
         self.updated_ms = max(self.updated_ms, now_ms)
--- a/tests/decisions/quotas/test_holding.py
+++ b/tests/decisions/quotas/test_holding.py
@@ -18,6 +18,21 @@
         self.wait(reply.retry_after_ms)
         self.assertEqual(quotas.GrantReply(1, 200, 483), self.ask(0, 5))
 
+    def test_refused_requests_are_told_different_moments(self):
+        """Guards against callers that were refused together and come back
+        together.
+        """
+        self.hold_from_start()
+        self.handle(quotas.QuotasChanged(2, {'c': quotas.Quota(40, 12)}))
+        self.wait(60_000)
+        self.assertEqual(7, self.ask(0, 9).tokens)
+        # 0.24 of 7.24 tokens are left, and a token takes 125 ms. No promise
+        # is moved to more than 1 s ahead.
+        expected = [95, 220, 345, 470, 595, 720, 845, 970, 1_000, 1_000]
+        for expected_ms in expected:
+            told_ms = self.ask(0).retry_after_ms
+            self.assertAlmostEqual(expected_ms, told_ms, delta=1)
+
     def test_a_holder_that_restarts_during_its_wait_waits_again(self):
         """Guards against two holders when a node that has just taken over
         restarts while the former holder is cut off.
--- a/tests/decisions/quotas/test_token_bucket.py
+++ b/tests/decisions/quotas/test_token_bucket.py
@@ -155,6 +155,53 @@
         self.assertEqual(2, bucket.take(9, 0))
         self.assertEqual(quotas.NEVER_MS, bucket.next_token_ms(50))
 
+    def test_refused_callers_come_back_one_after_the_other(self):
+        """Guards against callers that are told the same moment, so that one
+        that was refused later gets the token of an earlier one.
+
+        The customer sends 30 requests a second, 7.5 times its limit.
+        """
+        policy = quotas.QuotaPolicy('n', 'd', 5_000, 0.1, 20.0, 1, 30_000)
+        limits = quotas.derive_limits(quotas.Quota(4, 2), policy)
+        bucket = quotas.TokenBucket(limits, 0, True)
+        bucket.take(99, 0)
+        # Times, with the order of the callers, who come back once.
+        calls = [(n * 1_000 // 30 + 1, n, False) for n in range(90)]
+        promised = []
+        served = []
+        while calls:
+            calls.sort()
+            now_ms, number, is_back = calls.pop(0)
+            if bucket.take(1, now_ms):
+                served += [number] * is_back
+            elif not is_back:
+                delay_ms = bucket.promise_ms(now_ms)
+                self.assertLessEqual(delay_ms, 1_000)
+                promised.append(now_ms + delay_ms)
+                calls.append((now_ms + delay_ms, number, True))
+        # 14 of 14.4 tokens are taken, and each token takes 250 ms.
+        due = (150, 400, 650, 900)
+        for due_ms, told_ms in zip(due, promised[:4], strict=True):
+            self.assertAlmostEqual(due_ms, told_ms, delta=1)
+        self.assertEqual(len(promised), len(set(promised)))
+        self.assertEqual(promised, sorted(promised))
+        self.assertEqual([0, 1, 2, 3], served[:4])
+        self.assertEqual(served, sorted(served))
+
+    def test_a_promise_is_never_before_the_next_token(self):
+        """Guards against callers that come back in vain at a low rate, or
+        to a bucket without one.
+        """
+        for rate_per_s in (0, 1e-310, 0.1):
+            quota = quotas.Quota(rate_per_s, 2)
+            limits = quotas.derive_limits(quota, POLICY)
+            bucket = quotas.TokenBucket(limits, 0, True)
+            bucket.take(99, 0)
+            due_ms = bucket.next_token_ms(0)
+            self.assertGreater(due_ms, 1_000)
+            for _ in range(3):
+                self.assertEqual(due_ms, bucket.promise_ms(0))
+
     def test_odd_numbers_of_tokens_take_nothing(self):
         """Guards against a request that returns tokens to a bucket."""
         bucket = quotas.TokenBucket(LIMITS, 0, True)
