Share the credits of ranks between owners and gateways

Gateways will queue requests by rank. Owners already keep a floor for each rank by credits; the choice and the settling of credits move to admission/rank_credits.py unchanged, so that there is one of them.

--- a/packages/decisions/src/gypsumbridge_decisions/owner/rank_choice.py
+++ b/packages/decisions/src/gypsumbridge_decisions/owner/rank_choice.py
@@ -1,12 +1,9 @@
 """Chooses the rank that gets the next free slot."""
 
+from gypsumbridge_decisions.admission import rank_credits
 from gypsumbridge_decisions.owner import replica_set_state
 from gypsumbridge_decisions.owner import state as states
 
-# Largest credit, in dispatches. It limits how long a rank that had to wait
-# can occupy the slots afterwards.
-MAX_CREDIT = 4.0
-
 
 def choose_rank(
     state: states.OwnerState, set_state: replica_set_state.ReplicaSetState
@@ -27,18 +24,9 @@
         backlogged.append(rank)
     if not backlogged:
         return None
-    chosen = backlogged[0].name
-    best = 1.0
-    for rank in backlogged:
-        credit = set_state.credits.get(rank.name, 0.0)
-        if credit >= best and (credit > best or best == 1.0):
-            chosen = rank.name
-            best = credit
-    for rank in backlogged:
-        credit = set_state.credits.get(rank.name, 0.0) + rank.floor
-        if rank.name == chosen:
-            credit = max(credit - 1.0, 0.0)
-        set_state.credits[rank.name] = min(credit, MAX_CREDIT)
+    floors = {rank.name: rank.floor for rank in backlogged}
+    chosen = rank_credits.choose_by_credit(tuple(floors), set_state.credits)
+    rank_credits.settle_credits(floors, set_state.credits, chosen)
     return chosen
 
 
