Wait for room at the node that sends to searchers

A burst of a service with 6 slots, while one of its searchers was slow, was mostly rejected by the searchers' queues. Each of 77 nodes sent two of these requests in half a minute, so none could learn which searcher was slow or full, and each allowed a request to a searcher once.

Where the configuration has customers, nodes now place idempotent requests to one searcher at a coordinator, if there are at least four nodes for each slot. The node that sends keeps at most as many requests in flight as a searcher has slots. Others wait in a bounded queue, by rank with floors and by fair shares of slot time between customers. A request that cannot be complete within its deadline is refused at once with 503. One that would be late goes behind the others of its rank, and is refused when it makes no progress there. A searcher that rejects a request counts as full, and is tried again within the retry budget when it should have room. Deployments without customers are unaffected.

--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
@@ -79,6 +79,7 @@
 from gypsumbridge_decisions.forwarding.choosing import (
     expected_cost as expected_cost,
 )
+from gypsumbridge_decisions.forwarding.choosing import load_of as load_of
 from gypsumbridge_decisions.forwarding.choosing import (
     next_usable_ms as next_usable_ms,
 )
@@ -306,6 +307,7 @@
 from gypsumbridge_decisions.forwarding.grouping import (
     send_groups as send_groups,
 )
+from gypsumbridge_decisions.forwarding.handler import decide as decide
 from gypsumbridge_decisions.forwarding.handler import handle as handle
 from gypsumbridge_decisions.forwarding.hedge_timer import (
     HedgeTimer as HedgeTimer,
@@ -314,9 +316,6 @@
 from gypsumbridge_decisions.forwarding.hedging import (
     hedge_delay_ms as hedge_delay_ms,
 )
-from gypsumbridge_decisions.forwarding.hedging import (
-    latency_window_for as latency_window_for,
-)
 from gypsumbridge_decisions.forwarding.hedging import postpone as postpone
 from gypsumbridge_decisions.forwarding.hold_changed import (
     HoldChanged as HoldChanged,
@@ -337,6 +336,12 @@
     ObjectiveTimer as ObjectiveTimer,
 )
 from gypsumbridge_decisions.forwarding.part_state import PartState as PartState
+from gypsumbridge_decisions.forwarding.placed_ending import (
+    may_be_repeated as may_be_repeated,
+)
+from gypsumbridge_decisions.forwarding.placed_ending import (
+    send_from_here as send_from_here,
+)
 from gypsumbridge_decisions.forwarding.policy import (
     ForwardingPolicy as ForwardingPolicy,
 )
@@ -346,6 +351,18 @@
 )
 from gypsumbridge_decisions.forwarding.refusing import refuse as refuse
 from gypsumbridge_decisions.forwarding.refusing import reject as reject
+from gypsumbridge_decisions.forwarding.request_placement import (
+    choose_gathering as choose_gathering,
+)
+from gypsumbridge_decisions.forwarding.request_placement import (
+    choose_single_coordinator as choose_single_coordinator,
+)
+from gypsumbridge_decisions.forwarding.request_placement import (
+    is_placeable as is_placeable,
+)
+from gypsumbridge_decisions.forwarding.request_placement import (
+    report as report,
+)
 from gypsumbridge_decisions.forwarding.response_written import (
     ResponseWritten as ResponseWritten,
 )
@@ -358,7 +375,42 @@
 from gypsumbridge_decisions.forwarding.retry_delay import (
     recovery_delay_ms as recovery_delay_ms,
 )
+from gypsumbridge_decisions.forwarding.room_dispatch import (
+    describe_part as describe_part,
+)
+from gypsumbridge_decisions.forwarding.room_dispatch import (
+    dispatch as dispatch,
+)
+from gypsumbridge_decisions.forwarding.room_dispatch import (
+    dispatch_service as dispatch_service,
+)
+from gypsumbridge_decisions.forwarding.room_dispatch import (
+    find_part as find_part,
+)
+from gypsumbridge_decisions.forwarding.room_dispatch import give_up as give_up
+from gypsumbridge_decisions.forwarding.room_dispatch import (
+    handle_room_timer as handle_room_timer,
+)
+from gypsumbridge_decisions.forwarding.room_dispatch import (
+    postpone_hedge as postpone_hedge,
+)
+from gypsumbridge_decisions.forwarding.room_dispatch import (
+    record_wait as record_wait,
+)
+from gypsumbridge_decisions.forwarding.room_dispatch import (
+    send_part as send_part,
+)
+from gypsumbridge_decisions.forwarding.room_dispatch import (
+    set_timer as set_timer,
+)
+from gypsumbridge_decisions.forwarding.room_dispatch import (
+    useful_ms as useful_ms,
+)
+from gypsumbridge_decisions.forwarding.room_timer import RoomTimer as RoomTimer
 from gypsumbridge_decisions.forwarding.route import Route as Route
+from gypsumbridge_decisions.forwarding.route_latency import (
+    latency_window_for as latency_window_for,
+)
 from gypsumbridge_decisions.forwarding.route_table import (
     find_route as find_route,
 )
@@ -372,6 +424,15 @@
 from gypsumbridge_decisions.forwarding.searcher_health import (
     SearcherHealth as SearcherHealth,
 )
+from gypsumbridge_decisions.forwarding.searcher_loads import (
+    full_searchers as full_searchers,
+)
+from gypsumbridge_decisions.forwarding.searcher_loads import (
+    loads_for as loads_for,
+)
+from gypsumbridge_decisions.forwarding.searcher_loads import (
+    usable_slots as usable_slots,
+)
 from gypsumbridge_decisions.forwarding.searcher_statement import (
     SearcherStatement as SearcherStatement,
 )
@@ -436,6 +497,18 @@
 from gypsumbridge_decisions.forwarding.top_records import (
     TopRecords as TopRecords,
 )
+from gypsumbridge_decisions.forwarding.waiting_for_room import (
+    stop_waiting as stop_waiting,
+)
+from gypsumbridge_decisions.forwarding.waiting_for_room import (
+    wait_again as wait_again,
+)
+from gypsumbridge_decisions.forwarding.waiting_for_room import (
+    wait_for_room as wait_for_room,
+)
+from gypsumbridge_decisions.forwarding.waiting_for_room import (
+    weight_of as weight_of,
+)
 from gypsumbridge_decisions.forwarding.warming import (
     is_kept_warm as is_kept_warm,
 )
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/arrival.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/arrival.py
@@ -33,11 +33,12 @@
     version: int,
     now_ms: int,
     group: tuple[str, ...] = (),
+    runs: int = 0,
 ) -> list[command.Command]:
     """Send the first attempts of a request to searchers.
 
     With `group`, only the parts of these services are gathered for a node
-    that adds the others.
+    that adds the others. A coordinator may have run the request `runs` times.
     """
     exchange = exchanges.Exchange(
         request,
@@ -50,6 +51,8 @@
     state.exchanges[request.call_id] = exchange
     if not is_coverable(state, exchange, now_ms):
         return finishing.finish(state, exchange, now_ms)
+    for part in exchange.parts:
+        part.runs = runs
     commands = grouping.send_groups(state, exchange, now_ms)
     for part in exchange.parts:
         if part.delegated:
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/choosing.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/choosing.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 import functools
 
+from gypsumbridge_decisions.admission import searcher_load
 from gypsumbridge_decisions.forwarding import policy as policies
 from gypsumbridge_decisions.forwarding import searcher as searchers
 from gypsumbridge_decisions.forwarding import searcher_health
@@ -78,13 +79,33 @@
     policy: policies.ForwardingPolicy,
 ) -> float:
     """Return the expected latency in units of the route's median latency."""
-    load = max(0, measured.in_flight + 1 - searcher.slots) / searcher.slots
-    cost = measured.slowness * (1.0 + load)
-    cost += OVERDUE_PENALTY * measured.overdue
-    cost += FAILURE_PENALTY * measured.failure_rate
+    load = load_of(searcher, measured, policy)
+    return load.expected_ms(1.0, 0, 0) + load.penalty
+
+
+def load_of(
+    searcher: searchers.Searcher,
+    measured: searcher_health.SearcherHealth,
+    policy: policies.ForwardingPolicy,
+    full_until_ms: int = 0,
+    slots: int = 0,
+) -> searcher_load.SearcherLoad:
+    """Return what this node knows of a searcher's load.
+
+    It uses `slots` of its slots, or all if that is 0.
+    """
+    penalty = FAILURE_PENALTY * measured.failure_rate
     if searcher.failure_domain != policy.failure_domain:
-        cost += OTHER_DOMAIN_PENALTY
-    return cost + preference(searcher.searcher_id, policy.node_id)
+        penalty += OTHER_DOMAIN_PENALTY
+    return searcher_load.SearcherLoad(
+        searcher.searcher_id,
+        slots or searcher.slots,
+        measured.in_flight,
+        measured.slowness,
+        OVERDUE_PENALTY * measured.overdue,
+        penalty + preference(searcher.searcher_id, policy.node_id),
+        full_until_ms,
+    )
 
 
 @functools.lru_cache(maxsize=4_096)
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/coordinating.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/coordinating.py
@@ -36,8 +36,11 @@
         return refuse_delegated(request.call_id, 'version')
     path = request.target.partition('?')[0]
     route = route_table.find_route(table, request.host, path)
-    if route is None or route.gather is None:
+    if route is None:
         return refuse_delegated(request.call_id, 'route')
+    if route.gather is None:
+        if not state.controls_load() or not route.idempotent:
+            return refuse_delegated(request.call_id, 'route')
     targets = {target.service for target in route.targets}
     if not targets.issuperset(message.services):
         return refuse_delegated(request.call_id, 'route')
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/coordinator_health.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/coordinator_health.py
@@ -7,12 +7,16 @@
 
 
 class CoordinatorHealth:
-    """Gathers in flight, and the time until which none is delegated."""
+    """Gathers in flight, and the time until which none is delegated.
+
+    Requests to one searcher are placed elsewhere until `unplaced_until_ms`.
+    """
 
     def __init__(self) -> None:
         self.in_flight = 0
         self.failures = 0
         self.excluded_until_ms = 0
+        self.unplaced_until_ms = 0
 
     def record_answer(self) -> None:
         """Forget earlier failures."""
@@ -27,3 +31,10 @@
         exclusion_ms = FIRST_EXCLUSION_MS << min(self.failures, 8)
         self.failures += 1
         self.excluded_until_ms = now_ms + min(exclusion_ms, MAX_EXCLUSION_MS)
+        # Each node finds out by itself, and spends an extra attempt on it. Its
+        # share of the retry budget is one or two in 10 s.
+        self.unplaced_until_ms = now_ms + MAX_EXCLUSION_MS
+
+    def may_place(self, now_ms: int) -> bool:
+        """Return whether requests to one searcher may be placed here."""
+        return max(self.excluded_until_ms, self.unplaced_until_ms) <= now_ms
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/delegating.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/delegating.py
@@ -17,6 +17,7 @@
 from gypsumbridge_decisions.forwarding import final_response
 from gypsumbridge_decisions.forwarding import ranking
 from gypsumbridge_decisions.forwarding import refusing
+from gypsumbridge_decisions.forwarding import request_placement
 from gypsumbridge_decisions.forwarding import route as routes
 from gypsumbridge_decisions.forwarding import route_table
 from gypsumbridge_decisions.forwarding import state as states
@@ -82,6 +83,10 @@
 ) -> list[command.Command]:
     """Delegate a request if it is a gather for another node, or run it."""
     chosen = choose_coordinator(state, route, now_ms)
+    if route.gather is None:
+        chosen = request_placement.choose_single_coordinator(
+            state, route, now_ms
+        )
     if chosen is None:
         return arrival.start_exchange(state, request, route, version, now_ms)
     expires_ms = arrival.expiry_ms(request, route)
@@ -97,7 +102,11 @@
         messages.Timer(
             expires_ms - now_ms, expiry_timer.ExpiryTimer(request.call_id)
         ),
-        messages.Count('forwarding.delegated'),
+        *(
+            [messages.Count('forwarding.delegated')]
+            if route.gather is not None
+            else request_placement.report(delegation)
+        ),
     ]
 
 
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/delegation.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/delegation.py
@@ -10,7 +10,8 @@
     `services` are those that the coordinator gathers from, empty for all of
     them. `expires_ms` is the deadline of the final response on this node's
     clock. `accepted` is set when the coordinator has confirmed that it
-    gathers. `timer_extended` is set after the acceptance timer was set again.
+    gathers. `timer_extended`
+    is set after the acceptance timer was set again.
     """
 
     def __init__(
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/delegation_ending.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/delegation_ending.py
@@ -14,6 +14,7 @@
 from gypsumbridge_decisions.forwarding import delegation_sending
 from gypsumbridge_decisions.forwarding import final_response
 from gypsumbridge_decisions.forwarding import grouping
+from gypsumbridge_decisions.forwarding import placed_ending
 from gypsumbridge_decisions.forwarding import state as states
 from gypsumbridge_decisions.forwarding import statements
 
@@ -103,6 +104,8 @@
     """Gather elsewhere what a coordinator has certainly not begun."""
     if found.services:
         return grouping.send_directly(state, found, now_ms)
+    if found.route.gather is None:
+        return placed_ending.send_from_here(state, found, now_ms, 0)
     return delegating.start_request(
         state, found.request, found.route, found.version, now_ms
     )
@@ -116,10 +119,15 @@
     """Give up what a lost coordinator may have begun to gather.
 
     It may still send as many attempts as the route allows, since it does
-    not always notice that its caller has given up.
+    not always notice that its caller has given up. A request to one searcher
+    is sent from here if the coordinator has not confirmed it.
     """
     if found.services:
         return grouping.drop_group(state, found, now_ms)
+    if placed_ending.may_be_repeated(found, now_ms):
+        return placed_ending.send_from_here(
+            state, found, now_ms, placed_ending.UNCONFIRMED_RUNS
+        )
     failed = caller_response.CallerResponse(
         found.request.call_id, final_response.STATUS_BAD_GATEWAY
     )
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/discovery_updates.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/discovery_updates.py
@@ -96,6 +96,7 @@
             gone, now_ms
         )
     forget_departed(state, now_ms)
+    state.room.changed.update(state.room.queues)
     refresh_shares(state)
     draining = sum(1 for found in update.searchers if found.draining)
     fields = {
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/ending.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/ending.py
@@ -13,6 +13,7 @@
 from gypsumbridge_decisions.forwarding import sending
 from gypsumbridge_decisions.forwarding import state as states
 from gypsumbridge_decisions.forwarding import statements
+from gypsumbridge_decisions.forwarding import waiting_for_room
 
 _OUTCOME = attempt_outcome.AttemptOutcome
 # A cancelled attempt that lasted this many times the median latency without a
@@ -46,7 +47,7 @@
         exchange.set_answer(part, ended)
         if exchange.merged_records is not None:
             exchange.merged_records.add(ended.body)
-        commands = cancel_attempts(state, part)
+        commands = cancel_attempts(state, exchange, part)
     else:
         commands = handle_attempt_failure(
             state, exchange, part, attempt, ended, now_ms
@@ -90,9 +91,20 @@
         part.failure = ended
         part.reason = f'status_{ended.status}'
     sent: list[command.Command] = []
-    if exchange.route.idempotent or (
+    waits = False
+    may_repeat = exchange.route.idempotent or (
         ended.outcome.is_certainly_not_run() and not part.running
-    ):
+    )
+    if may_repeat and state.controls_load():
+        waits = waiting_for_room.wait_again(
+            state,
+            exchange,
+            part,
+            attempt.searcher.searcher_id,
+            ended,
+            now_ms,
+        )
+    elif may_repeat:
         sent = sending.send_extra_attempt(
             state,
             exchange,
@@ -104,7 +116,7 @@
             if ended.outcome == _OUTCOME.LOST
             else None,
         )
-    if sent:
+    if sent or waits:
         sent.append(messages.Count('forwarding.retries'))
     return [
         messages.Decision(
@@ -125,7 +137,9 @@
 
 
 def cancel_attempts(
-    state: states.ForwardingState, part: part_state.PartState
+    state: states.ForwardingState,
+    exchange: exchanges.Exchange,
+    part: part_state.PartState,
 ) -> list[command.Command]:
     """Cancel the attempts that a part no longer needs."""
     commands: list[command.Command] = []
@@ -135,6 +149,7 @@
             cancel_attempt.CancelAttempt(attempt_id, finishing.CANCEL_GRACE_MS)
         )
     part.running.clear()
+    waiting_for_room.stop_waiting(state, exchange, part)
     return commands
 
 
@@ -166,6 +181,7 @@
     if health is None:
         return []
     health.in_flight -= 1
+    state.room.record_change(attempt.service)
     if attempt.overdue:
         health.overdue -= 1
     if ended.outcome == _OUTCOME.MISDIRECTED:
@@ -189,11 +205,19 @@
     latency_ms = now_ms - attempt.sent_ms
     window = state.latencies.get(attempt.route_name)
     median_ms = window.median_ms if window is not None else latency_ms
+    if state.controls_load() and window is not None:
+        # Until a median is measured, no searcher is known to be slow or fast.
+        # The expected completion would be far too early after that.
+        median_ms = median_ms if window.is_measured() else latency_ms
     answered = ended.outcome == _OUTCOME.ANSWERED and ended.status < 500
     if window is not None and (answered or attempt.abandoned):
         # A cancelled attempt would have taken even longer. Without the slow
         # attempts, each hedge that they cause would lower the quantiles.
         window.add(latency_ms)
+    if ended.outcome == _OUTCOME.NOT_RUN and state.controls_load():
+        run_ms = median_ms * health.slowness
+        health.record_rejection(run_ms / attempt.searcher.slots, now_ms)
+        return
     if answered:
         health.record_answer(latency_ms / max(1.0, median_ms), now_ms)
         return
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/finishing.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/finishing.py
@@ -11,6 +11,7 @@
 from gypsumbridge_decisions.forwarding import objective_timer
 from gypsumbridge_decisions.forwarding import response_written
 from gypsumbridge_decisions.forwarding import state as states
+from gypsumbridge_decisions.forwarding import waiting_for_room
 
 # The weight of the latest timer in the average lag.
 LAG_WEIGHT = 0.1
@@ -195,6 +196,7 @@
     """
     commands: list[command.Command] = []
     for part in exchange.parts:
+        waiting_for_room.stop_waiting(state, exchange, part)
         for attempt_id in part.running:
             commands.append(cancel_attempt.CancelAttempt(attempt_id, grace_ms))
             if grace_ms:
@@ -203,6 +205,7 @@
             attempt = state.attempts.pop(attempt_id)
             health = state.health[attempt.searcher.searcher_id]
             health.in_flight -= 1
+            state.room.record_change(attempt.service)
             if attempt.overdue:
                 health.overdue -= 1
         part.running.clear()
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/handler.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/handler.py
@@ -28,6 +28,8 @@
 from gypsumbridge_decisions.forwarding import nodes_changed
 from gypsumbridge_decisions.forwarding import objective_timer
 from gypsumbridge_decisions.forwarding import response_written
+from gypsumbridge_decisions.forwarding import room_dispatch
+from gypsumbridge_decisions.forwarding import room_timer
 from gypsumbridge_decisions.forwarding import routes_changed
 from gypsumbridge_decisions.forwarding import searchers_changed
 from gypsumbridge_decisions.forwarding import state as states
@@ -49,6 +51,16 @@
     """
     if boot_ms is None:
         boot_ms = now_ms
+    commands = decide(state, message, now_ms, boot_ms)
+    if state.room.changed:
+        commands = [*commands, *room_dispatch.dispatch(state, now_ms)]
+    return commands
+
+
+def decide(
+    state: states.ForwardingState, message: Any, now_ms: int, boot_ms: int
+) -> list[command.Command]:
+    """Return the commands of a message, without those of queued parts."""
     match message:
         case caller_request.CallerRequest():
             return delegating.receive(state, message, now_ms, boot_ms)
@@ -84,6 +96,8 @@
             )
         case delegation_ended.DelegationEnded():
             return delegation_ending.handle_end(state, message, now_ms)
+        case room_timer.RoomTimer():
+            return room_dispatch.handle_room_timer(state, message)
         case response_written.ResponseWritten():
             return finishing.record_answer_delay(state, message)
         case searchers_changed.SearchersChanged():
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/hedging.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/hedging.py
@@ -4,8 +4,8 @@
 from gypsumbridge_decisions.forwarding import command
 from gypsumbridge_decisions.forwarding import exchange as exchanges
 from gypsumbridge_decisions.forwarding import hedge_timer
-from gypsumbridge_decisions.forwarding import latency_window
 from gypsumbridge_decisions.forwarding import route as routes
+from gypsumbridge_decisions.forwarding import route_latency
 from gypsumbridge_decisions.forwarding import sending
 from gypsumbridge_decisions.forwarding import state as states
 
@@ -19,20 +19,6 @@
 # fault that made the connection of the first attempt unresponsive may affect
 # it, too, and many routes allow no third attempt.
 MAX_IDLE_HEDGE_MS = 5_000
-# The latency assumed before any is measured, as a share of the objective.
-ASSUMED_LATENCY_SHARE = 0.45
-
-
-def latency_window_for(
-    state: states.ForwardingState, route: routes.Route
-) -> latency_window.LatencyWindow:
-    """Return the latency window of a route, created on first use."""
-    found = state.latencies.get(route.name)
-    if found is None:
-        estimate_ms = route.objective_ms * ASSUMED_LATENCY_SHARE
-        found = latency_window.LatencyWindow(max(1.0, estimate_ms))
-        state.latencies[route.name] = found
-    return found
 
 
 def hedge_delay_ms(
@@ -44,7 +30,7 @@
     before its objective hedges one attempt in ten, which leaves budget for
     retries and for routes with less time, which hedge up to one in four.
     """
-    window = latency_window_for(state, route)
+    window = route_latency.latency_window_for(state, route)
     latest_ms = answer_after_ms - HEDGE_LATENCIES * window.p90_ms
     delay_ms = max(window.p75_ms, min(window.p90_ms, latest_ms))
     return max(MIN_DELAY_MS, int(delay_ms))
@@ -65,7 +51,11 @@
     # Usually single searchers are slow. When most parts are in flight, this
     # node or its link is slow, which hedges would make worse. After the
     # second delay, the connections may have lost data without being closed.
-    direct = [part for part in exchange.parts if not part.delegated]
+    direct = [
+        part
+        for part in exchange.parts
+        if not part.delegated and part.may_be_hedged(now_ms)
+    ]
     open_count = sum(1 for part in direct if part.is_open())
     most_open = open_count * 2 > len(direct)
     if most_open and len(exchange.parts) > 1 and not exchange.hedge_postponed:
@@ -99,7 +89,7 @@
 ) -> list[command.Command]:
     """Set the hedge timer of a request again."""
     exchange.hedge_postponed = True
-    window = latency_window_for(state, exchange.route)
+    window = route_latency.latency_window_for(state, exchange.route)
     delay_ms = min(
         now_ms - exchange.request.arrived_ms,
         exchange.answer_ms - int(window.median_ms) - now_ms,
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/latency_window.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/latency_window.py
@@ -27,6 +27,10 @@
         self.p75_ms = estimate_ms
         self.p90_ms = estimate_ms
 
+    def is_measured(self) -> bool:
+        """Return whether the quantiles are no longer the estimate."""
+        return len(self.samples) >= REFRESH_SAMPLES
+
     def add(self, latency_ms: float) -> None:
         """Add the latency of an attempt that was answered or abandoned."""
         self.samples.append(latency_ms)
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/route_table.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/route_table.py
@@ -43,6 +43,17 @@
             if found.gather is not None
         )
 
+    @functools.cached_property
+    def fetched(self) -> frozenset[str]:
+        """The services of idempotent requests to one searcher."""
+        return frozenset(
+            target.service
+            for by_prefix in self.routes.values()
+            for found in by_prefix.values()
+            if found.gather is None and found.idempotent
+            for target in found.targets
+        )
+
 
 def find_route(table: RouteTable, host: str, path: str) -> route.Route | None:
     """Return the route with the longest prefix of a path, or None.
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/searcher_health.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/searcher_health.py
@@ -21,6 +21,9 @@
 LAPSE_MS = 10_000
 # Limits the time that a searcher may state in its Retry-After header.
 MAX_RETRY_AFTER_MS = 600_000
+# The time for which a searcher that rejects requests counts as full doubles
+# with each rejection in a row, up to this. Most have room long before.
+MAX_FULL_MS = 1_000
 
 
 class SearcherHealth:
@@ -31,7 +34,9 @@
     when another searcher has answered at the address, `leaving` when the
     searcher has stated that it is about to exit. It has asked for no requests
     before `closed_until_ms`. While its entry is missing, it is used before
-    `held_until_ms`. `interval_ms` is the average time between samples.
+    `held_until_ms`. After `rejections` in a row of requests, it is expected to
+    have room again at `full_until_ms`. `interval_ms` is the average time
+    between samples.
     """
 
     def __init__(self) -> None:
@@ -48,6 +53,8 @@
         self.leaving = False
         self.closed_until_ms = 0
         self.held_until_ms: int | None = None
+        self.rejections = 0
+        self.full_until_ms = 0
 
     def decay(self, now_ms: int) -> None:
         """Move the averages towards their defaults by the elapsed time."""
@@ -97,12 +104,19 @@
         until_ms = now_ms + retry_after_ms
         self.closed_until_ms = max(self.closed_until_ms, until_ms)
 
+    def record_rejection(self, room_ms: float, now_ms: int) -> None:
+        """Record that the searcher is full; a slot is free in `room_ms`."""
+        full_ms = min(room_ms * 2 ** min(self.rejections, 8), MAX_FULL_MS)
+        self.rejections += 1
+        self.full_until_ms = now_ms + max(1, int(full_ms))
+
     def record_answer(self, slowness: float, now_ms: int) -> None:
         """Add a response that took `slowness` times the median latency."""
         weight = self.sample(now_ms)
         self.slowness += weight * (slowness - self.slowness)
         self.failure_rate -= weight * self.failure_rate
         self.consecutive_failures = 0
+        self.rejections = 0
 
     def record_failure(self, now_ms: int, unreachable: bool) -> None:
         """Add a failure; several consecutive ones eject the searcher.
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/sending.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/sending.py
@@ -7,10 +7,14 @@
 from gypsumbridge_decisions.forwarding import part_state
 from gypsumbridge_decisions.forwarding import retry_budget
 from gypsumbridge_decisions.forwarding import searcher as searchers
+from gypsumbridge_decisions.forwarding import searcher_loads
 from gypsumbridge_decisions.forwarding import send_attempt
 from gypsumbridge_decisions.forwarding import state as states
+from gypsumbridge_decisions.forwarding import waiting_for_room
 
 NO_SEARCHER = 'no_searcher'
+# None of them is expected to complete the request in time.
+NO_ROOM = 'no_room'
 # All of them have stated that they leave or want no requests now, or were
 # replaced by other searchers at their addresses.
 SEARCHERS_CLOSED = 'searchers_closed'
@@ -53,7 +57,15 @@
     part: part_state.PartState,
     now_ms: int,
 ) -> list[command.Command]:
-    """Send the first attempt of a part if the service has a searcher."""
+    """Send the first attempt of a part if the service has a searcher.
+
+    Where load is controlled, the part waits for room.
+    """
+    if state.controls_load():
+        waiting_for_room.wait_for_room(
+            state, exchange, part, is_repeat=part.runs > 0
+        )
+        return []
     chosen = choose(state, part, now_ms)
     if chosen is None:
         record_unusable(state, part, now_ms)
@@ -133,7 +145,11 @@
     if now_ms >= exchange.expires_ms or exchange.route.max_attempts < 2:
         return []
     chosen = choosing.choose_searcher(
-        candidates, state.health, state.policy, (), now_ms
+        candidates,
+        state.health,
+        state.policy,
+        searcher_loads.full_searchers(state, part.service, now_ms),
+        now_ms,
     )
     if chosen is None or not budget_for(state, part.service).spend(now_ms):
         return []
@@ -148,7 +164,8 @@
         state.searchers.get(part.service, ()),
         state.health,
         state.policy,
-        part.tried,
+        part.tried
+        | searcher_loads.full_searchers(state, part.service, now_ms),
         now_ms,
     )
 
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/state.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/state.py
@@ -1,5 +1,6 @@
 """State of the forwarding task."""
 
+from gypsumbridge_decisions.admission import room_state
 from gypsumbridge_decisions.forwarding import answer_delay
 from gypsumbridge_decisions.forwarding import attempt
 from gypsumbridge_decisions.forwarding import checked_request
@@ -32,7 +33,8 @@
     `previous_table` is kept for nodes that delegate with the older version.
     `coordinators` is keyed by node id, `delegations` by an id of their own;
     `delegated_calls` holds that id for each request delegated as a whole.
-    `waiting` holds the requests that are not admitted yet, by call id.
+    `waiting` holds the requests that are not admitted yet, by call id, `room`
+    the parts that wait for room at a searcher.
     """
 
     def __init__(
@@ -54,6 +56,7 @@
         self.health: dict[str, searcher_health.SearcherHealth] = {}
         self.departed: dict[str, departed_searcher.DepartedSearcher] = {}
         self.waiting: dict[int, checked_request.CheckedRequest] = {}
+        self.room = room_state.RoomState()
         self.exchanges: dict[int, exchange.Exchange] = {}
         self.attempts: dict[int, attempt.Attempt] = {}
         self.last_attempt_id = 0
@@ -65,6 +68,10 @@
         self.timer_lag_at_ms = started_ms
         self.answer_delays: dict[str, answer_delay.AnswerDelay] = {}
 
+    def controls_load(self) -> bool:
+        """Return whether requests wait here for room at searchers."""
+        return self.table is not None and self.table.customers is not None
+
     def table_of(self, version: int) -> route_table.RouteTable | None:
         """Return the routes of a version, if it is one of the last two."""
         for table in (self.table, self.previous_table):
--- a/tools/write_init.py
+++ b/tools/write_init.py
@@ -21,6 +21,7 @@
         'MUTATION_DEDUP_WINDOW_MS',
         'NEVER_MS',
         'NO_EXPIRY_MS',
+        'RANK_FLOOR',
         'RESOURCES_PATH',
         'STALE_MS',
     }
