Describe the decisions under load, and measure late timers with them

Coordinators refuse work when their timers fire late, which only gathers measured; the timer of waiting requests does now as well. Times of return no longer go back when a request with little time left is refused.

--- a/packages/decisions/src/gypsumbridge_decisions/admission/return_times.py
+++ b/packages/decisions/src/gypsumbridge_decisions/admission/return_times.py
@@ -28,13 +28,14 @@
         `room_ms` is the time until then, `pace_ms` that between two requests
         at the service's rate, and `left_ms` until the caller's deadline.
         """
-        self.last_ms = max(now_ms + room_ms, self.last_ms + pace_ms)
+        at_ms = max(now_ms + room_ms, self.last_ms + pace_ms)
         longest_ms = left_ms * MAX_SHARE_OF_TIME_LEFT
-        # Otherwise refusals in an overload would move the times on without
-        # limit.
-        self.last_ms = min(self.last_ms, now_ms + longest_ms)
-        delay_ms = self.last_ms - now_ms
+        delay_ms = min(at_ms - now_ms, longest_ms)
+        if delay_ms < longest_ms:
+            self.last_ms = at_ms
         position = rendezvous.weight(request_id, '') / rendezvous.HASH_RANGE
         if delay_ms >= longest_ms:
+            # In a longer overload all delays are cut, and the order is kept
+            # only between requests that were refused further apart than this.
             delay_ms *= 1 - SPREAD * position
         return int(min(max(MIN_DELAY_MS, delay_ms), longest_ms))
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
@@ -279,6 +279,9 @@
 from gypsumbridge_decisions.forwarding.finishing import (
     record_answer_delay as record_answer_delay,
 )
+from gypsumbridge_decisions.forwarding.finishing import (
+    record_lag as record_lag,
+)
 from gypsumbridge_decisions.forwarding.fleet_size_changed import (
     FleetSizeChanged as FleetSizeChanged,
 )
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/finishing.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/finishing.py
@@ -61,9 +61,7 @@
 
     Otherwise it is answered as soon as they do.
     """
-    lag_ms = max(0, now_ms - timer.due_ms)
-    state.timer_lag_ms += LAG_WEIGHT * (lag_ms - state.timer_lag_ms)
-    state.timer_lag_at_ms = now_ms
+    record_lag(state, timer.due_ms, now_ms)
     exchange = state.exchanges.get(timer.call_id)
     if exchange is None:
         return []
@@ -73,6 +71,15 @@
     return finish(state, exchange, now_ms, timer.due_ms)
 
 
+def record_lag(
+    state: states.ForwardingState, due_ms: int, now_ms: int
+) -> None:
+    """Record how late a timer is handled."""
+    lag_ms = max(0, now_ms - due_ms)
+    state.timer_lag_ms += LAG_WEIGHT * (lag_ms - state.timer_lag_ms)
+    state.timer_lag_at_ms = now_ms
+
+
 def record_answer_delay(
     state: states.ForwardingState, written: response_written.ResponseWritten
 ) -> list[command.Command]:
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/handler.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/handler.py
@@ -97,7 +97,7 @@
         case delegation_ended.DelegationEnded():
             return delegation_ending.handle_end(state, message, now_ms)
         case room_timer.RoomTimer():
-            return room_dispatch.handle_room_timer(state, message)
+            return room_dispatch.handle_room_timer(state, message, now_ms)
         case response_written.ResponseWritten():
             return finishing.record_answer_delay(state, message)
         case searchers_changed.SearchersChanged():
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/room_dispatch.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/room_dispatch.py
@@ -9,6 +9,7 @@
 from gypsumbridge_decisions.forwarding import command
 from gypsumbridge_decisions.forwarding import ending
 from gypsumbridge_decisions.forwarding import exchange as exchanges
+from gypsumbridge_decisions.forwarding import finishing
 from gypsumbridge_decisions.forwarding import hedge_timer
 from gypsumbridge_decisions.forwarding import hedging
 from gypsumbridge_decisions.forwarding import part_state
@@ -23,9 +24,10 @@
 
 
 def handle_room_timer(
-    state: states.ForwardingState, timer: room_timer.RoomTimer
+    state: states.ForwardingState, timer: room_timer.RoomTimer, now_ms: int
 ) -> list[command.Command]:
     """Plan the parts of a service again."""
+    finishing.record_lag(state, timer.due_ms, now_ms)
     state.room.timers.discard(timer.service)
     state.room.record_change(timer.service)
     return []
@@ -263,4 +265,8 @@
     state.room.timers.add(service)
     delays = [load.full_until_ms - now_ms for load in loads]
     delay_ms = min([REPLAN_MS, *(delay for delay in delays if delay > 0)])
-    return [messages.Timer(delay_ms, room_timer.RoomTimer(service))]
+    return [
+        messages.Timer(
+            delay_ms, room_timer.RoomTimer(service, now_ms + delay_ms)
+        )
+    ]
--- a/tests/decisions/forwarding/test_room.py
+++ b/tests/decisions/forwarding/test_room.py
@@ -133,7 +133,7 @@
             if not again:
                 self.now_ms += 1_000
                 again = gateway_case.sends(
-                    self.handle(forwarding.RoomTimer('s1'))
+                    self.handle(forwarding.RoomTimer('s1', self.now_ms))
                 )
             (sent,) = again
         (response,) = gateway_case.responses(self.answer(sent))
