Give the slot of a repeat without budget to the next part

It stayed free until the next plan, up to 50 ms later. A request that waits when the node stops gets the usual Retry-After again.

--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/final_response.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/final_response.py
@@ -85,7 +85,7 @@
         delays.append(retry_delay.recovery_delay_ms(exchange.request, left_ms))
     if any(part.reason == sending.NO_ROOM for part in exchange.parts):
         # It is at most a third of the time left, which may be shorter.
-        return max(delays, default=0)
+        return max(delays, default=retry_delay.OTHER_NODE_MS)
     return max(retry_delay.OTHER_NODE_MS, *delays, 0)
 
 
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/room_dispatch.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/room_dispatch.py
@@ -111,6 +111,8 @@
     budget = sending.budget_for(state, service)
     if planned.part.is_repeat and not budget.spend(now_ms):
         queue.remove(planned.part.call_id)
+        # The slot is free for the parts that follow.
+        state.room.record_change(service)
         return give_up(state, service, planned, loads, room_ms, now_ms)
     queue.take(planned.part)
     part.waiting = None
--- a/tests/decisions/forwarding/test_room.py
+++ b/tests/decisions/forwarding/test_room.py
@@ -139,6 +139,19 @@
         (response,) = gateway_case.responses(self.answer(sent))
         self.assertEqual(200, response.status)
 
+    def test_a_request_that_waits_is_answered_when_the_node_stops(self):
+        """Guards against a caller without an answer."""
+        self.fill()
+        self.fetch()
+        (response,) = [
+            r
+            for r in gateway_case.responses(
+                self.handle(messages.EndRequests())
+            )
+            if r.call_id == self.last_call_id
+        ]
+        self.assertEqual((503, 50), (response.status, response.retry_after_ms))
+
     def test_a_caller_that_leaves_makes_room(self):
         """Guards against work for nobody, and places that are never freed."""
         self.fill()
