Merge admission with waiting for room, switched off by default

Cause: a request that all searchers of a small service have rejected is refused at once, and no single node of a large fleet sees enough requests to learn which searcher is slow or full.

--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/__init__.py
@@ -82,6 +82,7 @@
 from gypsumbridge_decisions.forwarding.choosing import (
     expected_cost as expected_cost,
 )
+from gypsumbridge_decisions.forwarding.choosing import load_of as load_of
 from gypsumbridge_decisions.forwarding.choosing import (
     next_usable_ms as next_usable_ms,
 )
@@ -284,6 +285,9 @@
 from gypsumbridge_decisions.forwarding.finishing import (
     record_answer_delay as record_answer_delay,
 )
+from gypsumbridge_decisions.forwarding.finishing import (
+    record_lag as record_lag,
+)
 from gypsumbridge_decisions.forwarding.fleet_size_changed import (
     FleetSizeChanged as FleetSizeChanged,
 )
@@ -312,6 +316,7 @@
 from gypsumbridge_decisions.forwarding.grouping import (
     send_groups as send_groups,
 )
+from gypsumbridge_decisions.forwarding.handler import decide as decide
 from gypsumbridge_decisions.forwarding.handler import handle as handle
 from gypsumbridge_decisions.forwarding.hedge_timer import (
     HedgeTimer as HedgeTimer,
@@ -320,9 +325,6 @@
 from gypsumbridge_decisions.forwarding.hedging import (
     hedge_delay_ms as hedge_delay_ms,
 )
-from gypsumbridge_decisions.forwarding.hedging import (
-    latency_window_for as latency_window_for,
-)
 from gypsumbridge_decisions.forwarding.hedging import postpone as postpone
 from gypsumbridge_decisions.forwarding.hold_changed import (
     HoldChanged as HoldChanged,
@@ -343,6 +345,12 @@
     ObjectiveTimer as ObjectiveTimer,
 )
 from gypsumbridge_decisions.forwarding.part_state import PartState as PartState
+from gypsumbridge_decisions.forwarding.placed_ending import (
+    may_be_repeated as may_be_repeated,
+)
+from gypsumbridge_decisions.forwarding.placed_ending import (
+    send_from_here as send_from_here,
+)
 from gypsumbridge_decisions.forwarding.placement import (
     allowed_domains as allowed_domains,
 )
@@ -366,6 +374,18 @@
 )
 from gypsumbridge_decisions.forwarding.refusing import refuse as refuse
 from gypsumbridge_decisions.forwarding.refusing import reject as reject
+from gypsumbridge_decisions.forwarding.request_placement import (
+    choose_gathering as choose_gathering,
+)
+from gypsumbridge_decisions.forwarding.request_placement import (
+    choose_single_coordinator as choose_single_coordinator,
+)
+from gypsumbridge_decisions.forwarding.request_placement import (
+    is_placeable as is_placeable,
+)
+from gypsumbridge_decisions.forwarding.request_placement import (
+    report as report,
+)
 from gypsumbridge_decisions.forwarding.response_written import (
     ResponseWritten as ResponseWritten,
 )
@@ -378,7 +398,42 @@
 from gypsumbridge_decisions.forwarding.retry_delay import (
     recovery_delay_ms as recovery_delay_ms,
 )
+from gypsumbridge_decisions.forwarding.room_dispatch import (
+    describe_part as describe_part,
+)
+from gypsumbridge_decisions.forwarding.room_dispatch import (
+    dispatch as dispatch,
+)
+from gypsumbridge_decisions.forwarding.room_dispatch import (
+    dispatch_service as dispatch_service,
+)
+from gypsumbridge_decisions.forwarding.room_dispatch import (
+    find_part as find_part,
+)
+from gypsumbridge_decisions.forwarding.room_dispatch import give_up as give_up
+from gypsumbridge_decisions.forwarding.room_dispatch import (
+    handle_room_timer as handle_room_timer,
+)
+from gypsumbridge_decisions.forwarding.room_dispatch import (
+    postpone_hedge as postpone_hedge,
+)
+from gypsumbridge_decisions.forwarding.room_dispatch import (
+    record_wait as record_wait,
+)
+from gypsumbridge_decisions.forwarding.room_dispatch import (
+    send_part as send_part,
+)
+from gypsumbridge_decisions.forwarding.room_dispatch import (
+    set_timer as set_timer,
+)
+from gypsumbridge_decisions.forwarding.room_dispatch import (
+    useful_ms as useful_ms,
+)
+from gypsumbridge_decisions.forwarding.room_timer import RoomTimer as RoomTimer
 from gypsumbridge_decisions.forwarding.route import Route as Route
+from gypsumbridge_decisions.forwarding.route_latency import (
+    latency_window_for as latency_window_for,
+)
 from gypsumbridge_decisions.forwarding.route_table import (
     find_route as find_route,
 )
@@ -392,6 +447,15 @@
 from gypsumbridge_decisions.forwarding.searcher_health import (
     SearcherHealth as SearcherHealth,
 )
+from gypsumbridge_decisions.forwarding.searcher_loads import (
+    full_searchers as full_searchers,
+)
+from gypsumbridge_decisions.forwarding.searcher_loads import (
+    loads_for as loads_for,
+)
+from gypsumbridge_decisions.forwarding.searcher_loads import (
+    usable_slots as usable_slots,
+)
 from gypsumbridge_decisions.forwarding.searcher_statement import (
     SearcherStatement as SearcherStatement,
 )
@@ -457,6 +521,21 @@
 from gypsumbridge_decisions.forwarding.top_records import (
     TopRecords as TopRecords,
 )
+from gypsumbridge_decisions.forwarding.waiting_for_room import (
+    excluded_searchers as excluded_searchers,
+)
+from gypsumbridge_decisions.forwarding.waiting_for_room import (
+    stop_waiting as stop_waiting,
+)
+from gypsumbridge_decisions.forwarding.waiting_for_room import (
+    wait_again as wait_again,
+)
+from gypsumbridge_decisions.forwarding.waiting_for_room import (
+    wait_for_room as wait_for_room,
+)
+from gypsumbridge_decisions.forwarding.waiting_for_room import (
+    weight_of as weight_of,
+)
 from gypsumbridge_decisions.forwarding.warming import (
     is_kept_warm as is_kept_warm,
 )
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/finishing.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/finishing.py
@@ -11,6 +11,7 @@
 from gypsumbridge_decisions.forwarding import objective_timer
 from gypsumbridge_decisions.forwarding import response_written
 from gypsumbridge_decisions.forwarding import state as states
+from gypsumbridge_decisions.forwarding import waiting_for_room
 
 # The weight of the latest timer in the average lag.
 LAG_WEIGHT = 0.1
@@ -60,9 +61,7 @@
 
     Otherwise it is answered as soon as they do.
     """
-    lag_ms = max(0, now_ms - timer.due_ms)
-    state.timer_lag_ms += LAG_WEIGHT * (lag_ms - state.timer_lag_ms)
-    state.timer_lag_at_ms = now_ms
+    record_lag(state, timer.due_ms, now_ms)
     exchange = state.exchanges.get(timer.call_id)
     if exchange is None:
         return []
@@ -72,6 +71,15 @@
     return finish(state, exchange, now_ms, timer.due_ms)
 
 
+def record_lag(
+    state: states.ForwardingState, due_ms: int, now_ms: int
+) -> None:
+    """Record how late a timer is handled."""
+    lag_ms = max(0, now_ms - due_ms)
+    state.timer_lag_ms += LAG_WEIGHT * (lag_ms - state.timer_lag_ms)
+    state.timer_lag_at_ms = now_ms
+
+
 def record_answer_delay(
     state: states.ForwardingState, written: response_written.ResponseWritten
 ) -> list[command.Command]:
@@ -195,6 +203,7 @@
     """
     commands: list[command.Command] = []
     for part in exchange.parts:
+        waiting_for_room.stop_waiting(state, exchange, part)
         for attempt_id in part.running:
             commands.append(cancel_attempt.CancelAttempt(attempt_id, grace_ms))
             if grace_ms:
@@ -203,6 +212,7 @@
             attempt = state.attempts.pop(attempt_id)
             health = state.health[attempt.searcher.searcher_id]
             health.in_flight -= 1
+            state.room.record_change(attempt.service)
             if attempt.overdue:
                 health.overdue -= 1
         part.running.clear()
--- a/packages/decisions/src/gypsumbridge_decisions/forwarding/searcher_health.py
+++ b/packages/decisions/src/gypsumbridge_decisions/forwarding/searcher_health.py
@@ -25,6 +25,9 @@
 RETURN_MS = 3_000
 # Limits the time that a searcher may state in its Retry-After header.
 MAX_RETRY_AFTER_MS = 600_000
+# The time for which a searcher that rejects requests counts as full doubles
+# with each rejection in a row, up to this. Most have room long before.
+MAX_FULL_MS = 1_000
 
 
 class SearcherHealth:
@@ -35,10 +38,11 @@
     when another searcher has answered at the address, `leaving` when the
     searcher has stated that it is about to exit. It has asked for no requests
     before `closed_until_ms`. While its entry is missing, it is used before
-    `held_until_ms`. `interval_ms` is the average time between samples.
-    While its failure domain is `evacuated`, it gets no requests; after that
-    it returns gradually from `returned_ms` on, and `return_credit` is the
-    share of a request that it has been withheld since.
+    `held_until_ms`. After `rejections` in a row of requests, it is expected to
+    have room again at `full_until_ms`. `interval_ms` is the average time
+    between samples. While its failure domain is `evacuated`, it gets no
+    requests; after that it returns gradually from `returned_ms` on, and
+    `return_credit` is the share of a request that it has been withheld since.
     """
 
     def __init__(self) -> None:
@@ -58,6 +62,8 @@
         self.evacuated = False
         self.returned_ms: int | None = None
         self.return_credit = 0.0
+        self.rejections = 0
+        self.full_until_ms = 0
 
     def decay(self, now_ms: int) -> None:
         """Move the averages towards their defaults by the elapsed time."""
@@ -142,12 +148,19 @@
         until_ms = now_ms + retry_after_ms
         self.closed_until_ms = max(self.closed_until_ms, until_ms)
 
+    def record_rejection(self, room_ms: float, now_ms: int) -> None:
+        """Record that the searcher is full; a slot is free in `room_ms`."""
+        full_ms = min(room_ms * 2 ** min(self.rejections, 8), MAX_FULL_MS)
+        self.rejections += 1
+        self.full_until_ms = now_ms + max(1, int(full_ms))
+
     def record_answer(self, slowness: float, now_ms: int) -> None:
         """Add a response that took `slowness` times the median latency."""
         weight = self.sample(now_ms)
         self.slowness += weight * (slowness - self.slowness)
         self.failure_rate -= weight * self.failure_rate
         self.consecutive_failures = 0
+        self.rejections = 0
 
     def record_failure(self, now_ms: int, unreachable: bool) -> None:
         """Add a failure; several consecutive ones eject the searcher.
--- a/packages/node/src/gypsumbridge_node/gateway/searchers_state.py
+++ b/packages/node/src/gypsumbridge_node/gateway/searchers_state.py
@@ -19,7 +19,10 @@
     """
 
     def __init__(
-        self, node_id: str, budget: memory_budget.MemoryBudget
+        self,
+        node_id: str,
+        budget: memory_budget.MemoryBudget,
+        places_requests: bool = False,
     ) -> None:
         self.budget = budget
         self.pools: dict[PoolKey, searcher_pool.SearcherPool] = {}
@@ -27,7 +30,7 @@
         self.table: forwarding.RouteTable | None = None
         self.nodes = forwarding.ASSUMED_NODES
         self.searchers: dict[str, list[forwarding.Searcher]] = {}
-        self.coordination = forwarding.Coordination(node_id)
+        self.coordination = forwarding.Coordination(node_id, places_requests)
         # The id of the call that was sent last, and its encoded head.
         self.last_head: tuple[int, bytes] = (0, b'')
 
--- a/packages/node/src/gypsumbridge_node/gateway/settings/gateway_checks.py
+++ b/packages/node/src/gypsumbridge_node/gateway/settings/gateway_checks.py
@@ -43,6 +43,7 @@
     ('retry', 'ratio'): checks.in_range(0, 10),
     ('retry', 'allowance'): checks.in_range(0, 1_000_000),
     ('retry', 'window_s'): checks.in_range(0.1, 3_600),
+    ('admission', 'control_load'): checks.accept_any,
     ('quota', 'window_s'): checks.in_range(0.1, 3_600),
     ('quota', 'overshoot'): checks.in_range(0, 10),
     ('quota', 'slack'): checks.in_range(0, 1_000_000),
--- a/packages/node/src/gypsumbridge_node/gateway/settings/gateway_settings.py
+++ b/packages/node/src/gypsumbridge_node/gateway/settings/gateway_settings.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from gypsumbridge_node.gateway.settings import admission_settings
 from gypsumbridge_node.gateway.settings import discovery_settings
 from gypsumbridge_node.gateway.settings import gateway_node_settings
 from gypsumbridge_node.gateway.settings import limits_settings
@@ -20,6 +21,7 @@
     listen: listen_settings.ListenSettings
     discovery: discovery_settings.DiscoverySettings
     retry: retry_settings.RetrySettings
+    admission: admission_settings.AdmissionSettings
     quota: quota_settings.QuotaSettings
     limits: limits_settings.LimitsSettings
     stop: stop_settings.StopSettings
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/forwarding_task.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/forwarding_task.py
@@ -21,6 +21,7 @@
             settings.retry.allowance,
             int(settings.retry.window_s * 1000),
             regions.decode_regions(settings.discovery.regions),
+            settings.admission.control_load,
         ),
         runtime.clock.now_ms(),
     )
--- a/packages/node/src/gypsumbridge_node/gateway/tasks/searchers.py
+++ b/packages/node/src/gypsumbridge_node/gateway/tasks/searchers.py
@@ -20,7 +20,9 @@
 def start_searchers_task(runtime: runtimes.GatewayRuntime) -> None:
     """Send attempts to searchers and report their results."""
     state = searchers_state.SearchersState(
-        runtime.settings.node.node_id, runtime.resources.budget
+        runtime.settings.node.node_id,
+        runtime.resources.budget,
+        runtime.settings.admission.control_load,
     )
     context = searchers_context.SearchersContext(
         runtime, state, runtime.adapter.headers
--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -370,7 +370,7 @@
             'nodeName': name,
             'zone': zone,
             'ip': self.ip,
-            'limits': {'linkMbps': 1000.0, 'memoryMb': '', 'maxFds': ''},
+            'limits': {'linkMbps': 1000.0},
             'listen': {
                 'front': f'{self.ip}:{front}',
                 'ready': f'{self.ip}:{ready}',
