--- a/packages/decisions/src/gypsumbridge_decisions/discovery/restoring.py
+++ b/packages/decisions/src/gypsumbridge_decisions/discovery/restoring.py
@@ -7,6 +7,7 @@
 from gypsumbridge_decisions import messages
 from gypsumbridge_decisions import relaying
 from gypsumbridge_decisions.discovery import command
+from gypsumbridge_decisions.discovery import evacuating
 from gypsumbridge_decisions.discovery import restore_timer
 from gypsumbridge_decisions.discovery import state as states
 
@@ -126,7 +127,7 @@
 def hold_missing(
     state: states.DiscoveryState,
 ) -> list[command.Command]:
-    """Start the hold of the searchers that the copy lacks.
+    """Start the hold of the entries that the copy lacks and others write.
 
     All entries that it lacks are logged once in an era.
     """
@@ -135,8 +136,7 @@
     if kept and state.kept_era != state.era:
         state.kept_era = state.era
         commands += log_keys('store_entries_kept', 'missing_in_copy', kept)
-    prefix = state.schema.searcher_prefix
-    held = any(key.startswith(prefix) for key in kept)
+    held = any(is_held(state, key) for key in kept)
     if held and state.restore_timer_era != state.era:
         state.restore_timer_era = state.era
         timer = restore_timer.RestoreTimer(state.era)
@@ -147,7 +147,7 @@
 def end_hold(
     state: states.DiscoveryState, ended: restore_timer.RestoreTimer
 ) -> tuple[relaying.StoreRecord, ...]:
-    """Return deletions of the searchers that are still missing.
+    """Return deletions of the held entries that are still missing.
 
     Everything else that the copy lacks stays in force.
     """
@@ -157,11 +157,22 @@
     return tuple(
         relaying.StoreRecord(record.key, state.revision, None, state.era)
         for record in state.relay.log.present()
-        if record.era < state.era
-        and record.key.startswith(state.schema.searcher_prefix)
+        if record.era < state.era and is_held(state, record.key)
     )
 
 
+def is_held(state: states.DiscoveryState, key: str) -> bool:
+    """Return whether an entry is dropped if it stays missing.
+
+    Searchers and operators write what they want again. An evacuation whose
+    end was acknowledged before the restore would otherwise last for good at
+    nodes that have not seen the end.
+    """
+    return key.startswith(
+        state.schema.searcher_prefix
+    ) or evacuating.is_evacuation(state, key)
+
+
 def log_keys(name: str, reason: str, keys: list[str]) -> list[command.Command]:
     """Log and count the keys that a decision concerns."""
     if not keys:
