Let the soak's operator write one version after the other

Two versions were written at the same time and the lower one came last, so that the store held version 6 after 8, and gateways that restarted served 6. Ruled out: a configuration that went back; gateway-2, which did not restart, kept version 8. Change: the operator holds a lock while it writes.

--- a/packages/standins/src/gypsumbridge_standins/fault_soak/soak_state.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/soak_state.py
@@ -2,6 +2,8 @@
 
 from typing import Any
 
+from twisted.internet import defer
+
 from gypsumbridge_decisions import clock as clocks
 from gypsumbridge_standins.cluster import cluster as clusters
 from gypsumbridge_standins.fault_soak import drill
@@ -18,7 +20,8 @@
     `searchers/DOMAIN`. `unplanned` and `planned` hold the spans of faults
     and of planned work by node, or under `store`, `peers` and `searchers`.
     `versions` holds when the store accepted each version of the
-    configuration, and `draining` the spans in which a searcher drains;
+    configuration, which the operator writes while it holds `operator_lock`.
+    `draining` holds the spans in which a searcher drains;
     `leaving` those in which its answers say that it leaves, `departed` those
     in which a searcher drains over one of the `drills`, and `evacuated` those
     in which a failure domain is under evacuation.
@@ -43,6 +46,7 @@
         self.unplanned: dict[str, list[span.Span]] = {}
         self.planned: dict[str, list[span.Span]] = {}
         self.versions: dict[int, int] = {}
+        self.operator_lock = defer.DeferredLock()
         self.draining: dict[str, list[span.Span]] = {}
         self.leaving: dict[str, list[span.Span]] = {}
         self.evacuated: dict[str, list[span.Span]] = {}
--- a/packages/standins/src/gypsumbridge_standins/fault_soak/store_faults.py
+++ b/packages/standins/src/gypsumbridge_standins/fault_soak/store_faults.py
@@ -56,12 +56,16 @@
 
 
 async def configure(state: soak_state.SoakState, fault: faults.Fault) -> None:
-    """Write the next version of the configuration."""
-    # The version is reserved before the write, since two of these faults may
-    # overlap.
-    version = max(state.versions) + 1
-    state.versions[version] = disturbance.NEVER_MS
-    await control.send_command(
-        state, 0, config=deployment.make_config(version)
-    )
-    state.versions[version] = state.clock.now_ms()
+    """Write the next version of the configuration.
+
+    An operator's writes follow each other. On a busy machine, one of two that
+    overlapped came last with the lower version, which gateways that were
+    restarted later then served.
+    """
+    async with state.operator_lock:
+        version = max(state.versions) + 1
+        state.versions[version] = disturbance.NEVER_MS
+        await control.send_command(
+            state, 0, config=deployment.make_config(version)
+        )
+        state.versions[version] = state.clock.now_ms()
